Lay the thin path: balancer, agent and their pure decision crates

Cause: nothing runs yet; everything else needs the path from the fabric to a back end and home again. Change: a workspace of small crates. Pure: packet, config, routing (keyed hash, weighted rendezvous buckets, holder hint), wire, flow (admission chain, directory on demand, fence, flow table). I/O: stack (smoltcp per flow), observe, platform, balancer, agent. One thin binary.

--- /dev/null
+++ b/crates/agent/src/dispatch.rs
@@ -0,0 +1,398 @@
+//! Decides what to do with each message that reaches an agent.
+//!
+//! Pure logic: messages, loads and time are passed in, and every outcome is a
+//! value of [`Dispatch`] that [`crate::run`] carries out.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use weirhinge_config::TargetId;
+use weirhinge_flow::admission::{AdmissionStep, Candidates, OwnLoad, RefusalReason, consider};
+use weirhinge_flow::{Directory, FlowTable, LookupStep, RecentSet};
+use weirhinge_packet::{
+    FlowKey, PacketView, TcpSegment, build_tcp_reset, decode_packet, verify_checksums,
+};
+use weirhinge_wire::{AgentMessage, Delivery, HolderAnswer, HolderQuery, PacketEnvelope};
+
+use crate::view::{AgentView, OwnTarget};
+
+/// How long a flow's key rests after its end: a packet of its last use has
+/// arrived or been lost by then.
+pub const QUARANTINE: Duration = Duration::from_secs(30);
+/// How long a repeated opening packet is taken for a copy of the one that was
+/// just passed on. Shorter than TCP's first retransmission (1 s), which must
+/// start a new chain in case the first was lost.
+const REPEATED_OFFER: Duration = Duration::from_millis(500);
+/// Most opening packets remembered as passed on.
+const REPEATED_OFFER_CAPACITY: usize = 8_192;
+/// Most agents that one packet passes.
+const MAXIMUM_HOPS: u8 = 12;
+/// How long after a change of configuration a UDP flow may have another holder;
+/// the idle time-out of UDP flows.
+pub const UDP_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long a back end that took no connection gets no new flow.
+const SUSPECT_TIME: Duration = Duration::from_secs(1);
+/// How long a fresh agent's back end takes to reach full speed.
+const WARM_UP: Duration = Duration::from_secs(10);
+/// Thousandths of full speed at which warming up starts.
+const COLD_WARMTH: u32 = 100;
+/// Thousandths of full speed of a warm back end.
+const FULL_WARMTH: u32 = 1_000;
+
+/// What to do with a message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Dispatch {
+    /// Hand the packet to the flow, which is held here.
+    Deliver(FlowKey),
+    /// Open the flow here with this packet.
+    Open(FlowKey),
+    /// Send the packet to another agent.
+    PassOn(PassOn),
+    /// Ask other agents who holds a flow, and drop the packet.
+    Ask {
+        /// The question.
+        query: HolderQuery,
+        /// Whom to ask.
+        agents: Vec<SocketAddr>,
+    },
+    /// Answer another agent's question.
+    Answer {
+        /// Who asked.
+        agent: SocketAddr,
+        /// The answer.
+        answer: HolderAnswer,
+    },
+    /// Refuse or end the flow by this packet to the caller.
+    Reset {
+        /// The reset packet.
+        packet: Vec<u8>,
+        /// Why, as it appears in metrics.
+        reason: &'static str,
+    },
+    /// Nothing to do: an answer was taken in.
+    Learned,
+    /// Drop the packet for this reason, as it appears in metrics.
+    Drop(&'static str),
+}
+
+/// A packet's way to the next agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PassOn {
+    /// The next agent's address.
+    pub agent: SocketAddr,
+    /// The next agent's target.
+    pub target: TargetId,
+    /// How the packet is delivered there.
+    pub delivery: Delivery,
+}
+
+/// One opening or unknown packet under decision.
+struct Arrival<'a> {
+    envelope: &'a PacketEnvelope<'a>,
+    view: &'a PacketView<'a>,
+    own: OwnTarget,
+    in_flight: u32,
+    now: Instant,
+}
+
+/// The agent's decisions and everything that they rest on. `H` is the handle
+/// by which the caller reaches a flow.
+#[derive(Debug)]
+pub struct Dispatcher<H> {
+    own_target: TargetId,
+    candidates: u8,
+    view: AgentView,
+    /// Flows held here.
+    pub flows: FlowTable<H>,
+    directory: Directory,
+    passed_on: RecentSet<FlowKey>,
+    started: Instant,
+    last_change: Instant,
+    suspect_until: Option<Instant>,
+    stopping: bool,
+}
+
+impl<H> Dispatcher<H> {
+    /// A dispatcher for the agent beside `own_target` that compares up to
+    /// `candidates` targets for each new flow.
+    pub fn new(
+        own_target: TargetId,
+        candidates: u8,
+        half_open_limit: usize,
+        view: AgentView,
+        now: Instant,
+    ) -> Self {
+        Self {
+            own_target,
+            candidates,
+            view,
+            flows: FlowTable::new(half_open_limit, QUARANTINE),
+            directory: Directory::default(),
+            passed_on: RecentSet::new(REPEATED_OFFER, REPEATED_OFFER_CAPACITY),
+            started: now,
+            last_change: now,
+            suspect_until: None,
+            stopping: false,
+        }
+    }
+
+    /// Puts a newer configuration in force.
+    pub fn apply(&mut self, view: AgentView, now: Instant) {
+        self.view = view;
+        self.last_change = now;
+    }
+
+    /// The configuration in force.
+    pub fn view(&self) -> &AgentView {
+        &self.view
+    }
+
+    /// Begins a planned stop: nothing new is admitted from now on.
+    pub fn begin_stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Notes that the back end took no connection: new flows go elsewhere for a
+    /// while.
+    pub fn suspect_back_end(&mut self, now: Instant) {
+        self.suspect_until = Some(now + SUSPECT_TIME);
+    }
+
+    /// Forgets what has expired. To be called every few seconds.
+    pub fn expire(&mut self, now: Instant) {
+        self.directory.expire(now);
+    }
+
+    /// Decides about one message. `in_flight` is the number of flows that wait
+    /// for an answer at this moment.
+    pub fn handle(&mut self, message: &AgentMessage<'_>, in_flight: u32, now: Instant) -> Dispatch {
+        match message {
+            AgentMessage::Packet(envelope) => self.handle_packet(envelope, in_flight, now),
+            AgentMessage::HolderQuery(query) => self.handle_query(query),
+            AgentMessage::HolderAnswer(answer) => self.handle_answer(answer, now),
+        }
+    }
+
+    fn handle_packet(
+        &mut self,
+        envelope: &PacketEnvelope<'_>,
+        in_flight: u32,
+        now: Instant,
+    ) -> Dispatch {
+        let view = match decode_packet(envelope.packet) {
+            Ok(view) => view,
+            Err(reason) => return Dispatch::Drop(reason.name()),
+        };
+        let Some(own) = self.view.own else {
+            return Dispatch::Drop("not_configured");
+        };
+        let destination = self.view.table.service_for(&view).map(|service| service.id);
+        if let Err(error) = own.fence.check(envelope, destination) {
+            return Dispatch::Drop(error.name());
+        }
+        if let Err(reason) = verify_checksums(envelope.packet) {
+            return Dispatch::Drop(reason.name());
+        }
+        if self.flows.get(&view.key).is_some() {
+            return Dispatch::Deliver(view.key);
+        }
+        let arrival = Arrival { envelope, view: &view, own, in_flight, now };
+        match view.tcp() {
+            Some(segment) if segment.opens_flow() => self.open_tcp(&arrival),
+            Some(segment) => self.unknown_tcp(&arrival, segment),
+            None => self.unknown_udp(&arrival),
+        }
+    }
+
+    /// An opening packet of a TCP flow that is not held here.
+    fn open_tcp(&mut self, arrival: &Arrival<'_>) -> Dispatch {
+        if let Err(error) = self.flows.check_insert(&arrival.view.key, arrival.now) {
+            return Dispatch::Drop(error.name());
+        }
+        let step = consider(
+            arrival.envelope.delivery,
+            &self.own_load(arrival),
+            &self.candidates_for(arrival, self.candidates),
+        );
+        match step {
+            AdmissionStep::Admit => Dispatch::Open(arrival.view.key),
+            AdmissionStep::Refuse(reason) => self.refuse(arrival, reason),
+            AdmissionStep::PassOn { to, delivery } => {
+                let first_hop = arrival.envelope.delivery == Delivery::Owner;
+                if first_hop && !self.passed_on.insert(arrival.view.key, arrival.now) {
+                    return Dispatch::Drop("repeated_opening");
+                }
+                self.pass_on(arrival, to, delivery)
+            }
+        }
+    }
+
+    fn refuse(&self, arrival: &Arrival<'_>, reason: RefusalReason) -> Dispatch {
+        match arrival.view.tcp() {
+            Some(segment) => reset(&arrival.view.key, segment, reason.name()),
+            None => Dispatch::Drop(reason.name()),
+        }
+    }
+
+    /// A later packet of a TCP flow that is not held here.
+    fn unknown_tcp(&mut self, arrival: &Arrival<'_>, segment: &TcpSegment) -> Dispatch {
+        if segment.reset {
+            return Dispatch::Drop("unknown_flow_reset");
+        }
+        if self.flows.is_quarantined(&arrival.view.key, arrival.now) {
+            return reset(&arrival.view.key, segment, "ended_flow");
+        }
+        if arrival.envelope.delivery == Delivery::Forwarded {
+            return Dispatch::Drop("not_held");
+        }
+        match self.locate(arrival) {
+            LookupStep::Ask => self.ask(arrival),
+            LookupStep::Wait => Dispatch::Drop("awaiting_holder"),
+            LookupStep::Forward(holder) => self.pass_on(arrival, holder, Delivery::Forwarded),
+            LookupStep::Absent => reset(&arrival.view.key, segment, "unknown_flow"),
+        }
+    }
+
+    /// A packet of a UDP flow that is not held here, first or later.
+    fn unknown_udp(&mut self, arrival: &Arrival<'_>) -> Dispatch {
+        if arrival.envelope.delivery == Delivery::Forwarded {
+            return Dispatch::Drop("not_held");
+        }
+        let owner = self.owner(arrival);
+        if let Some(owner) = owner
+            && owner != self.own_target
+        {
+            return self.pass_on(arrival, owner, Delivery::Owner);
+        }
+        let changed = arrival.now.saturating_duration_since(self.last_change);
+        if changed < UDP_IDLE_TIMEOUT {
+            match self.locate(arrival) {
+                LookupStep::Ask => return self.ask(arrival),
+                LookupStep::Wait => return Dispatch::Drop("awaiting_holder"),
+                LookupStep::Forward(holder) => {
+                    return self.pass_on(arrival, holder, Delivery::Forwarded);
+                }
+                LookupStep::Absent => {}
+            }
+        }
+        if !self.own_load(arrival).has_room() {
+            return Dispatch::Drop(RefusalReason::NoRoom.name());
+        }
+        match self.flows.check_insert(&arrival.view.key, arrival.now) {
+            Ok(()) => Dispatch::Open(arrival.view.key),
+            Err(error) => Dispatch::Drop(error.name()),
+        }
+    }
+
+    fn own_load(&self, arrival: &Arrival<'_>) -> OwnLoad {
+        let suspect = self.suspect_until.is_some_and(|until| until > arrival.now);
+        OwnLoad {
+            in_flight: arrival.in_flight,
+            slots: arrival.own.slots,
+            flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
+            connections: arrival.own.connections,
+            accepts: arrival.own.active && !self.stopping && !suspect,
+            warmth: warmth(arrival.now.saturating_duration_since(self.started)),
+        }
+    }
+
+    fn candidates_for(&self, arrival: &Arrival<'_>, limit: u8) -> Candidates<'_> {
+        let service = self.view.own_service();
+        Candidates {
+            own: self.own_target,
+            owner: self.owner(arrival),
+            active: service.map_or(&[], |service| &service.active),
+            flow_hash: self.view.table.hasher().hash(&arrival.view.key),
+            limit,
+        }
+    }
+
+    /// The owner of the flow's bucket under this agent's own revision.
+    fn owner(&self, arrival: &Arrival<'_>) -> Option<TargetId> {
+        let buckets = &self.view.own_service()?.buckets;
+        if buckets.is_empty() {
+            return None;
+        }
+        let hash = self.view.table.hasher().hash(&arrival.view.key);
+        buckets.owner(buckets.bucket(hash))
+    }
+
+    fn locate(&mut self, arrival: &Arrival<'_>) -> LookupStep {
+        let others = self.others();
+        self.directory.locate(&arrival.view.key, &others, arrival.now)
+    }
+
+    /// The service's other targets, draining ones too.
+    fn others(&self) -> Vec<TargetId> {
+        let members = self.view.own_service().map_or(&[][..], |service| &service.members);
+        members.iter().copied().filter(|&member| member != self.own_target).collect()
+    }
+
+    fn ask(&self, arrival: &Arrival<'_>) -> Dispatch {
+        let agents = self
+            .others()
+            .into_iter()
+            .filter_map(|target| Some(self.view.table.target(target)?.agent))
+            .collect();
+        let query = HolderQuery {
+            service: arrival.own.fence.service.0,
+            from: self.own_target.0,
+            flow: arrival.view.key.into(),
+        };
+        Dispatch::Ask { query, agents }
+    }
+
+    fn pass_on(&self, arrival: &Arrival<'_>, to: TargetId, delivery: Delivery) -> Dispatch {
+        if arrival.envelope.hops >= MAXIMUM_HOPS {
+            return Dispatch::Drop("too_many_hops");
+        }
+        match self.view.table.target(to) {
+            Some(target) => Dispatch::PassOn(PassOn { agent: target.agent, target: to, delivery }),
+            None => Dispatch::Drop("unknown_target"),
+        }
+    }
+
+    fn handle_query(&self, query: &HolderQuery) -> Dispatch {
+        let Some(own) = self.view.own else {
+            return Dispatch::Drop("not_configured");
+        };
+        if query.service != own.fence.service.0 {
+            return Dispatch::Drop("wrong_service");
+        }
+        let Some(asker) = self.view.table.target(TargetId(query.from)) else {
+            return Dispatch::Drop("unknown_target");
+        };
+        let answer = HolderAnswer {
+            service: query.service,
+            from: self.own_target.0,
+            flow: query.flow,
+            holds: self.flows.get(&query.flow.into()).is_some(),
+        };
+        Dispatch::Answer { agent: asker.agent, answer }
+    }
+
+    fn handle_answer(&mut self, answer: &HolderAnswer, now: Instant) -> Dispatch {
+        let own_service = self.view.own.map(|own| own.fence.service.0);
+        if own_service != Some(answer.service) {
+            return Dispatch::Drop("wrong_service");
+        }
+        let key = FlowKey::from(answer.flow);
+        self.directory.answered(&key, TargetId(answer.from), answer.holds, now);
+        Dispatch::Learned
+    }
+}
+
+fn reset(key: &FlowKey, segment: &TcpSegment, reason: &'static str) -> Dispatch {
+    match build_tcp_reset(key, segment) {
+        Ok(packet) => Dispatch::Reset { packet, reason },
+        Err(_) => Dispatch::Drop("reset_not_built"),
+    }
+}
+
+fn warmth(age: Duration) -> u32 {
+    if age >= WARM_UP {
+        return FULL_WARMTH;
+    }
+    let gained = (FULL_WARMTH - COLD_WARMTH) as u128 * age.as_millis() / WARM_UP.as_millis();
+    COLD_WARMTH + gained as u32
+}
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,18 @@
+//! The agent: stands beside one back end, holds its flows, and decides with
+//! the service's other agents which of them admits a new flow.
+//!
+//! [`dispatch`] decides what to do with each message and does no I/O; the flow
+//! modules run one task per flow; [`run`] owns the socket and wires them up.
+
+mod back_end;
+pub mod dispatch;
+mod fabric;
+mod load;
+mod metrics;
+mod run;
+mod tcp_flow;
+mod timestamps;
+mod udp_flow;
+pub mod view;
+
+pub use run::run;
--- /dev/null
+++ b/crates/agent/src/udp_flow.rs
@@ -0,0 +1,72 @@
+//! The task of one UDP flow.
+
+use tokio::sync::mpsc;
+use weirhinge_packet::{FlowKey, Transport, build_udp_packet, decode_packet};
+use weirhinge_stack::{INNER_MTU, PacketSink, SpliceEnd};
+
+use crate::back_end;
+use crate::dispatch::UDP_IDLE_TIMEOUT;
+use crate::fabric::FabricSink;
+use crate::load::FlowInFlight;
+use crate::run::FlowEvent;
+use crate::view::OwnTarget;
+
+/// What a flow's task needs.
+pub(crate) struct UdpFlow {
+    pub(crate) key: FlowKey,
+    pub(crate) own: OwnTarget,
+    pub(crate) opening_packet: Vec<u8>,
+    pub(crate) packets: mpsc::Receiver<Vec<u8>>,
+    pub(crate) sink: FabricSink,
+    pub(crate) in_flight: FlowInFlight,
+    pub(crate) events: mpsc::UnboundedSender<FlowEvent>,
+}
+
+impl UdpFlow {
+    /// Carries datagrams both ways until the flow has been idle for
+    /// [`UDP_IDLE_TIMEOUT`] or the back end refuses it.
+    pub(crate) async fn run(mut self) {
+        let _ = self.events.send(FlowEvent::Opened(self.key));
+        let end = self.carry().await;
+        let _ = self.events.send(FlowEvent::Ended { key: self.key, end });
+    }
+
+    async fn carry(&mut self) -> SpliceEnd {
+        let Ok(socket) = back_end::connect_udp(self.own.back_end).await else {
+            return SpliceEnd::StreamFailed;
+        };
+        let first = std::mem::take(&mut self.opening_packet);
+        if send_payload(&socket, &first).await.is_err() {
+            return SpliceEnd::StreamFailed;
+        }
+        let mut answer = vec![0; INNER_MTU];
+        loop {
+            tokio::select! {
+                packet = self.packets.recv() => {
+                    let Some(packet) = packet else { return SpliceEnd::Cancelled };
+                    self.in_flight.caller_sent();
+                    if send_payload(&socket, &packet).await.is_err() {
+                        return SpliceEnd::StreamFailed;
+                    }
+                }
+                received = socket.recv(&mut answer) => {
+                    let Ok(length) = received else { return SpliceEnd::StreamFailed };
+                    self.in_flight.back_end_sent();
+                    if let Ok(packet) = build_udp_packet(&self.key, &answer[..length]) {
+                        self.sink.send(&packet);
+                    }
+                }
+                () = tokio::time::sleep(UDP_IDLE_TIMEOUT) => return SpliceEnd::Closed,
+            }
+        }
+    }
+}
+
+async fn send_payload(socket: &tokio::net::UdpSocket, packet: &[u8]) -> std::io::Result<()> {
+    if let Ok(view) = decode_packet(packet)
+        && let Transport::Udp(payload) = view.transport
+    {
+        socket.send(payload).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/balancer/src/data_path.rs
@@ -0,0 +1,80 @@
+//! The data path: one thread that receives, decides and sends.
+
+use std::io;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use weirhinge_routing::{RouteBasis, RoutingTable};
+
+use crate::batch::{ReceiveBatch, SendBatch};
+use crate::forward::Forwarder;
+use crate::metrics::BalancerMetrics;
+
+/// Longest wait for a packet before the thread looks for a stop.
+pub(crate) const RECEIVE_TIMEOUT: Duration = Duration::from_millis(100);
+/// A planned stop ends once no packet has come for this long. Longer than the
+/// fabric takes to learn that this machine leaves.
+pub(crate) const QUIET_BEFORE_STOP: Duration = Duration::from_secs(5);
+
+/// What the data path needs.
+pub(crate) struct DataPath {
+    pub(crate) socket: UdpSocket,
+    pub(crate) table: Arc<ArcSwap<RoutingTable>>,
+    pub(crate) metrics: BalancerMetrics,
+    pub(crate) stopping: Arc<AtomicBool>,
+    pub(crate) batch: usize,
+}
+
+impl DataPath {
+    /// Forwards packets until a planned stop has found the fabric quiet.
+    ///
+    /// # Errors
+    /// When the socket can no longer receive.
+    pub(crate) fn run(&self) -> io::Result<()> {
+        let mut incoming = ReceiveBatch::new(self.batch);
+        let mut outgoing = SendBatch::new(self.batch);
+        let mut last_packet = Instant::now();
+        let mut was_stopping = false;
+        loop {
+            incoming.receive(&self.socket)?;
+            let stopping = self.stopping.load(Ordering::Relaxed);
+            let stop_began = stopping && !was_stopping;
+            was_stopping = stopping;
+            if incoming.datagrams().next().is_some() || stop_began {
+                last_packet = Instant::now();
+            }
+            if stopping && last_packet.elapsed() >= QUIET_BEFORE_STOP {
+                return Ok(());
+            }
+            self.forward_batch(&incoming, &mut outgoing);
+        }
+    }
+
+    fn forward_batch(&self, incoming: &ReceiveBatch, outgoing: &mut SendBatch) {
+        // One load for the whole batch: the table cannot change half-way, and
+        // the atomic is not touched per packet.
+        let table = self.table.load();
+        let forwarder = Forwarder::new(&table);
+        let mut received = 0;
+        let mut hinted = 0;
+        for packet in incoming.datagrams() {
+            received += 1;
+            match forwarder.forward(packet, outgoing.next_buffer()) {
+                Ok(forwarded) => {
+                    hinted += u64::from(forwarded.basis == RouteBasis::Hint);
+                    outgoing.commit(forwarded.agent);
+                }
+                Err(error) => self.metrics.packets_dropped.increment(error.name()),
+            }
+        }
+        if received > 0 {
+            let sent = outgoing.flush(&self.socket);
+            self.metrics.packets_in.inc_by(received);
+            self.metrics.packets_hinted.inc_by(hinted);
+            self.metrics.packets_forwarded.inc_by(sent as u64);
+        }
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/run.rs
@@ -0,0 +1,130 @@
+//! Starts a balancer, keeps its configuration fresh, and stops it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use arc_swap::ArcSwap;
+use eyre::{WrapErr, eyre};
+use slog::{Logger, info};
+use tokio::sync::oneshot;
+use weirhinge_config::{BalancerSettings, ConfigDocument, HashKey};
+use weirhinge_observe::{BoundAddresses, Health, HealthSource, Metrics, start_admin};
+use weirhinge_platform::{ConfigFollower, ConfigFreshness, FollowerLog};
+use weirhinge_routing::RoutingTable;
+
+use crate::data_path::{DataPath, RECEIVE_TIMEOUT};
+use crate::metrics::BalancerMetrics;
+
+/// Receive buffer asked of the kernel, in bytes: rides out short pauses.
+const RECEIVE_BUFFER: usize = 8 << 20;
+
+struct BalancerHealth {
+    settings: BalancerSettings,
+    table: Arc<ArcSwap<RoutingTable>>,
+    freshness: Arc<ConfigFreshness>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl HealthSource for BalancerHealth {
+    fn health(&self) -> Health {
+        Health {
+            name: self.settings.name.clone(),
+            zone: self.settings.zone.clone(),
+            revision: self.table.load().revision(),
+            configuration_age_seconds: self.freshness.age_seconds(),
+            stopping: self.stopping.load(Ordering::Relaxed),
+            flows: 0,
+        }
+    }
+}
+
+/// Runs a balancer until `stop` asks for a planned stop and the fabric has
+/// stopped sending. `ready` is told the bound addresses.
+///
+/// # Errors
+/// Names the step and the address that failed.
+pub async fn run(
+    settings: BalancerSettings,
+    log: Logger,
+    ready: impl FnOnce(BoundAddresses),
+    stop: impl Future<Output = ()>,
+) -> eyre::Result<()> {
+    let key = HashKey::from_file(&settings.keys_file)?;
+    let mut declared = Metrics::new();
+    let metrics = BalancerMetrics::declare(&mut declared);
+    let empty = RoutingTable::build(&ConfigDocument::default(), &key);
+    let table = Arc::new(ArcSwap::from_pointee(empty));
+    let stopping = Arc::new(AtomicBool::new(false));
+    let freshness = Arc::new(ConfigFreshness::default());
+    let socket = bind_data_socket(settings.listen)?;
+    let data = socket.local_addr().wrap_err("read the data socket's address")?;
+    let health = Arc::new(BalancerHealth {
+        settings: settings.clone(),
+        table: table.clone(),
+        freshness: freshness.clone(),
+        stopping: stopping.clone(),
+    });
+    let admin = start_admin(settings.admin, health, declared.freeze(), &log)?;
+    let data_path = DataPath {
+        socket,
+        table: table.clone(),
+        metrics: metrics.clone(),
+        stopping: stopping.clone(),
+        batch: settings.batch,
+    };
+    let ended = start_data_path(data_path)?;
+    info!(log, "balancer: Started."; "data" => %data, "admin" => %admin.address());
+    ready(BoundAddresses { data, admin: admin.address() });
+
+    let follower = ConfigFollower {
+        platform: settings.platform,
+        freshness,
+        errors: metrics.platform_errors.clone(),
+        log: FollowerLog { log: log.clone(), part: "balancer" },
+    };
+    let revision = metrics.revision.clone();
+    let follow = follower.run(move |document| {
+        table.store(Arc::new(RoutingTable::build(&document, &key)));
+        revision.set(i64::try_from(document.revision).unwrap_or(i64::MAX));
+    });
+    let stopped = async {
+        stop.await;
+        info!(log, "balancer: Planned stop began; forwarding until the fabric is quiet.");
+        stopping.store(true, Ordering::Relaxed);
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        () = follow => Err(eyre!("follow configuration: ended unexpectedly")),
+        () = stopped => Err(eyre!("planned stop: ended unexpectedly")),
+        result = ended => {
+            result.wrap_err("data path: thread ended without a result")??;
+            info!(log, "balancer: Stopped.");
+            Ok(())
+        }
+    }
+}
+
+fn bind_data_socket(address: SocketAddr) -> eyre::Result<std::net::UdpSocket> {
+    let socket = std::net::UdpSocket::bind(address)
+        .wrap_err_with(|| format!("bind data socket at {address}"))?;
+    socket
+        .set_read_timeout(Some(RECEIVE_TIMEOUT))
+        .wrap_err("set the data socket's read time-out")?;
+    // The kernel grants what its limit allows; less is no error.
+    let _ = socket2::SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BUFFER);
+    Ok(socket)
+}
+
+fn start_data_path(data_path: DataPath) -> eyre::Result<oneshot::Receiver<eyre::Result<()>>> {
+    let (sender, receiver) = oneshot::channel();
+    std::thread::Builder::new()
+        .name("data-path".to_owned())
+        .spawn(move || {
+            let result = data_path.run().wrap_err("receive packets from the fabric");
+            // The receiver is gone only when the process is ending anyway.
+            let _ = sender.send(result);
+        })
+        .wrap_err("start the data path's thread")?;
+    Ok(receiver)
+}
--- /dev/null
+++ b/crates/flow/src/table.rs
@@ -0,0 +1,154 @@
+//! The flows that an agent holds, and the keys that may not be used again yet.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use weirhinge_packet::FlowKey;
+
+use crate::recent::RecentSet;
+
+/// Most closed keys remembered; 30 s at 2,000 flows a second.
+const QUARANTINE_CAPACITY: usize = 60_000;
+
+/// How far a flow has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlowPhase {
+    /// The back end or the caller has not confirmed yet.
+    Opening,
+    /// Both sides are connected.
+    Open,
+}
+
+/// Why a flow was not added.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlowTableError {
+    /// As many flows are opening as may.
+    HalfOpenLimit,
+    /// A packet of the key's last use may still be on its way.
+    Quarantined,
+    /// The table holds the flow already.
+    Present,
+}
+
+impl FlowTableError {
+    /// The reason's name as it appears in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            FlowTableError::HalfOpenLimit => "half_open_limit",
+            FlowTableError::Quarantined => "quarantined",
+            FlowTableError::Present => "present",
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Entry<H> {
+    handle: H,
+    phase: FlowPhase,
+}
+
+/// Flows by key, each with a handle of the caller's choosing.
+#[derive(Debug)]
+pub struct FlowTable<H> {
+    entries: HashMap<FlowKey, Entry<H>>,
+    quarantine: RecentSet<FlowKey>,
+    opening: usize,
+    half_open_limit: usize,
+}
+
+impl<H> FlowTable<H> {
+    /// An empty table. A key rests for `quarantine` after its flow has ended.
+    pub fn new(half_open_limit: usize, quarantine: Duration) -> Self {
+        Self {
+            entries: HashMap::new(),
+            quarantine: RecentSet::new(quarantine, QUARANTINE_CAPACITY),
+            opening: 0,
+            half_open_limit,
+        }
+    }
+
+    /// Adds a flow in [`FlowPhase::Opening`].
+    ///
+    /// # Errors
+    /// When the table holds it, its key rests, or too many flows are opening.
+    pub fn insert(&mut self, key: FlowKey, handle: H, now: Instant) -> Result<(), FlowTableError> {
+        self.check_insert(&key, now)?;
+        self.opening += 1;
+        let phase = FlowPhase::Opening;
+        self.entries.insert(key, Entry { handle, phase });
+        Ok(())
+    }
+
+    /// Whether [`FlowTable::insert`] would succeed, without adding the flow.
+    ///
+    /// # Errors
+    /// As for [`FlowTable::insert`].
+    pub fn check_insert(&mut self, key: &FlowKey, now: Instant) -> Result<(), FlowTableError> {
+        if self.entries.contains_key(key) {
+            return Err(FlowTableError::Present);
+        }
+        if self.quarantine.contains(key, now) {
+            return Err(FlowTableError::Quarantined);
+        }
+        if self.opening >= self.half_open_limit {
+            return Err(FlowTableError::HalfOpenLimit);
+        }
+        Ok(())
+    }
+
+    /// Marks a flow as open.
+    pub fn opened(&mut self, key: &FlowKey) {
+        if let Some(entry) = self.entries.get_mut(key)
+            && entry.phase == FlowPhase::Opening
+        {
+            entry.phase = FlowPhase::Open;
+            self.opening -= 1;
+        }
+    }
+
+    /// Removes a flow and lets its key rest. Returns its handle.
+    pub fn remove(&mut self, key: &FlowKey, now: Instant) -> Option<H> {
+        let handle = self.release(key)?;
+        self.quarantine.insert(*key, now);
+        Some(handle)
+    }
+
+    /// Removes a flow whose key may be used again at once. Returns its handle.
+    pub fn release(&mut self, key: &FlowKey) -> Option<H> {
+        let entry = self.entries.remove(key)?;
+        if entry.phase == FlowPhase::Opening {
+            self.opening -= 1;
+        }
+        Some(entry.handle)
+    }
+
+    /// The handle of a flow.
+    pub fn get(&self, key: &FlowKey) -> Option<&H> {
+        self.entries.get(key).map(|entry| &entry.handle)
+    }
+
+    /// Whether a key rests at this moment.
+    pub fn is_quarantined(&mut self, key: &FlowKey, now: Instant) -> bool {
+        self.quarantine.contains(key, now)
+    }
+
+    /// Number of flows held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no flow is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Number of flows that are opening.
+    pub fn opening(&self) -> usize {
+        self.opening
+    }
+
+    /// All keys held, in no particular order.
+    pub fn keys(&self) -> impl Iterator<Item = &FlowKey> {
+        self.entries.keys()
+    }
+}
--- /dev/null
+++ b/crates/observe/src/lib.rs
@@ -0,0 +1,10 @@
+//! What every daemon shows of itself: structured logs, metrics, and an HTTP
+//! endpoint for both health and metrics.
+
+mod admin;
+mod logging;
+mod metrics;
+
+pub use admin::{AdminServer, BoundAddresses, Health, HealthSource, start_admin};
+pub use logging::{LogFormat, LogOptions, build_logger};
+pub use metrics::{Counter, Gauge, Metrics, ReasonCounters};
--- /dev/null
+++ b/crates/observe/src/metrics.rs
@@ -0,0 +1,87 @@
+//! A thin layer over `prometheus-client`: each part declares its own metrics
+//! beside the code that counts them.
+
+use std::sync::Arc;
+
+use eyre::WrapErr;
+pub use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+pub use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Collects metrics while a daemon starts; frozen into an [`Arc`] when it runs.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+}
+
+/// Label set of a counter that is split by reason.
+type ReasonLabels = Vec<(&'static str, &'static str)>;
+
+/// A counter split by a fixed set of reasons.
+#[derive(Clone, Debug)]
+pub struct ReasonCounters {
+    family: Family<ReasonLabels, Counter>,
+}
+
+impl ReasonCounters {
+    /// Counts one occurrence for a reason.
+    pub fn increment(&self, reason: &'static str) {
+        self.family.get_or_create(&vec![("reason", reason)]).inc();
+    }
+
+    /// The count for a reason.
+    pub fn get(&self, reason: &'static str) -> u64 {
+        self.family.get_or_create(&vec![("reason", reason)]).get()
+    }
+}
+
+impl Metrics {
+    /// An empty collection; every name gets the prefix `weirhinge_`.
+    pub fn new() -> Self {
+        Self { registry: Registry::with_prefix("weirhinge") }
+    }
+
+    /// Declares a counter.
+    pub fn counter(&mut self, name: &str, help: &str) -> Counter {
+        let counter = Counter::default();
+        self.registry.register(name, help, counter.clone());
+        counter
+    }
+
+    /// Declares a gauge.
+    pub fn gauge(&mut self, name: &str, help: &str) -> Gauge {
+        let gauge = Gauge::default();
+        self.registry.register(name, help, gauge.clone());
+        gauge
+    }
+
+    /// Declares a counter that is split by reason.
+    pub fn reasons(&mut self, name: &str, help: &str) -> ReasonCounters {
+        let family = Family::<ReasonLabels, Counter>::default();
+        self.registry.register(name, help, family.clone());
+        ReasonCounters { family }
+    }
+
+    /// Ends the declarations.
+    pub fn freeze(self) -> Arc<Metrics> {
+        Arc::new(self)
+    }
+
+    /// All metrics in the OpenMetrics text format.
+    ///
+    /// # Errors
+    /// When a metric cannot be written as text.
+    pub fn encode(&self) -> eyre::Result<String> {
+        let mut text = String::new();
+        prometheus_client::encoding::text::encode(&mut text, &self.registry)
+            .wrap_err("encode metrics")?;
+        Ok(text)
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,1 @@
+//! The rehearsal kit.
--- /dev/null
+++ b/crates/routing/src/table.rs
@@ -0,0 +1,214 @@
+//! The routing table of one configuration revision.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+
+use weirhinge_config::{
+    ConfigDocument, HashKey, Service, ServiceId, Target, TargetId, TargetState,
+};
+use weirhinge_packet::{PacketView, Protocol};
+
+use crate::bucket::BucketTable;
+use crate::hash::{FlowHasher, mix};
+use crate::hint::HolderHint;
+
+/// Why a packet has no route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteError {
+    /// No service has the packet's destination.
+    UnknownService,
+    /// The service has no target that takes new flows, and nothing names a holder.
+    NoTarget,
+}
+
+impl RouteError {
+    /// The reason's name as it appears in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RouteError::UnknownService => "unknown_service",
+            RouteError::NoTarget => "no_target",
+        }
+    }
+}
+
+/// What a route rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteBasis {
+    /// The target owns the flow's bucket.
+    Owner,
+    /// The packet's echoed timestamp names the target.
+    Hint,
+}
+
+/// Where a packet goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The service that the packet is for.
+    pub service: ServiceId,
+    /// The flow's bucket in the service's table; 0 if the table is empty.
+    pub bucket: u32,
+    /// The target that the packet goes to.
+    pub target: TargetId,
+    /// The agent beside that target.
+    pub agent: SocketAddr,
+    /// What the choice rests on.
+    pub basis: RouteBasis,
+}
+
+/// What routing knows of one target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetRoute {
+    /// The service that the target serves.
+    pub service: ServiceId,
+    /// Address of the agent.
+    pub agent: SocketAddr,
+}
+
+/// What routing knows of one service.
+#[derive(Clone, Debug)]
+pub struct ServiceRoute {
+    /// The service's identifier.
+    pub id: ServiceId,
+    /// Owners of the service's buckets.
+    pub buckets: BucketTable,
+    /// Targets that take new flows, by identifier.
+    pub active: Vec<TargetId>,
+    /// All targets, draining ones too, by identifier.
+    pub members: Vec<TargetId>,
+}
+
+/// Routes packets under one configuration revision.
+#[derive(Clone, Debug)]
+pub struct RoutingTable {
+    revision: u64,
+    hasher: FlowHasher,
+    by_endpoint: HashMap<(IpAddr, u16, Protocol), usize>,
+    services: Vec<ServiceRoute>,
+    /// Indexed by target identifier: a lookup by hint is one bounds check.
+    targets: Vec<Option<TargetRoute>>,
+}
+
+impl RoutingTable {
+    /// Builds the table. The document must have passed its checks.
+    pub fn build(document: &ConfigDocument, key: &HashKey) -> Self {
+        let mut by_endpoint = HashMap::with_capacity(document.services.len());
+        let mut members: HashMap<ServiceId, Vec<&Target>> = HashMap::new();
+        for target in &document.targets {
+            members.entry(target.service).or_default().push(target);
+        }
+        let mut services = Vec::with_capacity(document.services.len());
+        for service in &document.services {
+            let protocol = Protocol::from(service.protocol);
+            by_endpoint.insert((service.address, service.port, protocol), services.len());
+            let targets = members.remove(&service.id).unwrap_or_default();
+            services.push(service_route(service, &targets));
+        }
+        Self {
+            revision: document.revision,
+            hasher: FlowHasher::new(key),
+            by_endpoint,
+            services,
+            targets: target_routes(&document.targets),
+        }
+    }
+
+    /// The configuration revision that the table was built from.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The hash of flows under the deployment's key.
+    pub fn hasher(&self) -> &FlowHasher {
+        &self.hasher
+    }
+
+    /// The service that has the packet's destination.
+    pub fn service_for(&self, packet: &PacketView<'_>) -> Option<&ServiceRoute> {
+        let destination = packet.key.destination;
+        let endpoint = (destination.ip(), destination.port(), packet.key.protocol);
+        self.by_endpoint.get(&endpoint).map(|&index| &self.services[index])
+    }
+
+    /// The service with this identifier. Walks the services: agents ask it once
+    /// per decision about their own, balancers never do.
+    pub fn service(&self, id: ServiceId) -> Option<&ServiceRoute> {
+        self.services.iter().find(|service| service.id == id)
+    }
+
+    /// The target with this identifier.
+    pub fn target(&self, id: TargetId) -> Option<&TargetRoute> {
+        self.targets.get(usize::from(id.0))?.as_ref()
+    }
+
+    /// Decides where a packet goes. Does not allocate.
+    ///
+    /// # Errors
+    /// When no service has the destination, or the service has no target for it.
+    pub fn route(&self, packet: &PacketView<'_>) -> Result<Route, RouteError> {
+        let service = self.service_for(packet).ok_or(RouteError::UnknownService)?;
+        let bucket = self.bucket(service, packet);
+        if let Some(route) = self.hinted(service, packet, bucket) {
+            return Ok(route);
+        }
+        let target = service.buckets.owner(bucket).ok_or(RouteError::NoTarget)?;
+        let agent = self.target(target).ok_or(RouteError::NoTarget)?.agent;
+        Ok(Route { service: service.id, bucket, target, agent, basis: RouteBasis::Owner })
+    }
+
+    fn bucket(&self, service: &ServiceRoute, packet: &PacketView<'_>) -> u32 {
+        if service.buckets.is_empty() {
+            return 0;
+        }
+        service.buckets.bucket(self.hasher.hash(&packet.key))
+    }
+
+    /// A hint counts only if it names a target of the packet's own service.
+    fn hinted(
+        &self,
+        service: &ServiceRoute,
+        packet: &PacketView<'_>,
+        bucket: u32,
+    ) -> Option<Route> {
+        let segment = packet.tcp()?;
+        if segment.opens_flow() {
+            return None;
+        }
+        let HolderHint(target) = HolderHint::from_echo(segment.timestamp_echo?);
+        let holder = self.target(target)?;
+        (holder.service == service.id).then_some(Route {
+            service: service.id,
+            bucket,
+            target,
+            agent: holder.agent,
+            basis: RouteBasis::Hint,
+        })
+    }
+}
+
+fn service_route(service: &Service, targets: &[&Target]) -> ServiceRoute {
+    let mut weighted: Vec<(TargetId, u32)> = targets
+        .iter()
+        .filter(|target| target.state == TargetState::Active)
+        .map(|target| (target.id, target.weight))
+        .collect();
+    weighted.sort_unstable();
+    let mut members: Vec<TargetId> = targets.iter().map(|target| target.id).collect();
+    members.sort_unstable();
+    let seed = mix(u64::from(service.id.0), 0);
+    ServiceRoute {
+        id: service.id,
+        buckets: BucketTable::build(seed, &weighted, targets.len()),
+        active: weighted.iter().map(|&(target, _)| target).collect(),
+        members,
+    }
+}
+
+fn target_routes(targets: &[Target]) -> Vec<Option<TargetRoute>> {
+    let length = targets.iter().map(|target| usize::from(target.id.0) + 1).max().unwrap_or(0);
+    let mut routes = vec![None; length];
+    for target in targets {
+        routes[usize::from(target.id.0)] =
+            Some(TargetRoute { service: target.service, agent: target.agent });
+    }
+    routes
+}
--- /dev/null
+++ b/crates/weirhinge/src/cli/balancer.rs
@@ -0,0 +1,32 @@
+//! `weirhinge balancer`.
+
+use pico_args::Arguments;
+
+use super::CliFailure;
+use super::daemon::{COMMON_OPTIONS, option, print_ready, read_options, run_daemon};
+
+const USAGE: &str = "\
+weirhinge balancer: take packets from the fabric and send each to an agent
+
+USAGE:
+  weirhinge balancer [OPTIONS]
+
+OPTIONS:
+  --batch N                  Most packets per system call, 1 to 256  [default: 32]
+";
+
+/// Runs the command.
+pub fn run(mut arguments: Arguments) -> Result<(), CliFailure> {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{USAGE}{COMMON_OPTIONS}");
+        return Ok(());
+    }
+    let options = read_options(arguments, |arguments, flags| {
+        flags.batch = option(arguments, "--batch")?;
+        Ok(())
+    })?;
+    let settings = options.settings.into_balancer(&options.origin).map_err(CliFailure::usage)?;
+    run_daemon(options.log, |log, stop| {
+        weirhinge_balancer::run(settings, log, print_ready, stop.wait())
+    })
+}
--- /dev/null
+++ b/crates/weirhinge/src/cli/mod.rs
@@ -0,0 +1,57 @@
+//! The command line: one module per subcommand.
+
+mod agent;
+mod balancer;
+mod check;
+mod daemon;
+mod failure;
+
+use pico_args::Arguments;
+
+pub use failure::CliFailure;
+
+const HELP: &str = "\
+weirhinge: a layer-4 load balancer
+
+USAGE:
+  weirhinge COMMAND [OPTIONS]
+
+COMMANDS:
+  balancer   Run a balancer: takes packets from the fabric, chooses agents
+  agent      Run an agent beside one back end: holds its flows
+  check      Check a settings file or a configuration document
+
+OPTIONS:
+  -h, --help       Show this help, or a command's with COMMAND --help
+  -V, --version    Show the version
+
+EXIT CODES:
+  0  done, or stopped as planned
+  1  failed while running
+  2  the command line, settings or document cannot be used
+";
+
+/// Runs the command that the arguments name.
+///
+/// # Errors
+/// What failed, with the exit code to end with.
+pub fn run(mut arguments: Arguments) -> Result<(), CliFailure> {
+    if arguments.contains(["-V", "--version"]) {
+        println!("weirhinge {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let command = arguments.subcommand().map_err(CliFailure::usage)?;
+    match command.as_deref() {
+        Some("balancer") => balancer::run(arguments),
+        Some("agent") => agent::run(arguments),
+        Some("check") => check::run(arguments),
+        Some(other) => {
+            Err(CliFailure::usage(format!("command {other:?}: expected balancer, agent or check")))
+        }
+        None if arguments.contains(["-h", "--help"]) => {
+            print!("{HELP}");
+            Ok(())
+        }
+        None => Err(CliFailure::usage(format!("no command given\n\n{HELP}"))),
+    }
+}
