Rehearse the whole path with real processes behind stand-ins

Cause: the path from caller to back end and home had never run. Change: a rehearsal crate with a fabric, links with seeded damage, a platform, back ends and user-space callers; scenarios as checked TOML; a schedule of faults; histories of both sides and a verdict per promise.

--- /dev/null
+++ b/crates/rehearsal/src/fleet.rs
@@ -0,0 +1,329 @@
+//! A fleet: real balancers and agents behind the stand-ins.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use weirhinge_config::{
+    ConfigDocument, Machine, MachineList, MachineState, Service, ServiceId, Target, TargetId,
+    TargetState, TransportProtocol,
+};
+
+use crate::history::History;
+use crate::processes::{Process, Program};
+use crate::sampler::SampledService;
+use crate::scenario::{Scenario, ServiceScenario};
+use crate::standin::back_end::{BackEnd, BackEndOptions};
+use crate::standin::fabric::{Fabric, FabricMember};
+use crate::standin::link::{LinkProxy, Network, ZoneMap};
+use crate::standin::platform::Platform;
+
+/// How a fleet is started.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Seed of everything random in the stand-ins.
+    pub seed: u64,
+    /// Targets that agents compare for a new flow.
+    pub candidates: u8,
+    /// Folder for the processes' logs, if wanted.
+    pub logs: Option<PathBuf>,
+}
+
+/// One balancer of a fleet.
+pub struct Balancer {
+    /// The process; dead ones stay in the list so that numbers stay the same.
+    pub process: Process,
+    zone: String,
+    state: Presence,
+}
+
+/// What the machine list says of a balancer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Presence {
+    Listed,
+    Gone,
+}
+
+/// Real processes and stand-ins, wired up.
+pub struct Fleet {
+    /// The scenario that the fleet was built from.
+    pub scenario: Scenario,
+    /// The platform.
+    pub platform: Platform,
+    /// The fabric.
+    pub fabric: Fabric,
+    /// The networks.
+    pub network: Network,
+    /// Back ends by target number.
+    pub back_ends: Vec<BackEnd>,
+    /// Agents by target number.
+    pub agents: Vec<Process>,
+    /// Balancers in the order of their start.
+    pub balancers: Vec<Balancer>,
+    program: Program,
+    zones: ZoneMap,
+    work_folder: PathBuf,
+}
+
+impl Fleet {
+    /// Starts everything and waits until each process is ready.
+    ///
+    /// # Errors
+    /// Names the part and the step that failed.
+    pub async fn start(
+        scenario: &Scenario,
+        options: &FleetOptions,
+        history: &History,
+    ) -> eyre::Result<Self> {
+        let program = Program::find(options.logs.clone())?;
+        let zones = ZoneMap::default();
+        let network = Network::start(scenario.network, options.seed).wrap_err("start network")?;
+        let lag = Duration::from_millis(scenario.network.fabric_lag_ms);
+        let fabric = Fabric::start(network.clone(), zones.clone(), options.seed ^ 1, lag)
+            .wrap_err("start fabric")?;
+        let platform = Platform::start().await.wrap_err("start platform")?;
+        let mut fleet = Self {
+            scenario: scenario.clone(),
+            platform,
+            fabric,
+            network,
+            back_ends: Vec::new(),
+            agents: Vec::new(),
+            balancers: Vec::new(),
+            program,
+            zones,
+            work_folder: make_work_folder()?,
+        };
+        fleet.start_targets(options, history).await?;
+        for _ in 0..scenario.balancers {
+            fleet.start_balancer().await?;
+        }
+        fleet.publish_machines();
+        Ok(fleet)
+    }
+
+    async fn start_targets(
+        &mut self,
+        options: &FleetOptions,
+        history: &History,
+    ) -> eyre::Result<()> {
+        let mut document = ConfigDocument { revision: 1, ..ConfigDocument::default() };
+        let mut proxies = Vec::new();
+        let scenario = self.scenario.clone();
+        for (index, service) in scenario.services.iter().enumerate() {
+            let id = ServiceId(index as u32 + 1);
+            document.services.push(service_entry(id, service));
+            for _ in 0..service.targets {
+                let number = document.targets.len();
+                let back_end = BackEnd::start(
+                    back_end_options(number, service, options.seed),
+                    history.clone(),
+                )
+                .await
+                .wrap_err("start back end")?;
+                let proxy = LinkProxy::bind().wrap_err("bind link proxy")?;
+                let zone = self.zone_for(number);
+                document.targets.push(target_entry(id, number, service, &zone, &proxy, &back_end));
+                self.back_ends.push(back_end);
+                proxies.push(proxy);
+            }
+        }
+        self.platform.publish(document);
+        for (number, proxy) in proxies.iter().enumerate() {
+            let zone = self.zone_for(number);
+            let agent = self.start_agent(number, &zone, options).await?;
+            let data = agent.addresses.data;
+            self.zones.set(data, &zone);
+            proxy
+                .forward_to(data, zone, self.zones.clone(), self.network.clone())
+                .wrap_err("start link proxy")?;
+            self.agents.push(agent);
+        }
+        Ok(())
+    }
+
+    async fn start_agent(
+        &self,
+        number: usize,
+        zone: &str,
+        options: &FleetOptions,
+    ) -> eyre::Result<Process> {
+        let name = format!("agent-{number}");
+        let mut arguments = self.common_arguments("agent", &name, zone);
+        arguments.extend([
+            "--target".to_owned(),
+            number.to_string(),
+            "--fabric".to_owned(),
+            self.fabric.address().to_string(),
+            "--candidates".to_owned(),
+            options.candidates.to_string(),
+        ]);
+        self.program.start(&name, &arguments).await
+    }
+
+    /// Starts one more balancer, in the next zone in turn. The machine list is
+    /// not changed yet.
+    ///
+    /// # Errors
+    /// When the process does not become ready.
+    pub async fn start_balancer(&mut self) -> eyre::Result<usize> {
+        let number = self.balancers.len();
+        let zone = self.zone_for(number);
+        let name = format!("balancer-{number}");
+        let arguments = self.common_arguments("balancer", &name, &zone);
+        let process = self.program.start(&name, &arguments).await?;
+        self.zones.set(process.addresses.data, &zone);
+        self.balancers.push(Balancer { process, zone, state: Presence::Listed });
+        Ok(number)
+    }
+
+    /// Takes a balancer off the machine list.
+    pub fn remove_from_list(&mut self, balancer: usize) {
+        self.balancers[balancer].state = Presence::Gone;
+        self.publish_machines();
+    }
+
+    /// Publishes the machine list; the fabric follows after its lag.
+    pub fn publish_machines(&self) {
+        let listed = self.balancers.iter().filter(|balancer| balancer.state == Presence::Listed);
+        let members: Vec<FabricMember> = listed
+            .clone()
+            .map(|balancer| FabricMember {
+                address: balancer.process.addresses.data,
+                zone: balancer.zone.clone(),
+            })
+            .collect();
+        let machines = listed
+            .map(|balancer| Machine {
+                name: balancer.process.name.clone(),
+                zone: balancer.zone.clone(),
+                address: balancer.process.addresses.data,
+                state: MachineState::Live,
+            })
+            .collect();
+        self.platform.set_machines(MachineList { machines });
+        self.fabric.set_members(members);
+    }
+
+    /// Publishes the next revision of the configuration.
+    pub fn change_configuration(&self, change: impl FnOnce(&mut ConfigDocument)) {
+        let mut document = self.platform.document();
+        change(&mut document);
+        document.revision += 1;
+        self.platform.publish(document);
+    }
+
+    /// Publishes a target's state.
+    pub fn set_target_state(&self, target: usize, state: TargetState) {
+        self.change_configuration(|document| document.targets[target].state = state);
+    }
+
+    /// Whether a target takes new flows, by the newest configuration.
+    pub fn is_active(platform: &Platform, target: usize) -> bool {
+        platform
+            .document()
+            .targets
+            .get(target)
+            .is_some_and(|target| target.state == TargetState::Active)
+    }
+
+    /// The services with their back ends, for sampling.
+    pub fn sampled_services(&self) -> Vec<SampledService> {
+        let mut first = 0;
+        let mut services = Vec::new();
+        for service in &self.scenario.services {
+            let back_ends = (first..first + service.targets)
+                .map(|number| (number, self.back_ends[number].clone()))
+                .collect();
+            services.push(SampledService { name: service.name.clone(), back_ends });
+            first += service.targets;
+        }
+        services
+    }
+
+    fn zone_for(&self, number: usize) -> String {
+        self.scenario.zones[number % self.scenario.zones.len()].clone()
+    }
+
+    fn common_arguments(&self, role: &str, name: &str, zone: &str) -> Vec<String> {
+        let keys = self.work_folder.join(KEYS_FILE);
+        let pairs = [
+            ("--name", name.to_owned()),
+            ("--zone", zone.to_owned()),
+            ("--platform", self.platform.address().to_string()),
+            ("--keys-file", keys.display().to_string()),
+        ];
+        let mut arguments = vec![role.to_owned()];
+        for (flag, value) in pairs {
+            arguments.push(flag.to_owned());
+            arguments.push(value);
+        }
+        arguments
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // A folder that cannot be removed is left to the system's own cleaning.
+        let _ = std::fs::remove_dir_all(&self.work_folder);
+    }
+}
+
+/// Name of the keys file in the fleet's work folder.
+const KEYS_FILE: &str = "keys.toml";
+/// The rehearsal's flow hash key; not a secret, as no real caller exists.
+const KEYS: &str = "flow_hash = \"000102030405060708090a0b0c0d0e0f\"\n";
+
+fn make_work_folder() -> eyre::Result<PathBuf> {
+    let unique = getrandom::u64().map_err(|error| eyre::eyre!("read random source: {error}"))?;
+    let folder = std::env::temp_dir().join(format!("weirhinge-rehearsal-{unique:016x}"));
+    std::fs::create_dir_all(&folder).wrap_err("make the work folder")?;
+    std::fs::write(folder.join(KEYS_FILE), KEYS).wrap_err("write the keys file")?;
+    Ok(folder)
+}
+
+fn service_entry(id: ServiceId, service: &ServiceScenario) -> Service {
+    Service {
+        id,
+        name: service.name.clone(),
+        address: service.address,
+        port: service.port,
+        protocol: TransportProtocol::Tcp,
+        proxy_protocol: false,
+    }
+}
+
+fn target_entry(
+    service_id: ServiceId,
+    number: usize,
+    service: &ServiceScenario,
+    zone: &str,
+    proxy: &LinkProxy,
+    back_end: &BackEnd,
+) -> Target {
+    Target {
+        id: TargetId(number as u16),
+        name: format!("{}-{number}", service.name),
+        service: service_id,
+        zone: zone.to_owned(),
+        agent: proxy.address(),
+        back_end: back_end.address(),
+        weight: 100,
+        state: TargetState::Active,
+        slots: service.slots,
+        connections: service.connections,
+    }
+}
+
+fn back_end_options(number: usize, service: &ServiceScenario, seed: u64) -> BackEndOptions {
+    BackEndOptions {
+        target: number,
+        service: service.name.clone(),
+        slots: service.slots,
+        connections: service.connections,
+        service_time: Duration::from_secs_f64(service.service_ms / 1_000.0),
+        feed_interval: Duration::from_millis(service.feed_interval_ms),
+        answer_bytes: service.answer_bytes,
+        seed: seed.wrapping_add(number as u64 + 1),
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,1 +1,17 @@
-//! The rehearsal kit.
+//! The rehearsal kit: real processes of the product behind stand-ins of the
+//! systems around it, a load, a schedule of faults, and a check of each promise.
+//!
+//! [`scenario`] describes a rehearsal, [`run`] carries it out, [`history`]
+//! records what callers and back ends saw, and [`verdict`] judges it.
+
+pub mod faults;
+pub mod fleet;
+pub mod history;
+pub mod load;
+pub mod processes;
+pub mod report;
+pub mod run;
+pub mod sampler;
+pub mod scenario;
+pub mod standin;
+pub mod verdict;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -1,2 +1,125 @@
-//! x
-fn main() {}
+//! The `rehearse` program.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+use weirhinge_rehearsal::fleet::FleetOptions;
+use weirhinge_rehearsal::report;
+use weirhinge_rehearsal::run::rehearse;
+use weirhinge_rehearsal::scenario::Scenario;
+
+const HELP: &str = "\
+rehearse: try the load balancer under a load and a schedule of faults
+
+USAGE:
+  rehearse run SCENARIO [OPTIONS]   Run a shipped scenario or a scenario file
+  rehearse list                     List the shipped scenarios
+  rehearse check FILE               Check a scenario file
+
+OPTIONS OF run:
+  --seconds N      Length of the load  [default: the scenario's]
+  --seed S         Seed of everything random in the stand-ins  [default: 1]
+  --candidates N   Targets that agents compare per new flow  [default: 3]
+  --logs FOLDER    Keep the processes' logs in FOLDER
+  --json           Print the verdict as one JSON object on the last line
+
+EXIT CODES:
+  0  every promise held
+  1  a promise was broken, or the rehearsal failed
+  2  the command line or the scenario cannot be used
+";
+/// Exit code for a broken promise or a failed rehearsal.
+const EXIT_FAILED: u8 = 1;
+/// Exit code for unusable input.
+const EXIT_USAGE: u8 = 2;
+
+struct RunOptions {
+    name: String,
+    scenario: Scenario,
+    fleet: FleetOptions,
+    json: bool,
+}
+
+fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let command = arguments.subcommand().unwrap_or_default();
+    let outcome = match command.as_deref() {
+        Some("run") => read_run(arguments).map(run),
+        Some("list") => list(),
+        Some("check") => check(arguments),
+        _ => Err(format!("expected a command\n\n{HELP}")),
+    };
+    outcome.unwrap_or_else(|reason| {
+        eprintln!("rehearse: {reason}");
+        ExitCode::from(EXIT_USAGE)
+    })
+}
+
+fn list() -> Result<ExitCode, String> {
+    for name in Scenario::shipped() {
+        let scenario = Scenario::load(name).map_err(|error| error.to_string())?;
+        println!("{name}: {}", scenario.description);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn check(mut arguments: Arguments) -> Result<ExitCode, String> {
+    let file: String = arguments.free_from_str().map_err(|_| "no file given".to_owned())?;
+    let scenario = Scenario::load(&file).map_err(|error| error.to_string())?;
+    println!("{file}: valid scenario, {} s, {} faults", scenario.seconds, scenario.faults.len());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn read_run(mut arguments: Arguments) -> Result<RunOptions, String> {
+    let seconds: Option<u64> = option(&mut arguments, "--seconds")?;
+    let seed = option(&mut arguments, "--seed")?.unwrap_or(1);
+    let candidates = option(&mut arguments, "--candidates")?.unwrap_or(3);
+    let logs: Option<String> = option(&mut arguments, "--logs")?;
+    let json = arguments.contains("--json");
+    let name: String =
+        arguments.free_from_str().map_err(|_| format!("no scenario given\n\n{HELP}"))?;
+    if let Some(unknown) = arguments.finish().first() {
+        return Err(format!("argument {:?}: not known, see --help", unknown.to_string_lossy()));
+    }
+    let mut scenario = Scenario::load(&name).map_err(|error| error.to_string())?;
+    if let Some(seconds) = seconds {
+        scenario.seconds = seconds.max(1);
+    }
+    let fleet = FleetOptions { seed, candidates, logs: logs.map(PathBuf::from) };
+    Ok(RunOptions { name, scenario, fleet, json })
+}
+
+fn option<T>(arguments: &mut Arguments, name: &'static str) -> Result<Option<T>, String>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    arguments.opt_value_from_str(name).map_err(|error| format!("{name}: {error}"))
+}
+
+fn run(options: RunOptions) -> ExitCode {
+    match run_to_verdict(&options) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_FAILED),
+        Err(report) => {
+            eprintln!("rehearse: {report:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn run_to_verdict(options: &RunOptions) -> eyre::Result<bool> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let verdict = runtime.block_on(rehearse(&options.scenario, &options.fleet))?;
+    eprintln!();
+    print!("{}", report::table(&options.name, &verdict));
+    if options.json {
+        println!("{}", serde_json::to_string(&verdict)?);
+    }
+    Ok(verdict.held)
+}
--- /dev/null
+++ b/crates/rehearsal/src/standin/back_end.rs
@@ -0,0 +1,308 @@
+//! A back end: an HTTP server with slots, a connection limit, a cold start,
+//! shedding, deadlines and cancellation, and endpoints that can mislead.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes, Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::Interval;
+
+use crate::history::{History, RequestId};
+
+/// Header with the request's identifier, echoed in the answer.
+pub const REQUEST_HEADER: &str = "x-request-id";
+/// Header with the service that the caller means.
+pub const SERVICE_HEADER: &str = "x-service";
+/// Header with the number of the target that answers.
+pub const TARGET_HEADER: &str = "x-target";
+/// Header with the milliseconds that the caller waits at most.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Requests per slot that may wait; further ones are shed.
+const QUEUE_PER_SLOT: u32 = 8;
+/// How long a cold back end works slower.
+const COLD_START: Duration = Duration::from_secs(3);
+/// How much slower a completely cold back end works.
+const COLD_FACTOR: f64 = 2.0;
+
+type AnswerBody = UnsyncBoxBody<Bytes, Infallible>;
+
+/// What a back end is like.
+#[derive(Clone, Debug)]
+pub struct BackEndOptions {
+    /// Number of the target over all services.
+    pub target: usize,
+    /// Name of the service.
+    pub service: String,
+    /// Requests worked on at once.
+    pub slots: u32,
+    /// Connections accepted at once.
+    pub connections: u32,
+    /// Mean service time.
+    pub service_time: Duration,
+    /// Time between two updates of a feed.
+    pub feed_interval: Duration,
+    /// Bytes of an answer.
+    pub answer_bytes: usize,
+    /// Seed of the service times.
+    pub seed: u64,
+}
+
+struct State {
+    options: BackEndOptions,
+    history: History,
+    slots: Semaphore,
+    in_use: AtomicU32,
+    waiting: AtomicU32,
+    connections: AtomicU32,
+    misleading: AtomicBool,
+    random: Mutex<ChaCha8Rng>,
+    started: Instant,
+}
+
+/// A running back end. Cheap to clone.
+#[derive(Clone)]
+pub struct BackEnd {
+    address: SocketAddr,
+    state: Arc<State>,
+    refusing: watch::Sender<bool>,
+}
+
+impl BackEnd {
+    /// Starts a back end on loopback.
+    pub async fn start(options: BackEndOptions, history: History) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let random = ChaCha8Rng::seed_from_u64(options.seed);
+        let state = Arc::new(State {
+            slots: Semaphore::new(options.slots as usize),
+            options,
+            history,
+            in_use: AtomicU32::new(0),
+            waiting: AtomicU32::new(0),
+            connections: AtomicU32::new(0),
+            misleading: AtomicBool::new(false),
+            random: Mutex::new(random),
+            started: Instant::now(),
+        });
+        let (refusing, refused) = watch::channel(false);
+        tokio::spawn(accept(listener, address, state.clone(), refused));
+        Ok(Self { address, state, refusing })
+    }
+
+    /// The back end's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Slots in use at this moment.
+    pub fn slots_in_use(&self) -> u32 {
+        self.state.in_use.load(Ordering::Relaxed)
+    }
+
+    /// Refuses new connections, or takes them again.
+    pub fn set_refusing(&self, refusing: bool) {
+        self.refusing.send_replace(refusing);
+    }
+
+    /// Lets the load and health endpoints report an idle, healthy back end.
+    pub fn mislead(&self) {
+        self.state.misleading.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Accepts connections; while refusing, no socket listens at the address.
+async fn accept(
+    listener: TcpListener,
+    address: SocketAddr,
+    state: Arc<State>,
+    mut refusing: watch::Receiver<bool>,
+) {
+    let mut listener = Some(listener);
+    loop {
+        if *refusing.borrow_and_update() {
+            listener = None;
+        } else if listener.is_none() {
+            listener = TcpListener::bind(address).await.ok();
+        }
+        let accepted = async {
+            match &listener {
+                Some(listener) => listener.accept().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            Ok((stream, _)) = accepted => serve(stream, state.clone()),
+            changed = refusing.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn serve(stream: TcpStream, state: Arc<State>) {
+    let held = state.connections.fetch_add(1, Ordering::Relaxed);
+    if held >= state.options.connections {
+        state.connections.fetch_sub(1, Ordering::Relaxed);
+        return;
+    }
+    state.history.accepted(state.options.target);
+    let _ = stream.set_nodelay(true);
+    tokio::spawn(async move {
+        let service = service_fn(|request| {
+            let state = state.clone();
+            async move { Ok::<_, Infallible>(state.answer(request).await) }
+        });
+        // A caller that goes away ends the connection; its request's future is
+        // dropped with it, which is the cancellation.
+        let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        state.connections.fetch_sub(1, Ordering::Relaxed);
+    });
+}
+
+impl State {
+    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        match request.uri().path() {
+            "/load" => return text(self.reported_load().to_string()),
+            "/health" => return text("ok".to_owned()),
+            _ => {}
+        }
+        let Some(id) = header_number(&request, REQUEST_HEADER) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let meant = request.headers().get(SERVICE_HEADER);
+        if meant.is_none_or(|meant| meant.as_bytes() != self.options.service.as_bytes()) {
+            self.history.lock().misrouted += 1;
+            return status(StatusCode::MISDIRECTED_REQUEST);
+        }
+        let mut response = match request.uri().path() {
+            "/feed" => Response::new(self.feed(id)),
+            "/run" => self.run(id, &request).await,
+            _ => status(StatusCode::NOT_FOUND),
+        };
+        let headers = response.headers_mut();
+        headers.insert(REQUEST_HEADER, HeaderValue::from(id));
+        headers.insert(TARGET_HEADER, HeaderValue::from(self.options.target));
+        response
+    }
+
+    /// Runs a request in a slot. Every 503 is sent before the request has run.
+    async fn run(&self, id: RequestId, request: &Request<Incoming>) -> Response<AnswerBody> {
+        let waiting = self.waiting.fetch_add(1, Ordering::Relaxed);
+        let _waiting = CountGuard(&self.waiting);
+        if waiting >= self.options.slots * QUEUE_PER_SLOT {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let slot = self.slots.acquire();
+        let slot = match header_number(request, DEADLINE_HEADER) {
+            Some(limit) => tokio::time::timeout(Duration::from_millis(limit), slot).await,
+            None => Ok(slot.await),
+        };
+        let Ok(Ok(_slot)) = slot else {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        self.in_use.fetch_add(1, Ordering::Relaxed);
+        let _in_use = CountGuard(&self.in_use);
+        self.history.ran(id);
+        tokio::time::sleep(self.service_time()).await;
+        Response::new(answer_body(id, self.options.answer_bytes).boxed_unsync())
+    }
+
+    fn feed(&self, id: RequestId) -> AnswerBody {
+        let mut interval = tokio::time::interval(self.options.feed_interval);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        FeedBody { interval, id, next: 0 }.boxed_unsync()
+    }
+
+    fn service_time(&self) -> Duration {
+        let uniform: f64 = self.random.lock().unwrap_or_else(PoisonError::into_inner).random();
+        let exponential = -(1.0 - uniform).ln();
+        let age = self.started.elapsed().as_secs_f64() / COLD_START.as_secs_f64();
+        let cold = 1.0 + (COLD_FACTOR - 1.0) * (1.0 - age).max(0.0);
+        self.options.service_time.mul_f64(exponential * cold)
+    }
+
+    fn reported_load(&self) -> u32 {
+        if self.misleading.load(Ordering::Relaxed) {
+            return 0;
+        }
+        self.in_use.load(Ordering::Relaxed)
+    }
+}
+
+/// Takes one off a count when dropped, also when a request is cancelled.
+struct CountGuard<'a>(&'a AtomicU32);
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The line of a feed at one place.
+pub fn feed_line(id: RequestId, number: u64) -> String {
+    format!("{id} {number}\n")
+}
+
+/// The answer to a request: its identifier over and over.
+pub fn answer_bytes(id: RequestId, length: usize) -> Bytes {
+    id.to_be_bytes().iter().copied().cycle().take(length).collect()
+}
+
+fn answer_body(id: RequestId, length: usize) -> Full<Bytes> {
+    Full::new(answer_bytes(id, length))
+}
+
+/// An endless body of numbered lines.
+struct FeedBody {
+    interval: Interval,
+    id: RequestId,
+    next: u64,
+}
+
+impl Body for FeedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.interval.poll_tick(context).is_pending() {
+            return Poll::Pending;
+        }
+        let line = feed_line(self.id, self.next);
+        self.next += 1;
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from(line)))))
+    }
+}
+
+fn header_number(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    request.headers().get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn text(body: String) -> Response<AnswerBody> {
+    Response::new(Full::new(Bytes::from(body)).boxed_unsync())
+}
+
+fn status(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(Full::new(Bytes::new()).boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/rehearsal/src/verdict.rs
@@ -0,0 +1,169 @@
+//! Judges each promise by what was recorded on both sides.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::history::{BrokenFlow, Drain, Record};
+use crate::sampler::{Imbalance, Window, imbalance};
+
+/// A leaving target may still take new flows for this long.
+const DRAIN_GRACE: Duration = Duration::from_secs(3);
+/// Broken flows listed in a verdict at most.
+const LISTED_BREAKS: usize = 5;
+
+/// Slots in use of one service over the rehearsal.
+#[derive(Clone, Debug)]
+pub struct ServiceWindows {
+    /// Name of the service.
+    pub service: String,
+    /// Its whole windows.
+    pub windows: Vec<Window>,
+}
+
+/// The outcome of a rehearsal; one JSON object, field by field.
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    /// Whether every promise held.
+    pub held: bool,
+    /// Flows that callers opened.
+    pub flows_opened: u64,
+    /// Flows that broke although no machine that held them died.
+    pub flows_broken: u64,
+    /// Flows that were lost with a killed agent.
+    pub flows_lost_with_machine: u64,
+    /// Flows that could not be opened; nothing was sent on them.
+    pub flows_refused: u64,
+    /// Feed updates received, each in its place.
+    pub feed_updates: u64,
+    /// Requests answered whole.
+    pub requests_answered: u64,
+    /// Requests that a caller was told did not run.
+    pub requests_not_run: u64,
+    /// Requests that ran more than once.
+    pub requests_doubled: u64,
+    /// Requests that arrived at another service.
+    pub packets_misrouted: u64,
+    /// Answers that belonged to another request or were damaged.
+    pub answers_crossed: u64,
+    /// Requests that ran although their caller was told otherwise.
+    pub refused_but_ran: u64,
+    /// Connections that a leaving target accepted after 3 s.
+    pub late_admissions: u64,
+    /// Median imbalance of each service over windows of 1 s.
+    pub imbalance: BTreeMap<String, f64>,
+    /// 99th percentile of the same.
+    pub imbalance_p99: BTreeMap<String, f64>,
+    /// Median latency of answered requests, in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile of the same.
+    pub p99_ms: f64,
+    /// The first broken flows, for finding the cause.
+    pub first_breaks: Vec<String>,
+    /// The faults that were carried out.
+    pub faults: Vec<String>,
+}
+
+/// Judges a record.
+pub fn judge(record: &Record, services: &[ServiceWindows]) -> Verdict {
+    let (lost, broken): (Vec<_>, Vec<_>) =
+        record.broken.iter().partition(|broken| lost_with_machine(record, broken));
+    let mut verdict = Verdict {
+        held: false,
+        flows_opened: record.flows_opened,
+        flows_broken: broken.len() as u64,
+        flows_lost_with_machine: lost.len() as u64,
+        flows_refused: record.flows_refused,
+        feed_updates: record.feed_updates,
+        requests_answered: record.answered,
+        requests_not_run: record.told_not_run.len() as u64,
+        requests_doubled: record.runs.values().filter(|&&runs| runs > 1).count() as u64,
+        packets_misrouted: record.misrouted,
+        answers_crossed: record.crossed,
+        refused_but_ran: refused_but_ran(record),
+        late_admissions: late_admissions(record),
+        imbalance: BTreeMap::new(),
+        imbalance_p99: BTreeMap::new(),
+        p50_ms: milliseconds(record.latencies.value_at_quantile(0.5)),
+        p99_ms: milliseconds(record.latencies.value_at_quantile(0.99)),
+        first_breaks: broken.iter().take(LISTED_BREAKS).map(|broken| describe(broken)).collect(),
+        faults: record.faults.iter().map(describe_fault).collect(),
+    };
+    for service in services {
+        if let Some(Imbalance { median, p99 }) = imbalance(&service.windows) {
+            verdict.imbalance.insert(service.service.clone(), round(median));
+            verdict.imbalance_p99.insert(service.service.clone(), round(p99));
+        }
+    }
+    verdict.held = verdict.promises().iter().all(|promise| promise.violations == 0)
+        && verdict.requests_answered > 0;
+    verdict
+}
+
+/// One promise and how often it was violated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromiseResult {
+    /// The promise.
+    pub promise: &'static str,
+    /// Violations seen.
+    pub violations: u64,
+}
+
+impl Verdict {
+    /// Every promise that a rehearsal checks.
+    pub fn promises(&self) -> [PromiseResult; 6] {
+        let result = |promise, violations| PromiseResult { promise, violations };
+        [
+            result("open flows survive", self.flows_broken),
+            result("no packet reaches another service", self.packets_misrouted),
+            result("callers get whole answers to their own requests", self.answers_crossed),
+            result("told not run means not run", self.refused_but_ran),
+            result("nothing runs twice", self.requests_doubled),
+            result("a leaving target takes nothing new after 3 s", self.late_admissions),
+        ]
+    }
+}
+
+fn lost_with_machine(record: &Record, broken: &BrokenFlow) -> bool {
+    let at = record.started + broken.at;
+    record.killed_agents.iter().any(|&(target, killed)| {
+        // A caller that had learnt no target yet is counted as broken.
+        broken.target == Some(target) && at >= killed
+    })
+}
+
+fn refused_but_ran(record: &Record) -> u64 {
+    record.told_not_run.iter().filter(|request| record.runs.contains_key(request)).count() as u64
+}
+
+fn late_admissions(record: &Record) -> u64 {
+    let is_late = |drain: &Drain, at: std::time::Instant, target: usize| {
+        drain.target == target
+            && at > drain.from + DRAIN_GRACE
+            && drain.until.is_none_or(|until| at < until)
+    };
+    record
+        .accepted
+        .iter()
+        .filter(|&&(at, target)| record.drains.iter().any(|drain| is_late(drain, at, target)))
+        .count() as u64
+}
+
+fn describe(broken: &BrokenFlow) -> String {
+    let target = broken.target.map_or("unknown".to_owned(), |target| target.to_string());
+    let at = broken.at.as_secs_f64();
+    format!("{at:.3} s: {:?} flow at target {target}: {}", broken.kind, broken.reason)
+}
+
+fn describe_fault((at, description): &(Duration, String)) -> String {
+    format!("{:.3} s: {description}", at.as_secs_f64())
+}
+
+fn milliseconds(microseconds: u64) -> f64 {
+    round(microseconds as f64 / 1_000.0)
+}
+
+fn round(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
