Keep opening flows through lost handshakes; let resets find their holder

The caller took the flow for open after the SYN-ACK while its own packets went to the dead balancer; the agent gave the half-open flow up after 3 s, let its key rest, and answered the next packet by a reset. Agents' counters (now summed in the verdict) showed 4 never_opened and resets of ended flows. Ruled out: timestamps taken over from a second SYN-ACK (smoltcp updates them only behind its acceptance checks). The same resting key made a caller's repeated SYNs time out (26 s, 'quarantined' 4). A planned stop hung on a flow whose caller's reset was lost: the stand-in's hosts did not reset unknown connections as hosts do, and a reset without a timestamp reached the owner, which dropped it. Change: half-open flows last 30 s but the oldest yields to a new one when too many open; a flow that never opened leaves no resting key; in-flight counts skip flows that do not open within 1 s; resets are located and forwarded like other packets; the stand-in host answers strays by resets.

--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -236,9 +236,6 @@
 
     /// A later packet of a TCP flow that is not held here.
     fn unknown_tcp(&mut self, arrival: &Arrival<'_>, segment: &TcpSegment) -> Dispatch {
-        if segment.reset {
-            return Dispatch::Drop("unknown_flow_reset");
-        }
         if self.flows.is_quarantined(&arrival.view.key, arrival.now) {
             return reset(&arrival.view.key, segment, "ended_flow");
         }
@@ -382,7 +379,11 @@
     }
 }
 
+/// Resets a flow, unless the segment is a reset itself: that needs no answer.
 fn reset(key: &FlowKey, segment: &TcpSegment, reason: &'static str) -> Dispatch {
+    if segment.reset {
+        return Dispatch::Drop("reset_of_unknown_flow");
+    }
     match build_tcp_reset(key, segment) {
         Ok(packet) => Dispatch::Reset { packet, reason },
         Err(_) => Dispatch::Drop("reset_not_built"),
--- a/crates/agent/src/load.rs
+++ b/crates/agent/src/load.rs
@@ -6,7 +6,7 @@
 //! waited for, and a standing feed counts only until its first bytes.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 /// The count, shared by all flows of an agent.
 #[derive(Clone, Debug, Default)]
@@ -22,7 +22,7 @@
     /// Starts a flow in flight.
     pub(crate) fn begin(&self) -> FlowInFlight {
         self.count.fetch_add(1, Ordering::Relaxed);
-        FlowInFlight { in_flight: self.clone(), waiting: true }
+        FlowInFlight { in_flight: self.clone(), waiting: AtomicBool::new(true) }
     }
 }
 
@@ -30,20 +30,20 @@
 #[derive(Debug)]
 pub(crate) struct FlowInFlight {
     in_flight: InFlight,
-    waiting: bool,
+    waiting: AtomicBool,
 }
 
 impl FlowInFlight {
-    pub(crate) fn caller_sent(&mut self) {
-        if !self.waiting {
-            self.waiting = true;
+    /// The caller sent something, or is expected to.
+    pub(crate) fn caller_sent(&self) {
+        if !self.waiting.swap(true, Ordering::Relaxed) {
             self.in_flight.count.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    pub(crate) fn back_end_sent(&mut self) {
-        if self.waiting {
-            self.waiting = false;
+    /// The back end answered, or nothing is expected of it any more.
+    pub(crate) fn back_end_sent(&self) {
+        if self.waiting.swap(false, Ordering::Relaxed) {
             self.in_flight.count.fetch_sub(1, Ordering::Relaxed);
         }
     }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -423,10 +423,12 @@
     }
 
     fn handle_ended(&mut self, key: &FlowKey, end: SpliceEnd) {
-        match key.protocol {
-            Protocol::Tcp => self.dispatcher.flows.remove(key, Instant::now()),
-            Protocol::Udp => self.dispatcher.flows.release(key),
-        };
+        // A flow that never opened may be tried again by its caller at once.
+        if key.protocol == Protocol::Tcp && end != SpliceEnd::NeverOpened {
+            self.dispatcher.flows.remove(key, Instant::now());
+        } else {
+            self.dispatcher.flows.release(key);
+        }
         self.metrics.flows_ended.increment(match end {
             SpliceEnd::Closed => "closed",
             SpliceEnd::PeerReset => "caller_reset",
--- a/crates/agent/src/tcp_flow.rs
+++ b/crates/agent/src/tcp_flow.rs
@@ -1,5 +1,7 @@
 //! The task of one TCP flow.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -17,8 +19,13 @@
 /// Buffers of one flow, in bytes. Most flows are idle feeds: small buffers
 /// keep 2,778 flows per target cheap.
 const BUFFERS: BufferSizes = BufferSizes { receive: 4 << 10, send: 16 << 10 };
-/// Longest time from the opening packet to the end of the handshake.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time from the opening packet to the end of the handshake. The caller
+/// may take the flow for open while all its packets are lost, as when a dead
+/// balancer still gets its share: giving up early would break that flow.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(30);
+/// A flow that is still opening after this long is not counted as in flight: its
+/// caller has probably gone to another agent or away.
+const EXPECTED_HANDSHAKE: Duration = Duration::from_secs(1);
 
 /// What a flow's task needs.
 pub(crate) struct TcpFlow {
@@ -35,7 +42,8 @@
 
 struct Observer {
     key: FlowKey,
-    in_flight: Option<FlowInFlight>,
+    established: Arc<AtomicBool>,
+    in_flight: Arc<FlowInFlight>,
     events: mpsc::UnboundedSender<FlowEvent>,
 }
 
@@ -43,22 +51,20 @@
     fn established(&mut self) {
         // The main loop is gone only when the process is ending.
         let _ = self.events.send(FlowEvent::Opened(self.key));
+        self.established.store(true, Ordering::Relaxed);
+        self.in_flight.caller_sent();
     }
 
     fn peer_sent(&mut self) {
-        if let Some(in_flight) = &mut self.in_flight {
-            in_flight.caller_sent();
-        }
+        self.in_flight.caller_sent();
     }
 
     fn stream_sent(&mut self) {
-        if let Some(in_flight) = &mut self.in_flight {
-            in_flight.back_end_sent();
-        }
+        self.in_flight.back_end_sent();
     }
 
     fn finished(&mut self) {
-        self.in_flight = None;
+        self.in_flight.back_end_sent();
     }
 }
 
@@ -86,10 +92,25 @@
             return Err(self.unopened(RefusalReason::BackEndRefused));
         };
         endpoint.receive(self.opening_packet);
-        let observer =
-            Observer { key: self.key, in_flight: Some(self.in_flight), events: self.events };
+        let in_flight = Arc::new(self.in_flight);
+        let established = Arc::new(AtomicBool::new(false));
+        let observer = Observer {
+            key: self.key,
+            established: established.clone(),
+            in_flight: in_flight.clone(),
+            events: self.events,
+        };
         let packets = &mut self.packets;
-        Ok(splice(endpoint, stream, packets, self.sink, observer, HANDSHAKE_TIMEOUT).await)
+        let carried = splice(endpoint, stream, packets, self.sink, observer, HANDSHAKE_TIMEOUT);
+        tokio::pin!(carried);
+        tokio::select! {
+            end = &mut carried => return Ok(end),
+            () = tokio::time::sleep(EXPECTED_HANDSHAKE) => {}
+        }
+        if !established.load(Ordering::Relaxed) {
+            in_flight.back_end_sent();
+        }
+        Ok(carried.await)
     }
 
     fn unopened(self, reason: RefusalReason) -> FlowEvent {
--- a/crates/flow/src/table.rs
+++ b/crates/flow/src/table.rs
@@ -1,6 +1,6 @@
 //! The flows that an agent holds, and the keys that may not be used again yet.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use weirhinge_packet::FlowKey;
@@ -10,6 +10,10 @@
 /// Most closed keys remembered; 30 s at 2,000 flows a second.
 const QUARANTINE_CAPACITY: usize = 60_000;
 
+/// A flow that has been opening for this long may be dropped for a new one when
+/// too many are opening.
+const SPARED_OPENING_TIME: Duration = Duration::from_secs(3);
+
 /// How far a flow has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FlowPhase {
@@ -52,6 +56,9 @@
 pub struct FlowTable<H> {
     entries: HashMap<FlowKey, Entry<H>>,
     quarantine: RecentSet<FlowKey>,
+    /// Keys in the order in which they began to open; entries whose flow has
+    /// opened or gone since are passed over.
+    by_age: VecDeque<(Instant, FlowKey)>,
     opening: usize,
     half_open_limit: usize,
 }
@@ -62,23 +69,43 @@
         Self {
             entries: HashMap::new(),
             quarantine: RecentSet::new(quarantine, QUARANTINE_CAPACITY),
+            by_age: VecDeque::new(),
             opening: 0,
             half_open_limit,
         }
     }
 
-    /// Adds a flow in [`FlowPhase::Opening`].
+    /// Adds a flow in [`FlowPhase::Opening`]. If too many flows are opening, the
+    /// oldest one goes in its place, unless all are young.
     ///
     /// # Errors
     /// When the table holds it, its key rests, or too many flows are opening.
     pub fn insert(&mut self, key: FlowKey, handle: H, now: Instant) -> Result<(), FlowTableError> {
         self.check_insert(&key, now)?;
+        if self.opening >= self.half_open_limit
+            && let Some(oldest) = self.oldest_opening()
+        {
+            self.remove(&oldest.1, now);
+        }
         self.opening += 1;
+        self.by_age.push_back((now, key));
         let phase = FlowPhase::Opening;
         self.entries.insert(key, Entry { handle, phase });
         Ok(())
     }
 
+    /// The flow that has been opening for longest.
+    fn oldest_opening(&mut self) -> Option<(Instant, FlowKey)> {
+        while let Some(&(began, key)) = self.by_age.front() {
+            let entry = self.entries.get(&key);
+            if entry.is_some_and(|entry| entry.phase == FlowPhase::Opening) {
+                return Some((began, key));
+            }
+            self.by_age.pop_front();
+        }
+        None
+    }
+
     /// Whether [`FlowTable::insert`] would succeed, without adding the flow.
     ///
     /// # Errors
@@ -90,10 +117,13 @@
         if self.quarantine.contains(key, now) {
             return Err(FlowTableError::Quarantined);
         }
-        if self.opening >= self.half_open_limit {
-            return Err(FlowTableError::HalfOpenLimit);
+        if self.opening < self.half_open_limit {
+            return Ok(());
+        }
+        match self.oldest_opening() {
+            Some((began, _)) if now.duration_since(began) >= SPARED_OPENING_TIME => Ok(()),
+            _ => Err(FlowTableError::HalfOpenLimit),
         }
-        Ok(())
     }
 
     /// Marks a flow as open.
@@ -103,6 +133,17 @@
         {
             entry.phase = FlowPhase::Open;
             self.opening -= 1;
+            self.trim_ages();
+        }
+    }
+
+    /// Keeps the list of ages no longer than a few times what it must hold.
+    fn trim_ages(&mut self) {
+        if self.by_age.len() > 2 * self.half_open_limit {
+            let entries = &self.entries;
+            self.by_age.retain(|(_, key)| {
+                entries.get(key).is_some_and(|entry| entry.phase == FlowPhase::Opening)
+            });
         }
     }
 
@@ -118,6 +159,7 @@
         let entry = self.entries.remove(key)?;
         if entry.phase == FlowPhase::Opening {
             self.opening -= 1;
+            self.trim_ages();
         }
         Some(entry.handle)
     }
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -1,5 +1,6 @@
 //! A fleet: real balancers and agents behind the stand-ins.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -205,6 +206,12 @@
         self.fabric.set_members(members);
     }
 
+    /// The admin addresses of all processes, dead ones too.
+    pub fn admin_addresses(&self) -> Vec<SocketAddr> {
+        let balancers = self.balancers.iter().map(|balancer| &balancer.process);
+        self.agents.iter().chain(balancers).map(|process| process.addresses.admin).collect()
+    }
+
     /// Publishes the next revision of the configuration.
     pub fn change_configuration(&self, change: impl FnOnce(&mut ConfigDocument)) {
         let mut document = self.platform.document();
--- a/crates/rehearsal/src/history.rs
+++ b/crates/rehearsal/src/history.rs
@@ -54,8 +54,8 @@
     pub started: Instant,
     /// Flows that callers opened.
     pub flows_opened: u64,
-    /// Flows that callers failed to open.
-    pub flows_refused: u64,
+    /// Flows that callers failed to open: when, and what the caller saw.
+    pub refused: Vec<(Duration, String)>,
     /// Flows that broke while in use.
     pub broken: Vec<BrokenFlow>,
     /// Feed updates received.
@@ -99,7 +99,7 @@
         let record = Record {
             started: Instant::now(),
             flows_opened: 0,
-            flows_refused: 0,
+            refused: Vec::new(),
             broken: Vec::new(),
             feed_updates: 0,
             answered: 0,
@@ -130,6 +130,13 @@
         record.latencies.saturating_record(microseconds.max(1));
     }
 
+    /// A flow could not be opened.
+    pub fn refused(&self, reason: String) {
+        let mut record = self.lock();
+        let at = record.started.elapsed();
+        record.refused.push((at, reason));
+    }
+
     /// A flow broke while in use.
     pub fn broken(&self, kind: FlowKind, target: Option<usize>, reason: impl ToString) {
         let mut record = self.lock();
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod run;
 pub mod sampler;
 pub mod scenario;
+pub mod scrape;
 pub mod standin;
 pub mod verdict;
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -251,9 +251,12 @@
 
     async fn open_client(&self) -> Option<HttpClient> {
         let opened = open(&self.context.fabric, &self.context.pool, self.destination()).await;
-        let Ok(stream) = opened else {
-            self.context.history.lock().flows_refused += 1;
-            return None;
+        let stream = match opened {
+            Ok(stream) => stream,
+            Err(error) => {
+                self.context.history.refused(format!("{error:?}"));
+                return None;
+            }
         };
         self.context.history.lock().flows_opened += 1;
         HttpClient::start(stream).await.ok()
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -29,6 +29,9 @@
     for broken in &verdict.first_breaks {
         line("broken", broken.clone());
     }
+    for refused in &verdict.first_refusals {
+        line("refused", refused.clone());
+    }
     let outcome = if verdict.held { "every promise held" } else { "A PROMISE WAS BROKEN" };
     format!("rehearsal {name}: {outcome}\n{text}")
 }
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -15,6 +15,7 @@
 use crate::load::{LoadContext, ServiceLoad};
 use crate::sampler::sample;
 use crate::scenario::Scenario;
+use crate::scrape::scrape_all;
 use crate::standin::caller::AddressPool;
 use crate::verdict::{ServiceWindows, Verdict, judge};
 
@@ -60,8 +61,9 @@
         tokio::time::timeout(WIND_DOWN, async { while callers.join_next().await.is_some() {} });
     ended.await.wrap_err("wait for the last answers")?;
     progress.abort();
+    let counters = scrape_all(&fleet.admin_addresses()).await;
     stop_fleet(&mut fleet).await?;
-    let verdict = judge(&history.lock(), &services);
+    let verdict = judge(&history.lock(), &services, counters);
     Ok(verdict)
 }
 
--- a/crates/rehearsal/src/standin/caller.rs
+++ b/crates/rehearsal/src/standin/caller.rs
@@ -32,8 +32,15 @@
 /// Why a connection was not opened. Either way nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OpenError {
-    /// The connection was refused or not answered in time.
-    NotOpened,
+    /// The service answered by a reset.
+    Refused {
+        /// Time from the first packet.
+        after: Duration,
+    },
+    /// Nothing answered in time.
+    TimedOut,
+    /// This machine could not make the connection.
+    Local,
 }
 
 /// Gives each connection an address and port of its own, never used twice.
@@ -87,11 +94,12 @@
     let mut packets = fabric.add_caller(source);
     let options = EndpointOptions {
         buffers: BUFFERS,
-        seed: getrandom::u64().map_err(|_| OpenError::NotOpened)?,
+        seed: getrandom::u64().map_err(|_| OpenError::Local)?,
         timestamps: caller_timestamp,
     };
     let endpoint =
-        TcpEndpoint::connect(source, destination, options).map_err(|_| OpenError::NotOpened)?;
+        TcpEndpoint::connect(source, destination, options).map_err(|_| OpenError::Local)?;
+    let started = Instant::now();
     let (near, far) = tokio::io::duplex(PIPE);
     let (opened, is_opened) = oneshot::channel();
     let fabric = fabric.clone();
@@ -101,8 +109,11 @@
         splice(endpoint, far, &mut packets, sink, observer, OPEN_TIMEOUT).await;
         fabric.remove_caller(source);
     });
-    is_opened.await.map_err(|_| OpenError::NotOpened)?;
-    Ok(near)
+    match is_opened.await {
+        Ok(()) => Ok(near),
+        Err(_) if started.elapsed() >= OPEN_TIMEOUT => Err(OpenError::TimedOut),
+        Err(_) => Err(OpenError::Refused { after: started.elapsed() }),
+    }
 }
 
 /// An HTTP client on a connection. The connection is closed when it is dropped.
--- a/crates/rehearsal/src/standin/fabric.rs
+++ b/crates/rehearsal/src/standin/fabric.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::mpsc;
-use weirhinge_packet::decode_packet;
+use weirhinge_packet::{PacketView, build_tcp_reset, decode_packet};
 
 use crate::standin::link::{CLIENTS, Destination, Network, ZoneMap, enlarge_receive_buffer};
 
@@ -118,13 +118,26 @@
                 continue;
             };
             let caller = self.lock().callers.get(&view.key.destination).cloned();
-            if let Some(queue) = caller {
-                let destination = Destination::Caller(queue);
-                self.network.send(&zone, CLIENTS, &destination, &datagram[..length]);
+            match caller {
+                Some(queue) => {
+                    let destination = Destination::Caller(queue);
+                    self.network.send(&zone, CLIENTS, &destination, &datagram[..length]);
+                }
+                None => self.answer_for_host(&view),
             }
         }
     }
 
+    /// A caller's host resets what belongs to no connection of its own.
+    fn answer_for_host(&self, view: &PacketView<'_>) {
+        let Some(segment) = view.tcp().filter(|segment| !segment.reset) else {
+            return;
+        };
+        if let Ok(reset) = build_tcp_reset(&view.key, segment) {
+            self.send(&reset);
+        }
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, FabricState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/rehearsal/src/verdict.rs
+++ b/crates/rehearsal/src/verdict.rs
@@ -7,11 +7,12 @@
 
 use crate::history::{BrokenFlow, Drain, Record};
 use crate::sampler::{Imbalance, Window, imbalance};
+use crate::scrape::Counters;
 
 /// A leaving target may still take new flows for this long.
 const DRAIN_GRACE: Duration = Duration::from_secs(3);
-/// Broken flows listed in a verdict at most.
-const LISTED_BREAKS: usize = 5;
+/// Broken or refused flows listed in a verdict at most.
+const LISTED: usize = 5;
 
 /// Slots in use of one service over the rehearsal.
 #[derive(Clone, Debug)]
@@ -61,12 +62,16 @@
     pub p99_ms: f64,
     /// The first broken flows, for finding the cause.
     pub first_breaks: Vec<String>,
+    /// The first flows that could not be opened.
+    pub first_refusals: Vec<String>,
     /// The faults that were carried out.
     pub faults: Vec<String>,
+    /// The daemons' own counters, summed over those that live at the end.
+    pub counters: Counters,
 }
 
 /// Judges a record.
-pub fn judge(record: &Record, services: &[ServiceWindows]) -> Verdict {
+pub fn judge(record: &Record, services: &[ServiceWindows], counters: Counters) -> Verdict {
     let (lost, broken): (Vec<_>, Vec<_>) =
         record.broken.iter().partition(|broken| lost_with_machine(record, broken));
     let mut verdict = Verdict {
@@ -74,7 +79,7 @@
         flows_opened: record.flows_opened,
         flows_broken: broken.len() as u64,
         flows_lost_with_machine: lost.len() as u64,
-        flows_refused: record.flows_refused,
+        flows_refused: record.refused.len() as u64,
         feed_updates: record.feed_updates,
         requests_answered: record.answered,
         requests_not_run: record.told_not_run.len() as u64,
@@ -87,8 +92,10 @@
         imbalance_p99: BTreeMap::new(),
         p50_ms: milliseconds(record.latencies.value_at_quantile(0.5)),
         p99_ms: milliseconds(record.latencies.value_at_quantile(0.99)),
-        first_breaks: broken.iter().take(LISTED_BREAKS).map(|broken| describe(broken)).collect(),
-        faults: record.faults.iter().map(describe_fault).collect(),
+        first_breaks: broken.iter().take(LISTED).map(|broken| describe(broken)).collect(),
+        first_refusals: record.refused.iter().take(LISTED).map(describe_event).collect(),
+        faults: record.faults.iter().map(describe_event).collect(),
+        counters,
     };
     for service in services {
         if let Some(Imbalance { median, p99 }) = imbalance(&service.windows) {
@@ -156,7 +163,7 @@
     format!("{at:.3} s: {:?} flow at target {target}: {}", broken.kind, broken.reason)
 }
 
-fn describe_fault((at, description): &(Duration, String)) -> String {
+fn describe_event((at, description): &(Duration, String)) -> String {
     format!("{:.3} s: {description}", at.as_secs_f64())
 }
 
--- a/crates/stack/src/splice.rs
+++ b/crates/stack/src/splice.rs
@@ -180,6 +180,10 @@
     }
 
     fn check_end(&mut self, packets_closed: bool) -> Option<SpliceEnd> {
+        if packets_closed && !self.established {
+            // Nothing has run, and the peer may not exist: no reset.
+            return Some(SpliceEnd::NeverOpened);
+        }
         if packets_closed {
             self.endpoint.abort();
             self.poll_endpoint();
