--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -8,12 +8,13 @@
 
 use weirhinge_config::TargetId;
 use weirhinge_flow::admission::{AdmissionStep, Candidates, OwnLoad, RefusalReason, consider};
-use weirhinge_flow::{Directory, FlowTable, LookupStep, RecentSet};
+use weirhinge_flow::{Directory, FlowPhase, FlowTable, LookupStep, RecentSet};
 use weirhinge_packet::{
     FlowKey, PacketView, TcpSegment, build_tcp_reset, decode_packet, verify_checksums,
 };
-use weirhinge_wire::{AgentMessage, Delivery, HolderAnswer, HolderQuery, PacketEnvelope};
+use weirhinge_wire::{AgentMessage, Delivery, HolderAnswer, HolderQuery, Holding, PacketEnvelope};
 
+use crate::plant::Plant;
 use crate::view::{AgentView, OwnTarget};
 
 /// How long a flow's key rests after its end: a packet of its last use has
@@ -39,16 +40,30 @@
 /// Thousandths of full speed of a warm back end.
 const FULL_WARMTH: u32 = 1_000;
 
+/// A flow that is still opening this long after its admission may have been won
+/// by another agent: then the others are asked.
+const SUSPICIOUS_OPENING: Duration = Duration::from_millis(500);
+
 /// What to do with a message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Dispatch {
     /// Hand the packet to the flow, which is held here.
     Deliver(FlowKey),
     /// Open the flow here with this packet.
-    Open(FlowKey),
-    /// Send the packet to another agent.
-    PassOn(PassOn),
-    /// Ask other agents who holds a flow, and drop the packet.
+    Open {
+        /// The flow.
+        key: FlowKey,
+        /// Another agent to tell, which will meet the flow's later packets.
+        announce: Option<Announcement>,
+    },
+    /// Send the packet to other agents: one, or all that claim its flow.
+    PassOn(Vec<PassOn>),
+    /// Hand the packet to the flow that is opening here, and do something else
+    /// with it as well.
+    DeliverAnd(FlowKey, Box<Dispatch>),
+    /// Give up the flow that is opening here: another agent has it.
+    Abandon(FlowKey),
+    /// Ask other agents who holds a flow; the packet is held back.
     Ask {
         /// The question.
         query: HolderQuery,
@@ -71,10 +86,26 @@
     },
     /// Nothing to do: an answer was taken in.
     Learned,
+    /// Send packets that were held back on to the flow's holder.
+    Release {
+        /// The packets.
+        packets: Vec<Vec<u8>>,
+        /// The holder.
+        pass_on: PassOn,
+    },
     /// Drop the packet for this reason, as it appears in metrics.
     Drop(&'static str),
 }
 
+/// Tells the owner of a flow's bucket that the flow is held elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// The owner's agent.
+    pub agent: SocketAddr,
+    /// What to tell.
+    pub answer: HolderAnswer,
+}
+
 /// A packet's way to the next agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PassOn {
@@ -110,6 +141,7 @@
     last_change: Instant,
     suspect_until: Option<Instant>,
     stopping: bool,
+    plant: Option<Plant>,
 }
 
 impl<H> Dispatcher<H> {
@@ -133,9 +165,15 @@
             last_change: now,
             suspect_until: None,
             stopping: false,
+            plant: None,
         }
     }
 
+    /// Plants a defect on purpose.
+    pub fn plant(&mut self, plant: Plant) {
+        self.plant = Some(plant);
+    }
+
     /// Puts a newer configuration in force.
     pub fn apply(&mut self, view: AgentView, now: Instant) {
         self.view = view;
@@ -168,7 +206,7 @@
     pub fn handle(&mut self, message: &AgentMessage<'_>, in_flight: u32, now: Instant) -> Dispatch {
         match message {
             AgentMessage::Packet(envelope) => self.handle_packet(envelope, in_flight, now),
-            AgentMessage::HolderQuery(query) => self.handle_query(query),
+            AgentMessage::HolderQuery(query) => self.handle_query(query, now),
             AgentMessage::HolderAnswer(answer) => self.handle_answer(answer, now),
         }
     }
@@ -187,16 +225,20 @@
             return Dispatch::Drop("not_configured");
         };
         let destination = self.view.table.service_for(&view).map(|service| service.id);
-        if let Err(error) = own.fence.check(envelope, destination) {
+        if let Err(error) = own.fence.check(envelope, destination)
+            && self.plant != Some(Plant::NoFence)
+        {
             return Dispatch::Drop(error.name());
         }
         if let Err(reason) = verify_checksums(envelope.packet) {
             return Dispatch::Drop(reason.name());
         }
-        if self.flows.get(&view.key).is_some() {
-            return Dispatch::Deliver(view.key);
-        }
         let arrival = Arrival { envelope, view: &view, own, in_flight, now };
+        match self.flows.phase(&view.key, now) {
+            Some((FlowPhase::Open, _)) => return Dispatch::Deliver(view.key),
+            Some((FlowPhase::Opening, age)) => return self.deliver_to_opening(&arrival, age),
+            None => {}
+        }
         match view.tcp() {
             Some(segment) if segment.opens_flow() => self.open_tcp(&arrival),
             Some(segment) => self.unknown_tcp(&arrival, segment),
@@ -204,8 +246,31 @@
         }
     }
 
+    /// A packet of a flow that is opening here. The caller may have taken up
+    /// another agent's answer instead; then its packets belong there.
+    fn deliver_to_opening(&mut self, arrival: &Arrival<'_>, age: Duration) -> Dispatch {
+        let key = arrival.view.key;
+        let opens = arrival.view.tcp().is_some_and(TcpSegment::opens_flow);
+        let forwarded = arrival.envelope.delivery == Delivery::Forwarded;
+        let suspicious = age >= SUSPICIOUS_OPENING || self.directory.knows_claim(&key);
+        if opens || forwarded || !suspicious {
+            return Dispatch::Deliver(key);
+        }
+        let further = match self.locate(arrival) {
+            LookupStep::Ask => self.ask(arrival),
+            LookupStep::Forward(holders) => self.forward(arrival, &holders),
+            LookupStep::Wait | LookupStep::Absent => return Dispatch::Deliver(key),
+        };
+        Dispatch::DeliverAnd(key, Box::new(further))
+    }
+
     /// An opening packet of a TCP flow that is not held here.
     fn open_tcp(&mut self, arrival: &Arrival<'_>) -> Dispatch {
+        let first_hop = arrival.envelope.delivery == Delivery::Owner;
+        let claim = self.directory.recent_claim(&arrival.view.key, arrival.now);
+        if let (true, Some(claimant)) = (first_hop, claim) {
+            return self.pass_on(arrival, claimant, Delivery::Assigned);
+        }
         if let Err(error) = self.flows.check_insert(&arrival.view.key, arrival.now) {
             return Dispatch::Drop(error.name());
         }
@@ -215,10 +280,9 @@
             &self.candidates_for(arrival, self.candidates),
         );
         match step {
-            AdmissionStep::Admit => Dispatch::Open(arrival.view.key),
+            AdmissionStep::Admit => self.admit(arrival),
             AdmissionStep::Refuse(reason) => self.refuse(arrival, reason),
             AdmissionStep::PassOn { to, delivery } => {
-                let first_hop = arrival.envelope.delivery == Delivery::Owner;
                 if first_hop && !self.passed_on.insert(arrival.view.key, arrival.now) {
                     return Dispatch::Drop("repeated_opening");
                 }
@@ -227,6 +291,36 @@
         }
     }
 
+    /// Admits the flow, and claims it with the owner of its bucket.
+    fn admit(&mut self, arrival: &Arrival<'_>) -> Dispatch {
+        let key = arrival.view.key;
+        self.directory.forget(&key);
+        Dispatch::Open { key, announce: self.announcement(&key, Holding::Opening) }
+    }
+
+    /// Notes that the handshake of a flow held here is complete. Packets without
+    /// timestamps carry no hint and go to the bucket's owner, which is told.
+    pub fn opened(&mut self, key: &FlowKey, has_timestamps: bool) -> Option<Announcement> {
+        self.flows.opened(key);
+        self.directory.forget(key);
+        if has_timestamps {
+            return None;
+        }
+        self.announcement(key, Holding::Open)
+    }
+
+    /// What to tell the owner of the flow's bucket, if that is another agent.
+    fn announcement(&self, key: &FlowKey, holding: Holding) -> Option<Announcement> {
+        let owner = self.owner(key).filter(|&owner| owner != self.own_target)?;
+        let agent = self.view.table.target(owner)?.agent;
+        Some(Announcement { agent, answer: self.holder_answer(key, holding)? })
+    }
+
+    fn holder_answer(&self, key: &FlowKey, holding: Holding) -> Option<HolderAnswer> {
+        let service = self.view.own?.fence.service.0;
+        Some(HolderAnswer { service, from: self.own_target.0, flow: (*key).into(), holding })
+    }
+
     fn refuse(&self, arrival: &Arrival<'_>, reason: RefusalReason) -> Dispatch {
         match arrival.view.tcp() {
             Some(segment) => reset(&arrival.view.key, segment, reason.name()),
@@ -240,22 +334,34 @@
             return reset(&arrival.view.key, segment, "ended_flow");
         }
         if arrival.envelope.delivery == Delivery::Forwarded {
-            return Dispatch::Drop("not_held");
+            return self.deny_forwarded(arrival);
+        }
+        if self.plant == Some(Plant::ResetUnknown) {
+            return reset(&arrival.view.key, segment, "planted");
         }
         match self.locate(arrival) {
             LookupStep::Ask => self.ask(arrival),
             LookupStep::Wait => Dispatch::Drop("awaiting_holder"),
-            LookupStep::Forward(holder) => self.pass_on(arrival, holder, Delivery::Forwarded),
+            LookupStep::Forward(holders) => self.forward(arrival, &holders),
             LookupStep::Absent => reset(&arrival.view.key, segment, "unknown_flow"),
         }
     }
 
+    /// Another agent believes that the flow is held here: the bucket's owner, as
+    /// a rule, is told that it is not.
+    fn deny_forwarded(&self, arrival: &Arrival<'_>) -> Dispatch {
+        match self.announcement(&arrival.view.key, Holding::Not) {
+            Some(Announcement { agent, answer }) => Dispatch::Answer { agent, answer },
+            None => Dispatch::Drop("not_held"),
+        }
+    }
+
     /// A packet of a UDP flow that is not held here, first or later.
     fn unknown_udp(&mut self, arrival: &Arrival<'_>) -> Dispatch {
         if arrival.envelope.delivery == Delivery::Forwarded {
-            return Dispatch::Drop("not_held");
+            return self.deny_forwarded(arrival);
         }
-        let owner = self.owner(arrival);
+        let owner = self.owner(&arrival.view.key);
         if let Some(owner) = owner
             && owner != self.own_target
         {
@@ -266,9 +372,7 @@
             match self.locate(arrival) {
                 LookupStep::Ask => return self.ask(arrival),
                 LookupStep::Wait => return Dispatch::Drop("awaiting_holder"),
-                LookupStep::Forward(holder) => {
-                    return self.pass_on(arrival, holder, Delivery::Forwarded);
-                }
+                LookupStep::Forward(holders) => return self.forward(arrival, &holders),
                 LookupStep::Absent => {}
             }
         }
@@ -276,7 +380,7 @@
             return Dispatch::Drop(RefusalReason::NoRoom.name());
         }
         match self.flows.check_insert(&arrival.view.key, arrival.now) {
-            Ok(()) => Dispatch::Open(arrival.view.key),
+            Ok(()) => self.admit(arrival),
             Err(error) => Dispatch::Drop(error.name()),
         }
     }
@@ -297,7 +401,7 @@
         let service = self.view.own_service();
         Candidates {
             own: self.own_target,
-            owner: self.owner(arrival),
+            owner: self.owner(&arrival.view.key),
             active: service.map_or(&[], |service| &service.active),
             flow_hash: self.view.table.hasher().hash(&arrival.view.key),
             limit,
@@ -305,18 +409,18 @@
     }
 
     /// The owner of the flow's bucket under this agent's own revision.
-    fn owner(&self, arrival: &Arrival<'_>) -> Option<TargetId> {
+    fn owner(&self, key: &FlowKey) -> Option<TargetId> {
         let buckets = &self.view.own_service()?.buckets;
         if buckets.is_empty() {
             return None;
         }
-        let hash = self.view.table.hasher().hash(&arrival.view.key);
+        let hash = self.view.table.hasher().hash(key);
         buckets.owner(buckets.bucket(hash))
     }
 
     fn locate(&mut self, arrival: &Arrival<'_>) -> LookupStep {
         let others = self.others();
-        self.directory.locate(&arrival.view.key, &others, arrival.now)
+        self.directory.locate(&arrival.view.key, &others, arrival.envelope.packet, arrival.now)
     }
 
     /// The service's other targets, draining ones too.
@@ -344,12 +448,26 @@
             return Dispatch::Drop("too_many_hops");
         }
         match self.view.table.target(to) {
-            Some(target) => Dispatch::PassOn(PassOn { agent: target.agent, target: to, delivery }),
+            Some(target) => {
+                Dispatch::PassOn(vec![PassOn { agent: target.agent, target: to, delivery }])
+            }
             None => Dispatch::Drop("unknown_target"),
         }
     }
 
-    fn handle_query(&self, query: &HolderQuery) -> Dispatch {
+    fn forward(&self, arrival: &Arrival<'_>, holders: &[TargetId]) -> Dispatch {
+        if arrival.envelope.hops >= MAXIMUM_HOPS {
+            return Dispatch::Drop("too_many_hops");
+        }
+        let delivery = Delivery::Forwarded;
+        let ways = holders.iter().filter_map(|&target| {
+            let agent = self.view.table.target(target)?.agent;
+            Some(PassOn { agent, target, delivery })
+        });
+        Dispatch::PassOn(ways.collect())
+    }
+
+    fn handle_query(&self, query: &HolderQuery, now: Instant) -> Dispatch {
         let Some(own) = self.view.own else {
             return Dispatch::Drop("not_configured");
         };
@@ -363,7 +481,11 @@
             service: query.service,
             from: self.own_target.0,
             flow: query.flow,
-            holds: self.flows.get(&query.flow.into()).is_some(),
+            holding: match self.flows.phase(&query.flow.into(), now) {
+                Some((FlowPhase::Open, _)) => Holding::Open,
+                Some((FlowPhase::Opening, _)) => Holding::Opening,
+                None => Holding::Not,
+            },
         };
         Dispatch::Answer { agent: asker.agent, answer }
     }
@@ -374,8 +496,23 @@
             return Dispatch::Drop("wrong_service");
         }
         let key = FlowKey::from(answer.flow);
-        self.directory.answered(&key, TargetId(answer.from), answer.holds, now);
-        Dispatch::Learned
+        let holder = TargetId(answer.from);
+        let packets = self.directory.answered(&key, holder, answer.holding, now);
+        let own_phase = self.flows.phase(&key, now).map(|(phase, _)| phase);
+        if (own_phase, answer.holding) == (Some(FlowPhase::Opening), Holding::Open) {
+            return Dispatch::Abandon(key);
+        }
+        match self.view.table.target(holder) {
+            Some(target) if !packets.is_empty() => Dispatch::Release {
+                packets,
+                pass_on: PassOn {
+                    agent: target.agent,
+                    target: holder,
+                    delivery: Delivery::Forwarded,
+                },
+            },
+            _ => Dispatch::Learned,
+        }
     }
 }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,10 +9,12 @@
 mod fabric;
 mod load;
 mod metrics;
+pub mod plant;
 mod run;
 mod tcp_flow;
 mod timestamps;
 mod udp_flow;
 pub mod view;
 
+pub use plant::Plant;
 pub use run::run;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -20,10 +20,11 @@
     AgentMessage, Delivery, HolderAnswer, HolderQuery, PacketEnvelope, decode, encode_into,
 };
 
-use crate::dispatch::{Dispatch, Dispatcher, PassOn};
+use crate::dispatch::{Announcement, Dispatch, Dispatcher, PassOn};
 use crate::fabric::FabricSink;
 use crate::load::InFlight;
 use crate::metrics::AgentMetrics;
+use crate::plant::Plant;
 use crate::tcp_flow::TcpFlow;
 use crate::timestamps;
 use crate::udp_flow::UdpFlow;
@@ -49,11 +50,26 @@
 #[derive(Debug)]
 pub(crate) enum FlowEvent {
     /// The handshake is complete.
-    Opened(FlowKey),
+    Opened { key: FlowKey, has_timestamps: bool },
     /// The back end took no connection; nothing was answered to the caller yet.
-    NotOpened { key: FlowKey, reason: RefusalReason, opening_packet: Vec<u8> },
+    NotOpened { flow: FlowId, reason: RefusalReason, opening_packet: Vec<u8> },
     /// The flow has ended.
-    Ended { key: FlowKey, end: SpliceEnd },
+    Ended { flow: FlowId, end: SpliceEnd },
+}
+
+/// Tells two flows of one key apart: an event of the earlier one must not touch
+/// the later one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct FlowId {
+    pub(crate) key: FlowKey,
+    pub(crate) number: u64,
+}
+
+/// How the main loop reaches a flow's task.
+#[derive(Debug)]
+struct FlowHandle {
+    queue: mpsc::Sender<Vec<u8>>,
+    number: u64,
 }
 
 /// What the main loop shares with the health endpoint.
@@ -88,7 +104,8 @@
     log: Logger,
     socket: Arc<UdpSocket>,
     sink: FabricSink,
-    dispatcher: Dispatcher<mpsc::Sender<Vec<u8>>>,
+    dispatcher: Dispatcher<FlowHandle>,
+    next_flow: u64,
     in_flight: InFlight,
     metrics: AgentMetrics,
     shared: Arc<SharedState>,
@@ -104,6 +121,7 @@
 /// Names the step and the address that failed.
 pub async fn run(
     settings: AgentSettings,
+    plant: Option<Plant>,
     log: Logger,
     ready: impl FnOnce(BoundAddresses),
     stop: impl Future<Output = ()>,
@@ -142,7 +160,11 @@
         let _ = documents.send(AgentView::build(&document, &key, target));
     });
     let (events, new_events) = mpsc::unbounded_channel();
-    let agent = Agent::new(settings, log, Arc::new(socket), metrics, shared, events, &key);
+    let mut agent = Agent::new(settings, log, Arc::new(socket), metrics, shared, events, &key);
+    if let Some(plant) = plant {
+        warn!(agent.log, "agent: Runs with a planted defect."; "defect" => ?plant);
+        agent.dispatcher.plant(plant);
+    }
     tokio::select! {
         () = follow => Err(eyre!("follow configuration: ended unexpectedly")),
         result = agent.run(new_documents, new_events, stop) => result,
@@ -183,6 +205,7 @@
             socket,
             sink,
             dispatcher,
+            next_flow: 0,
             in_flight: InFlight::default(),
             metrics,
             shared,
@@ -285,15 +308,33 @@
     fn handle_message(&mut self, message: &AgentMessage<'_>) {
         let in_flight = self.in_flight.count();
         let dispatch = self.dispatcher.handle(message, in_flight, Instant::now());
+        self.carry_out(dispatch, message);
+    }
+
+    fn carry_out(&mut self, dispatch: Dispatch, message: &AgentMessage<'_>) {
         match (dispatch, message) {
             (Dispatch::Deliver(key), AgentMessage::Packet(envelope)) => {
                 self.deliver(&key, envelope.packet);
             }
-            (Dispatch::Open(key), AgentMessage::Packet(envelope)) => {
+            (Dispatch::Open { key, announce }, AgentMessage::Packet(envelope)) => {
                 self.open(key, envelope.packet.to_vec());
+                if let Some(Announcement { agent, answer }) = announce {
+                    self.answer(agent, answer);
+                }
             }
-            (Dispatch::PassOn(pass_on), AgentMessage::Packet(envelope)) => {
-                self.pass_on(&pass_on, envelope);
+            (Dispatch::Release { packets, pass_on }, _) => self.release(&packets, &pass_on),
+            (Dispatch::PassOn(ways), AgentMessage::Packet(envelope)) => {
+                for way in &ways {
+                    self.pass_on(way, envelope);
+                }
+            }
+            (Dispatch::DeliverAnd(key, further), AgentMessage::Packet(envelope)) => {
+                self.deliver(&key, envelope.packet);
+                self.carry_out(*further, message);
+            }
+            (Dispatch::Abandon(key), _) => {
+                // Its task ends silently when its queue is gone.
+                self.dispatcher.flows.release(&key);
             }
             (Dispatch::Ask { query, agents }, _) => self.ask(query, &agents),
             (Dispatch::Answer { agent, answer }, _) => self.answer(agent, answer),
@@ -302,14 +343,20 @@
                 self.sink.send(&packet);
             }
             (Dispatch::Drop(reason), _) => self.metrics.packets_dropped.increment(reason),
-            (Dispatch::Learned | Dispatch::Deliver(_) | Dispatch::Open(_), _)
-            | (Dispatch::PassOn(_), _) => {}
+            (
+                Dispatch::Learned
+                | Dispatch::Deliver(_)
+                | Dispatch::DeliverAnd(..)
+                | Dispatch::Open { .. }
+                | Dispatch::PassOn(_),
+                _,
+            ) => {}
         }
     }
 
     fn deliver(&mut self, key: &FlowKey, packet: &[u8]) {
-        if let Some(queue) = self.dispatcher.flows.get(key)
-            && queue.try_send(packet.to_vec()).is_err()
+        if let Some(handle) = self.dispatcher.flows.get(key)
+            && handle.queue.try_send(packet.to_vec()).is_err()
         {
             self.metrics.packets_dropped.increment("flow_queue_full");
         }
@@ -323,8 +370,11 @@
             Ok(seed) => seed,
             Err(_) => return self.metrics.packets_dropped.increment("no_random_source"),
         };
-        let (sender, packets) = mpsc::channel(FLOW_QUEUE);
-        if let Err(error) = self.dispatcher.flows.insert(key, sender, Instant::now()) {
+        let (queue, packets) = mpsc::channel(FLOW_QUEUE);
+        self.next_flow += 1;
+        let id = FlowId { key, number: self.next_flow };
+        let handle = FlowHandle { queue, number: id.number };
+        if let Err(error) = self.dispatcher.flows.insert(key, handle, Instant::now()) {
             return self.metrics.packets_dropped.increment(error.name());
         }
         let sink = self.sink.clone();
@@ -333,11 +383,11 @@
         match key.protocol {
             Protocol::Tcp => {
                 let flow =
-                    TcpFlow { key, own, opening_packet, packets, sink, in_flight, events, seed };
+                    TcpFlow { id, own, opening_packet, packets, sink, in_flight, events, seed };
                 tokio::spawn(flow.run());
             }
             Protocol::Udp => {
-                let flow = UdpFlow { key, own, opening_packet, packets, sink, in_flight, events };
+                let flow = UdpFlow { id, own, opening_packet, packets, sink, in_flight, events };
                 tokio::spawn(flow.run());
             }
         }
@@ -365,7 +415,28 @@
             let sent = self.send(agent, &AgentMessage::HolderQuery(query));
             self.metrics.control_bytes.inc_by(sent as u64);
         }
-        self.metrics.packets_dropped.increment("awaiting_holder");
+    }
+
+    fn release(&mut self, packets: &[Vec<u8>], pass_on: &PassOn) {
+        for packet in packets {
+            if let Some(envelope) = self.own_envelope(packet) {
+                self.pass_on(pass_on, &envelope);
+            }
+        }
+    }
+
+    /// An envelope as if a balancer had sent the packet here.
+    fn own_envelope<'a>(&self, packet: &'a [u8]) -> Option<PacketEnvelope<'a>> {
+        let view = self.dispatcher.view();
+        let own = view.own?;
+        Some(PacketEnvelope {
+            revision: view.table.revision(),
+            service: own.fence.service.0,
+            target: own.fence.target.0,
+            delivery: Delivery::Forwarded,
+            hops: 0,
+            packet,
+        })
     }
 
     fn answer(&mut self, agent: SocketAddr, answer: HolderAnswer) {
@@ -391,43 +462,49 @@
 
     fn handle_event(&mut self, event: FlowEvent) {
         match event {
-            FlowEvent::Opened(key) => {
-                self.dispatcher.flows.opened(&key);
+            FlowEvent::Opened { key, has_timestamps } => {
                 self.metrics.flows_opened.inc();
+                let announcement = self.dispatcher.opened(&key, has_timestamps);
+                if let Some(Announcement { agent, answer }) = announcement {
+                    self.answer(agent, answer);
+                }
             }
-            FlowEvent::NotOpened { key, reason, opening_packet } => {
-                self.handle_not_opened(&key, reason, &opening_packet);
+            FlowEvent::NotOpened { flow, reason, opening_packet } => {
+                self.handle_not_opened(&flow, reason, &opening_packet);
             }
-            FlowEvent::Ended { key, end } => self.handle_ended(&key, end),
+            FlowEvent::Ended { flow, end } => self.handle_ended(&flow, end),
         }
     }
 
+    /// Whether the table still holds this flow and not a later one of its key.
+    fn is_current(&self, flow: &FlowId) -> bool {
+        let handle = self.dispatcher.flows.get(&flow.key);
+        handle.is_some_and(|handle| handle.number == flow.number)
+    }
+
     /// Nothing has run, so the flow may be tried elsewhere: the opening packet
     /// starts over, while this agent counts as having no room.
-    fn handle_not_opened(&mut self, key: &FlowKey, reason: RefusalReason, packet: &[u8]) {
-        self.dispatcher.flows.release(key);
+    fn handle_not_opened(&mut self, flow: &FlowId, reason: RefusalReason, packet: &[u8]) {
+        if !self.is_current(flow) {
+            return;
+        }
+        self.dispatcher.flows.release(&flow.key);
         self.dispatcher.suspect_back_end(Instant::now());
         warn!(self.log, "agent: Back end takes no connection."; "reason" => reason.name());
-        let Some(own) = self.dispatcher.view().own else {
-            return;
-        };
-        let message = AgentMessage::Packet(PacketEnvelope {
-            revision: self.dispatcher.view().table.revision(),
-            service: own.fence.service.0,
-            target: own.fence.target.0,
-            delivery: Delivery::Forwarded,
-            hops: 0,
-            packet,
-        });
-        self.handle_message(&message);
+        if let Some(envelope) = self.own_envelope(packet) {
+            self.handle_message(&AgentMessage::Packet(envelope));
+        }
     }
 
-    fn handle_ended(&mut self, key: &FlowKey, end: SpliceEnd) {
-        // A flow that never opened may be tried again by its caller at once.
-        if key.protocol == Protocol::Tcp && end != SpliceEnd::NeverOpened {
-            self.dispatcher.flows.remove(key, Instant::now());
-        } else {
-            self.dispatcher.flows.release(key);
+    fn handle_ended(&mut self, flow: &FlowId, end: SpliceEnd) {
+        let key = &flow.key;
+        if self.is_current(flow) {
+            // A flow that never opened may be tried again by its caller at once.
+            if key.protocol == Protocol::Tcp && end != SpliceEnd::NeverOpened {
+                self.dispatcher.flows.remove(key, Instant::now());
+            } else {
+                self.dispatcher.flows.release(key);
+            }
         }
         self.metrics.flows_ended.increment(match end {
             SpliceEnd::Closed => "closed",
--- a/crates/agent/src/tcp_flow.rs
+++ b/crates/agent/src/tcp_flow.rs
@@ -6,13 +6,13 @@
 
 use tokio::sync::mpsc;
 use weirhinge_flow::RefusalReason;
-use weirhinge_packet::FlowKey;
+use weirhinge_packet::{FlowKey, decode_packet};
 use weirhinge_stack::{BufferSizes, EndpointOptions, FlowObserver, SpliceEnd, TcpEndpoint, splice};
 
 use crate::back_end;
 use crate::fabric::FabricSink;
 use crate::load::FlowInFlight;
-use crate::run::FlowEvent;
+use crate::run::{FlowEvent, FlowId};
 use crate::timestamps;
 use crate::view::OwnTarget;
 
@@ -29,7 +29,7 @@
 
 /// What a flow's task needs.
 pub(crate) struct TcpFlow {
-    pub(crate) key: FlowKey,
+    pub(crate) id: FlowId,
     pub(crate) own: OwnTarget,
     pub(crate) opening_packet: Vec<u8>,
     pub(crate) packets: mpsc::Receiver<Vec<u8>>,
@@ -42,6 +42,7 @@
 
 struct Observer {
     key: FlowKey,
+    has_timestamps: bool,
     established: Arc<AtomicBool>,
     in_flight: Arc<FlowInFlight>,
     events: mpsc::UnboundedSender<FlowEvent>,
@@ -50,7 +51,9 @@
 impl FlowObserver for Observer {
     fn established(&mut self) {
         // The main loop is gone only when the process is ending.
-        let _ = self.events.send(FlowEvent::Opened(self.key));
+        let _ = self
+            .events
+            .send(FlowEvent::Opened { key: self.key, has_timestamps: self.has_timestamps });
         self.established.store(true, Ordering::Relaxed);
         self.in_flight.caller_sent();
     }
@@ -72,30 +75,35 @@
     /// Connects to the back end, then answers the caller and carries bytes
     /// until the flow ends. Reports the end as an event.
     pub(crate) async fn run(self) {
-        let key = self.key;
+        let flow = self.id;
         let events = self.events.clone();
         let event = match self.carry().await {
-            Ok(end) => FlowEvent::Ended { key, end },
+            Ok(end) => FlowEvent::Ended { flow, end },
             Err(unopened) => unopened,
         };
         let _ = events.send(event);
     }
 
     async fn carry(mut self) -> Result<SpliceEnd, FlowEvent> {
-        let stream = match back_end::connect_tcp(&self.own, &self.key).await {
+        let stream = match back_end::connect_tcp(&self.own, &self.id.key).await {
             Ok(stream) => stream,
             Err(reason) => return Err(self.unopened(reason)),
         };
-        let options =
-            EndpointOptions { buffers: BUFFERS, seed: self.seed, timestamps: timestamps::now };
-        let Ok(mut endpoint) = TcpEndpoint::listen(self.key.destination, options) else {
+        let options = EndpointOptions {
+            buffers: BUFFERS,
+            seed: self.seed,
+            timestamps: Some(timestamps::now),
+        };
+        let Ok(mut endpoint) = TcpEndpoint::listen(self.id.key.destination, options) else {
             return Err(self.unopened(RefusalReason::BackEndRefused));
         };
+        let has_timestamps = has_timestamps(&self.opening_packet);
         endpoint.receive(self.opening_packet);
         let in_flight = Arc::new(self.in_flight);
         let established = Arc::new(AtomicBool::new(false));
         let observer = Observer {
-            key: self.key,
+            key: self.id.key,
+            has_timestamps,
             established: established.clone(),
             in_flight: in_flight.clone(),
             events: self.events,
@@ -114,6 +122,12 @@
     }
 
     fn unopened(self, reason: RefusalReason) -> FlowEvent {
-        FlowEvent::NotOpened { key: self.key, reason, opening_packet: self.opening_packet }
+        FlowEvent::NotOpened { flow: self.id, reason, opening_packet: self.opening_packet }
     }
 }
+
+/// Whether the caller offers TCP timestamps, by which its packets find home.
+fn has_timestamps(opening_packet: &[u8]) -> bool {
+    decode_packet(opening_packet)
+        .is_ok_and(|view| view.tcp().is_some_and(|segment| segment.timestamp_echo.is_some()))
+}
--- a/crates/agent/src/udp_flow.rs
+++ b/crates/agent/src/udp_flow.rs
@@ -1,19 +1,19 @@
 //! The task of one UDP flow.
 
 use tokio::sync::mpsc;
-use weirhinge_packet::{FlowKey, Transport, build_udp_packet, decode_packet};
+use weirhinge_packet::{Transport, build_udp_packet, decode_packet};
 use weirhinge_stack::{INNER_MTU, PacketSink, SpliceEnd};
 
 use crate::back_end;
 use crate::dispatch::UDP_IDLE_TIMEOUT;
 use crate::fabric::FabricSink;
 use crate::load::FlowInFlight;
-use crate::run::FlowEvent;
+use crate::run::{FlowEvent, FlowId};
 use crate::view::OwnTarget;
 
 /// What a flow's task needs.
 pub(crate) struct UdpFlow {
-    pub(crate) key: FlowKey,
+    pub(crate) id: FlowId,
     pub(crate) own: OwnTarget,
     pub(crate) opening_packet: Vec<u8>,
     pub(crate) packets: mpsc::Receiver<Vec<u8>>,
@@ -26,9 +26,9 @@
     /// Carries datagrams both ways until the flow has been idle for
     /// [`UDP_IDLE_TIMEOUT`] or the back end refuses it.
     pub(crate) async fn run(mut self) {
-        let _ = self.events.send(FlowEvent::Opened(self.key));
+        let _ = self.events.send(FlowEvent::Opened { key: self.id.key, has_timestamps: false });
         let end = self.carry().await;
-        let _ = self.events.send(FlowEvent::Ended { key: self.key, end });
+        let _ = self.events.send(FlowEvent::Ended { flow: self.id, end });
     }
 
     async fn carry(&mut self) -> SpliceEnd {
@@ -52,7 +52,7 @@
                 received = socket.recv(&mut answer) => {
                     let Ok(length) = received else { return SpliceEnd::StreamFailed };
                     self.in_flight.back_end_sent();
-                    if let Ok(packet) = build_udp_packet(&self.key, &answer[..length]) {
+                    if let Ok(packet) = build_udp_packet(&self.id.key, &answer[..length]) {
                         self.sink.send(&packet);
                     }
                 }
--- /dev/null
+++ b/crates/agent/tests/dispatch.rs
@@ -0,0 +1,332 @@
+//! What an agent does with each packet while configurations differ.
+
+use std::time::{Duration, Instant};
+
+use etherparse::PacketBuilder;
+use weirhinge_agent::dispatch::{Dispatch, Dispatcher};
+use weirhinge_agent::view::AgentView;
+use weirhinge_config::{
+    ConfigDocument, HashKey, Service, ServiceId, Target, TargetId, TargetState, TransportProtocol,
+};
+use weirhinge_packet::decode_packet;
+use weirhinge_routing::RoutingTable;
+use weirhinge_wire::{AgentMessage, Delivery, HolderAnswer, Holding, PacketEnvelope};
+
+const KEY: HashKey = HashKey([7; 16]);
+const AGENTS: u16 = 4;
+
+fn document(revision: u64, draining: &[u16]) -> ConfigDocument {
+    let service = |id: u32, protocol, last: u8| Service {
+        id: ServiceId(id),
+        name: format!("service-{id}"),
+        address: [203, 0, 113, last].into(),
+        port: 8_443,
+        protocol,
+        proxy_protocol: false,
+    };
+    let target = |id: u16| Target {
+        id: TargetId(id),
+        name: format!("target-{id}"),
+        service: ServiceId(1),
+        zone: "austin".to_owned(),
+        agent: ([127, 0, 0, 1], 7_000 + id).into(),
+        back_end: ([127, 0, 0, 1], 9_000 + id).into(),
+        weight: 100,
+        state: if draining.contains(&id) { TargetState::Draining } else { TargetState::Active },
+        slots: 7,
+        connections: 2_000,
+    };
+    ConfigDocument {
+        revision,
+        services: vec![
+            service(1, TransportProtocol::Tcp, 10),
+            service(2, TransportProtocol::Tcp, 20),
+        ],
+        targets: (0..AGENTS).map(target).collect(),
+    }
+}
+
+fn agent(target: u16, document: &ConfigDocument) -> Dispatcher<()> {
+    let target = TargetId(target);
+    let view = AgentView::build(document, &KEY, target);
+    Dispatcher::new(target, 1, 16, view, Instant::now())
+}
+
+fn segment(port: u16, syn: bool, timestamps: bool) -> Vec<u8> {
+    let step =
+        PacketBuilder::ipv4([198, 18, 0, 1], [203, 0, 113, 10], 64).tcp(port, 8_443, 1, 4_000);
+    let step = if syn { step.syn() } else { step.ack(1) };
+    let options: &[u8] = if timestamps { &[1, 1, 8, 10, 0, 0, 0, 1, 0, 0, 0, 0] } else { &[] };
+    let mut packet = Vec::new();
+    step.options_raw(options).expect("options").write(&mut packet, &[]).expect("packet");
+    packet
+}
+
+fn envelope(target: u16, delivery: Delivery, packet: &[u8]) -> PacketEnvelope<'_> {
+    PacketEnvelope { revision: 1, service: 1, target, delivery, hops: 0, packet }
+}
+
+/// The owner of a packet's flow under a document.
+fn owner(document: &ConfigDocument, packet: &[u8]) -> u16 {
+    let table = RoutingTable::build(document, &KEY);
+    table.route(&decode_packet(packet).expect("sound")).expect("route").target.0
+}
+
+#[test]
+fn the_owner_admits_and_then_delivers() {
+    let document = document(1, &[]);
+    let packet = segment(40_000, true, true);
+    let owner = owner(&document, &packet);
+    let mut agent = agent(owner, &document);
+    let message = AgentMessage::Packet(envelope(owner, Delivery::Owner, &packet));
+    let now = Instant::now();
+    let Dispatch::Open { key, announce: None } = agent.handle(&message, 0, now) else {
+        panic!("the owner admits");
+    };
+    agent.flows.insert(key, (), now).expect("inserted");
+    assert_eq!(agent.handle(&message, 0, now), Dispatch::Deliver(key));
+}
+
+#[test]
+fn what_is_meant_for_another_service_or_target_goes_nowhere() {
+    let document = document(1, &[]);
+    let mut agent = agent(0, &document);
+    let packet = segment(40_000, true, true);
+    let sound = envelope(0, Delivery::Owner, &packet);
+    let mut refused = |envelope| agent.handle(&AgentMessage::Packet(envelope), 0, Instant::now());
+    assert_eq!(refused(PacketEnvelope { service: 2, ..sound }), Dispatch::Drop("wrong_service"));
+    assert_eq!(refused(PacketEnvelope { target: 1, ..sound }), Dispatch::Drop("wrong_target"));
+    // The address belongs to service 2 by now; a stale balancer says service 1.
+    let mut moved = packet.clone();
+    moved[19] = 20;
+    let moved = PacketEnvelope { packet: &moved, ..sound };
+    assert_eq!(refused(moved), Dispatch::Drop("wrong_destination"));
+}
+
+#[test]
+fn damaged_packets_are_dropped_by_reason() {
+    let document = document(1, &[]);
+    let mut agent = agent(0, &document);
+    let mut packet = segment(40_000, true, true);
+    let last = packet.len() - 1;
+    packet[last] ^= 1;
+    let message = AgentMessage::Packet(envelope(0, Delivery::Owner, &packet));
+    assert_eq!(agent.handle(&message, 0, Instant::now()), Dispatch::Drop("bad_checksum"));
+    let message = AgentMessage::Packet(envelope(0, Delivery::Owner, &packet[..10]));
+    assert_eq!(agent.handle(&message, 0, Instant::now()), Dispatch::Drop("truncated"));
+}
+
+#[test]
+fn a_draining_target_admits_nothing_from_a_stale_balancer() {
+    let before = document(1, &[]);
+    let packet = segment(40_000, true, true);
+    let draining = owner(&before, &packet);
+    let mut agent = agent(draining, &document(2, &[draining]));
+    let message = AgentMessage::Packet(envelope(draining, Delivery::Owner, &packet));
+    let Dispatch::PassOn(ways) = agent.handle(&message, 0, Instant::now()) else {
+        panic!("a draining target passes on");
+    };
+    assert_eq!(ways.len(), 1);
+    assert_ne!(ways[0].target.0, draining);
+}
+
+#[test]
+fn a_stopping_agent_admits_nothing() {
+    let document = document(1, &[]);
+    let packet = segment(40_000, true, true);
+    let owner = owner(&document, &packet);
+    let mut agent = agent(owner, &document);
+    agent.begin_stop();
+    let message = AgentMessage::Packet(envelope(owner, Delivery::Owner, &packet));
+    assert!(matches!(agent.handle(&message, 0, Instant::now()), Dispatch::PassOn(_)));
+}
+
+#[test]
+fn an_unknown_flow_is_reset_only_when_every_other_agent_denies_it() {
+    let document = document(1, &[]);
+    let packet = segment(40_000, false, false);
+    let owner = owner(&document, &packet);
+    let mut agent = agent(owner, &document);
+    let start = Instant::now();
+    let message = AgentMessage::Packet(envelope(owner, Delivery::Owner, &packet));
+    let Dispatch::Ask { query, agents } = agent.handle(&message, 0, start) else {
+        panic!("the owner asks first");
+    };
+    assert_eq!(agents.len(), usize::from(AGENTS) - 1);
+    let answer = |from| {
+        AgentMessage::HolderAnswer(HolderAnswer {
+            service: 1,
+            from,
+            flow: query.flow,
+            holding: Holding::Not,
+        })
+    };
+    let others: Vec<u16> = (0..AGENTS).filter(|&target| target != owner).collect();
+    for &other in &others[1..] {
+        agent.handle(&answer(other), 0, start);
+    }
+    let later = start + Duration::from_secs(3);
+    assert!(matches!(agent.handle(&message, 0, later), Dispatch::Ask { .. }));
+    agent.handle(&answer(others[0]), 0, later);
+    assert!(matches!(agent.handle(&message, 0, later), Dispatch::Reset { .. }));
+}
+
+#[test]
+fn a_flow_without_timestamps_reaches_its_holder_through_the_owner() {
+    let document = document(1, &[]);
+    let opening = segment(40_000, true, false);
+    let owner_target = owner(&document, &opening);
+    let holder_target = (owner_target + 1) % AGENTS;
+    let mut holder = agent(holder_target, &document);
+    let now = Instant::now();
+    let assigned = AgentMessage::Packet(envelope(holder_target, Delivery::Assigned, &opening));
+    let Dispatch::Open { key, announce: Some(announcement) } = holder.handle(&assigned, 0, now)
+    else {
+        panic!("the holder admits and tells the owner");
+    };
+    assert_eq!(announcement.agent.port(), 7_000 + owner_target);
+    holder.flows.insert(key, (), now).expect("inserted");
+    let mut owner = agent(owner_target, &document);
+    let claim = AgentMessage::HolderAnswer(announcement.answer);
+    assert_eq!(owner.handle(&claim, 0, now), Dispatch::Learned);
+    // A repeated opening packet finds the same agent, not another one.
+    let message = AgentMessage::Packet(envelope(owner_target, Delivery::Owner, &opening));
+    let Dispatch::PassOn(ways) = owner.handle(&message, 0, now) else {
+        panic!("the owner follows the claim");
+    };
+    assert_eq!((ways[0].target.0, ways[0].delivery), (holder_target, Delivery::Assigned));
+    let packet = segment(40_000, false, false);
+    let message = AgentMessage::Packet(envelope(owner_target, Delivery::Owner, &packet));
+    let Dispatch::PassOn(ways) = owner.handle(&message, 0, now) else {
+        panic!("the owner forwards");
+    };
+    assert_eq!((ways[0].target.0, ways[0].delivery), (holder_target, Delivery::Forwarded));
+    let message = AgentMessage::Packet(envelope(holder_target, Delivery::Forwarded, &packet));
+    assert_eq!(holder.handle(&message, 0, now), Dispatch::Deliver(key));
+}
+
+/// The fault behind a flow without answer that rehearsals found: two agents
+/// answered the opening packet, and the owner knew only the one that lost.
+#[test]
+fn packets_go_to_every_claimant_until_one_is_open() {
+    let document = document(1, &[]);
+    let opening = segment(40_000, true, false);
+    let owner_target = owner(&document, &opening);
+    let claimants = [(owner_target + 1) % AGENTS, (owner_target + 2) % AGENTS];
+    let mut owner = agent(owner_target, &document);
+    let now = Instant::now();
+    let flow = decode_packet(&opening).expect("sound").key.into();
+    let says = |from, holding| {
+        AgentMessage::HolderAnswer(HolderAnswer { service: 1, from, flow, holding })
+    };
+    owner.handle(&says(claimants[0], Holding::Opening), 0, now);
+    owner.handle(&says(claimants[1], Holding::Opening), 0, now);
+    let packet = segment(40_000, false, false);
+    let message = AgentMessage::Packet(envelope(owner_target, Delivery::Owner, &packet));
+    let targets = |dispatch| match dispatch {
+        Dispatch::PassOn(ways) => ways.iter().map(|way| way.target.0).collect::<Vec<_>>(),
+        other => panic!("expected forwarding, found {other:?}"),
+    };
+    assert_eq!(targets(owner.handle(&message, 0, now)), claimants);
+    owner.handle(&says(claimants[1], Holding::Open), 0, now);
+    owner.handle(&says(claimants[0], Holding::Opening), 0, now);
+    assert_eq!(targets(owner.handle(&message, 0, now)), [claimants[1]]);
+}
+
+/// An agent that holds a flow opening for long asks whether another has won it.
+#[test]
+fn an_agent_gives_up_an_opening_flow_that_another_has_open() {
+    let document = document(1, &[]);
+    let opening = segment(40_000, true, false);
+    let own = owner(&document, &opening);
+    let mut agent = agent(own, &document);
+    let start = Instant::now();
+    let message = AgentMessage::Packet(envelope(own, Delivery::Owner, &opening));
+    let Dispatch::Open { key, .. } = agent.handle(&message, 0, start) else {
+        panic!("the owner admits");
+    };
+    agent.flows.insert(key, (), start).expect("inserted");
+    let packet = segment(40_000, false, false);
+    let message = AgentMessage::Packet(envelope(own, Delivery::Owner, &packet));
+    assert_eq!(agent.handle(&message, 0, start), Dispatch::Deliver(key));
+    let later = start + Duration::from_secs(1);
+    let Dispatch::DeliverAnd(delivered, further) = agent.handle(&message, 0, later) else {
+        panic!("the agent delivers and asks");
+    };
+    assert_eq!(delivered, key);
+    let Dispatch::Ask { query, .. } = *further else {
+        panic!("the agent asks");
+    };
+    let open = HolderAnswer {
+        service: 1,
+        from: (own + 1) % AGENTS,
+        flow: query.flow,
+        holding: Holding::Open,
+    };
+    let abandoned = agent.handle(&AgentMessage::HolderAnswer(open), 0, later);
+    assert_eq!(abandoned, Dispatch::Abandon(key));
+}
+
+#[test]
+fn a_new_owner_finds_the_holder_after_a_change() {
+    let before = document(1, &[]);
+    let opening = segment(40_000, true, false);
+    let old_owner = owner(&before, &opening);
+    let after = document(2, &[old_owner]);
+    let new_owner_target = owner(&after, &opening);
+    assert_ne!(old_owner, new_owner_target);
+    let now = Instant::now();
+    let mut holder = agent(old_owner, &before);
+    let message = AgentMessage::Packet(envelope(old_owner, Delivery::Owner, &opening));
+    let Dispatch::Open { key, .. } = holder.handle(&message, 0, now) else {
+        panic!("the first owner admits");
+    };
+    holder.flows.insert(key, (), now).expect("inserted");
+    holder.opened(&key, false);
+    holder.apply(AgentView::build(&after, &KEY, TargetId(old_owner)), now);
+
+    let mut new_owner = agent(new_owner_target, &after);
+    let packet = segment(40_000, false, false);
+    let message = AgentMessage::Packet(envelope(new_owner_target, Delivery::Owner, &packet));
+    let Dispatch::Ask { query, .. } = new_owner.handle(&message, 0, now) else {
+        panic!("the new owner asks");
+    };
+    let Dispatch::Answer { answer, .. } = holder.handle(&AgentMessage::HolderQuery(query), 0, now)
+    else {
+        panic!("the holder answers");
+    };
+    assert_eq!(answer.holding, Holding::Open);
+    let released = new_owner.handle(&AgentMessage::HolderAnswer(answer), 0, now);
+    let Dispatch::Release { packets, pass_on } = released else {
+        panic!("the held packet goes on");
+    };
+    assert_eq!(packets, [packet]);
+    assert_eq!(pass_on.target.0, old_owner);
+}
+
+#[test]
+fn resets_are_never_answered_by_resets() {
+    let document = document(1, &[]);
+    let mut packet = Vec::new();
+    PacketBuilder::ipv4([198, 18, 0, 1], [203, 0, 113, 10], 64)
+        .tcp(40_000, 8_443, 1, 0)
+        .rst()
+        .write(&mut packet, &[])
+        .expect("packet");
+    let lonely = ConfigDocument { targets: vec![document.targets[0].clone()], ..document };
+    let mut agent = agent(0, &lonely);
+    let message = AgentMessage::Packet(envelope(0, Delivery::Owner, &packet));
+    let dropped = agent.handle(&message, 0, Instant::now());
+    assert_eq!(dropped, Dispatch::Drop("reset_of_unknown_flow"));
+}
+
+#[test]
+fn packets_do_not_travel_for_ever() {
+    let document = document(1, &[0]);
+    let packet = segment(40_000, true, true);
+    let mut agent = agent(0, &document);
+    let mut envelope = envelope(0, Delivery::Owner, &packet);
+    envelope.hops = 12;
+    let dropped = agent.handle(&AgentMessage::Packet(envelope), 0, Instant::now());
+    assert_eq!(dropped, Dispatch::Drop("too_many_hops"));
+}
--- a/crates/flow/src/table.rs
+++ b/crates/flow/src/table.rs
@@ -49,6 +49,7 @@
 struct Entry<H> {
     handle: H,
     phase: FlowPhase,
+    began: Instant,
 }
 
 /// Flows by key, each with a handle of the caller's choosing.
@@ -90,7 +91,7 @@
         self.opening += 1;
         self.by_age.push_back((now, key));
         let phase = FlowPhase::Opening;
-        self.entries.insert(key, Entry { handle, phase });
+        self.entries.insert(key, Entry { handle, phase, began: now });
         Ok(())
     }
 
@@ -164,6 +165,12 @@
         Some(entry.handle)
     }
 
+    /// How far a flow has come, and for how long it has been held.
+    pub fn phase(&self, key: &FlowKey, now: Instant) -> Option<(FlowPhase, Duration)> {
+        let entry = self.entries.get(key)?;
+        Some((entry.phase, now.saturating_duration_since(entry.began)))
+    }
+
     /// The handle of a flow.
     pub fn get(&self, key: &FlowKey) -> Option<&H> {
         self.entries.get(key).map(|entry| &entry.handle)
--- /dev/null
+++ b/crates/flow/tests/state.rs
@@ -0,0 +1,172 @@
+//! The flow table, the directory and the fence.
+
+use std::time::{Duration, Instant};
+
+use weirhinge_config::{ServiceId, TargetId};
+use weirhinge_flow::table::FlowTableError;
+use weirhinge_flow::{Directory, Fence, FenceError, FlowTable, LookupStep, RecentSet};
+use weirhinge_packet::{FlowKey, Protocol};
+use weirhinge_wire::{Delivery, Holding, PacketEnvelope};
+
+const QUARANTINE: Duration = Duration::from_secs(30);
+
+fn key(port: u16) -> FlowKey {
+    FlowKey {
+        protocol: Protocol::Tcp,
+        source: ([198, 18, 0, 1], port).into(),
+        destination: ([203, 0, 113, 10], 8_443).into(),
+    }
+}
+
+#[test]
+fn a_key_rests_after_its_flow() {
+    let mut table = FlowTable::new(4, QUARANTINE);
+    let start = Instant::now();
+    table.insert(key(1), "first", start).expect("inserted");
+    assert_eq!(table.insert(key(1), "again", start), Err(FlowTableError::Present));
+    assert_eq!(table.remove(&key(1), start), Some("first"));
+    let early = start + QUARANTINE - Duration::from_millis(1);
+    assert_eq!(table.insert(key(1), "early", early), Err(FlowTableError::Quarantined));
+    assert_eq!(table.insert(key(1), "later", start + QUARANTINE), Ok(()));
+}
+
+#[test]
+fn a_released_key_is_free_at_once() {
+    let mut table = FlowTable::new(4, QUARANTINE);
+    let start = Instant::now();
+    table.insert(key(1), (), start).expect("inserted");
+    assert_eq!(table.release(&key(1)), Some(()));
+    assert_eq!(table.insert(key(1), (), start), Ok(()));
+}
+
+#[test]
+fn opening_flows_are_bounded_and_the_oldest_yields() {
+    let mut table = FlowTable::new(3, QUARANTINE);
+    let start = Instant::now();
+    for port in 1..=3 {
+        table.insert(key(port), port, start).expect("inserted");
+    }
+    table.opened(&key(1));
+    table.insert(key(4), 4, start).expect("an open flow is not opening");
+    assert_eq!(table.insert(key(5), 5, start), Err(FlowTableError::HalfOpenLimit));
+    let later = start + Duration::from_secs(3);
+    table.insert(key(5), 5, later).expect("the oldest opening flow yields");
+    assert_eq!(table.get(&key(2)), None, "the oldest opening flow");
+    assert_eq!(table.get(&key(1)), Some(&1), "an open flow never yields");
+    assert_eq!(table.opening(), 3);
+}
+
+#[test]
+fn a_flood_of_openings_keeps_the_table_bounded() {
+    let mut table = FlowTable::new(16, QUARANTINE);
+    let start = Instant::now();
+    for number in 0..20_000_u32 {
+        let now = start + Duration::from_millis(u64::from(number));
+        let _ = table.insert(key((number % 60_000) as u16), (), now);
+        assert!(table.opening() <= 16 && table.len() <= 16);
+    }
+}
+
+const OTHERS: [TargetId; 2] = [TargetId(2), TargetId(3)];
+
+#[test]
+fn silence_is_never_taken_for_absence() {
+    let mut directory = Directory::default();
+    let start = Instant::now();
+    assert_eq!(directory.locate(&key(1), &OTHERS, b"a", start), LookupStep::Ask);
+    directory.answered(&key(1), TargetId(2), Holding::Not, start);
+    for seconds in 1..20 {
+        let now = start + Duration::from_secs(seconds);
+        let step = directory.locate(&key(1), &OTHERS, b"a", now);
+        assert_eq!(step, LookupStep::Ask, "target 3 has not answered yet");
+    }
+    directory.answered(&key(1), TargetId(3), Holding::Not, start);
+    let now = start + Duration::from_secs(20);
+    assert_eq!(directory.locate(&key(1), &OTHERS, b"a", now), LookupStep::Absent);
+}
+
+#[test]
+fn held_packets_go_on_with_the_answer() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    assert_eq!(directory.locate(&key(1), &OTHERS, b"one", now), LookupStep::Ask);
+    assert_eq!(directory.locate(&key(1), &OTHERS, b"two", now), LookupStep::Wait);
+    let released = directory.answered(&key(1), TargetId(3), Holding::Open, now);
+    assert_eq!(released, [b"one".to_vec(), b"two".to_vec()]);
+    let step = directory.locate(&key(1), &OTHERS, b"three", now);
+    assert_eq!(step, LookupStep::Forward(vec![TargetId(3)]));
+    assert!(directory.answered(&key(1), TargetId(3), Holding::Open, now).is_empty());
+}
+
+#[test]
+fn a_holder_that_denies_is_asked_about_again() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.answered(&key(1), TargetId(3), Holding::Open, now);
+    assert_eq!(
+        directory.locate(&key(1), &OTHERS, b"a", now),
+        LookupStep::Forward(vec![TargetId(3)])
+    );
+    directory.answered(&key(1), TargetId(2), Holding::Not, now);
+    assert_eq!(
+        directory.locate(&key(1), &OTHERS, b"a", now),
+        LookupStep::Forward(vec![TargetId(3)])
+    );
+    directory.answered(&key(1), TargetId(3), Holding::Not, now);
+    assert_eq!(directory.locate(&key(1), &OTHERS, b"a", now), LookupStep::Ask);
+}
+
+#[test]
+fn a_holder_that_left_the_configuration_is_forgotten() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.answered(&key(1), TargetId(3), Holding::Open, now);
+    assert_eq!(directory.locate(&key(1), &[TargetId(2)], b"a", now), LookupStep::Ask);
+}
+
+#[test]
+fn the_directory_is_bounded_and_forgets() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    for port in 0..40_000 {
+        directory.locate(&key(port), &OTHERS, &[0; 100], now);
+    }
+    assert!(directory.len() <= 16_384);
+    directory.expire(now + Duration::from_secs(60));
+    assert!(directory.is_empty());
+    assert_eq!(directory.locate(&key(1), &OTHERS, b"held again", now), LookupStep::Ask);
+    assert_eq!(directory.answered(&key(1), TargetId(2), Holding::Open, now).len(), 1);
+}
+
+#[test]
+fn a_recent_set_is_bounded_in_time_and_number() {
+    let mut set = RecentSet::new(Duration::from_secs(1), 2);
+    let now = Instant::now();
+    assert!(set.insert(1, now));
+    assert!(!set.insert(1, now));
+    assert!(set.insert(2, now) && set.insert(3, now));
+    assert!(!set.contains(&1, now), "the oldest goes when the set is full");
+    assert!(set.contains(&3, now));
+    assert!(!set.contains(&3, now + Duration::from_secs(1)));
+}
+
+#[test]
+fn the_fence_lets_nothing_pass_to_another_service_or_target() {
+    let fence = Fence { service: ServiceId(1), target: TargetId(4) };
+    let envelope = PacketEnvelope {
+        revision: 1,
+        service: 1,
+        target: 4,
+        delivery: Delivery::Owner,
+        hops: 0,
+        packet: &[],
+    };
+    let own = Some(ServiceId(1));
+    assert_eq!(fence.check(&envelope, own), Ok(()));
+    let other_service = PacketEnvelope { service: 2, ..envelope };
+    assert_eq!(fence.check(&other_service, own), Err(FenceError::WrongService));
+    let other_target = PacketEnvelope { target: 5, ..envelope };
+    assert_eq!(fence.check(&other_target, own), Err(FenceError::WrongTarget));
+    assert_eq!(fence.check(&envelope, Some(ServiceId(2))), Err(FenceError::WrongDestination));
+    assert_eq!(fence.check(&envelope, None), Err(FenceError::WrongDestination));
+}
--- a/crates/rehearsal/src/faults.rs
+++ b/crates/rehearsal/src/faults.rs
@@ -18,6 +18,7 @@
     AcceptConnections(usize),
     PlatformFresh,
     JoinZones(String, String),
+    DirectTarget(usize),
 }
 
 /// Carries out the schedule until `until`; undoes what is still open then.
@@ -101,6 +102,10 @@
             fleet.back_ends[target].set_refusing(true);
             return Ok(Some((after(seconds), Recovery::AcceptConnections(target))));
         }
+        FaultAction::MisdirectTarget { target, to, seconds } => {
+            fleet.redirect_target(target, to);
+            return Ok(Some((after(seconds), Recovery::DirectTarget(target))));
+        }
         FaultAction::MisleadingReports(target) => fleet.back_ends[target].mislead(),
         FaultAction::PlatformDown { seconds } => {
             fleet.platform.set_mode(PlatformMode::Down);
@@ -136,6 +141,10 @@
             fleet.platform.set_mode(PlatformMode::Fresh);
             history.fault("platform serves again".to_owned());
         }
+        Recovery::DirectTarget(target) => {
+            fleet.redirect_target(target, target);
+            history.fault(format!("target {target} is reached again"));
+        }
         Recovery::JoinZones(from, to) => {
             fleet.network.set_cut(&from, &to, false);
             history.fault(format!("{from} and {to} reach each other again"));
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -28,6 +28,8 @@
     pub candidates: u8,
     /// Folder for the processes' logs, if wanted.
     pub logs: Option<PathBuf>,
+    /// Name of a defect planted in every agent; needs a build that has them.
+    pub plant: Option<String>,
 }
 
 /// One balancer of a fleet.
@@ -61,6 +63,7 @@
     pub agents: Vec<Process>,
     /// Balancers in the order of their start.
     pub balancers: Vec<Balancer>,
+    proxies: Vec<LinkProxy>,
     program: Program,
     zones: ZoneMap,
     work_folder: PathBuf,
@@ -91,6 +94,7 @@
             back_ends: Vec::new(),
             agents: Vec::new(),
             balancers: Vec::new(),
+            proxies: Vec::new(),
             program,
             zones,
             work_folder: make_work_folder()?,
@@ -140,6 +144,7 @@
                 .wrap_err("start link proxy")?;
             self.agents.push(agent);
         }
+        self.proxies = proxies;
         Ok(())
     }
 
@@ -156,12 +161,23 @@
             number.to_string(),
             "--fabric".to_owned(),
             self.fabric.address().to_string(),
+            "--stop-deadline-seconds".to_owned(),
+            STOP_DEADLINE_SECONDS.to_string(),
             "--candidates".to_owned(),
             options.candidates.to_string(),
         ]);
+        if let Some(plant) = &options.plant {
+            arguments.extend(["--plant".to_owned(), plant.clone()]);
+        }
         self.program.start(&name, &arguments).await
     }
 
+    /// Sends what is meant for one target's agent to another's, as when an
+    /// address changes hands; `to` may be the target itself.
+    pub fn redirect_target(&self, target: usize, to: usize) {
+        self.proxies[target].set_target(self.agents[to].addresses.data);
+    }
+
     /// Starts one more balancer, in the next zone in turn. The machine list is
     /// not changed yet.
     ///
@@ -276,6 +292,9 @@
     }
 }
 
+/// Longest that an agent waits for open flows at the end of a rehearsal, when
+/// every caller has closed its own.
+const STOP_DEADLINE_SECONDS: u64 = 30;
 /// Name of the keys file in the fleet's work folder.
 const KEYS_FILE: &str = "keys.toml";
 /// The rehearsal's flow hash key; not a secret, as no real caller exists.
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -106,7 +106,7 @@
     /// that cannot be opened is counted as refused and is no broken flow.
     async fn follow_feed(&self, target: &mut Option<usize>) -> Result<(), String> {
         let id = self.context.request_id();
-        let Some(mut client) = self.open_client().await else {
+        let Some(mut client) = self.open_client(id).await else {
             return Ok(());
         };
         let silent = self.feed_interval() * SILENT_INTERVALS;
@@ -191,7 +191,7 @@
 
     async fn run_flow(&self, kept: bool, intended: Instant, until: Instant) {
         let first = self.context.request_id();
-        let Some(mut client) = self.open_client().await else {
+        let Some(mut client) = self.open_client(first).await else {
             self.context.history.told_not_run(first);
             return;
         };
@@ -249,8 +249,10 @@
         Ok(())
     }
 
-    async fn open_client(&self) -> Option<HttpClient> {
-        let opened = open(&self.context.fabric, &self.context.pool, self.destination()).await;
+    async fn open_client(&self, id: RequestId) -> Option<HttpClient> {
+        let context = &self.context;
+        let timestamps = self.with_timestamps(id);
+        let opened = open(&context.fabric, &context.pool, self.destination(), timestamps).await;
         let stream = match opened {
             Ok(stream) => stream,
             Err(error) => {
@@ -262,6 +264,11 @@
         HttpClient::start(stream).await.ok()
     }
 
+    /// Whether a caller's TCP has timestamps: a fixed share has not.
+    fn with_timestamps(&self, id: RequestId) -> bool {
+        (id % 100) as f64 >= self.service.plain_caller_share * 100.0
+    }
+
     fn request(&self, path: &str, id: RequestId) -> Request<Empty<Bytes>> {
         let mut request = Request::new(Empty::new());
         if let Ok(uri) = path.parse() {
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -22,6 +22,7 @@
   --seed S         Seed of everything random in the stand-ins  [default: 1]
   --candidates N   Targets that agents compare per new flow  [default: 3]
   --logs FOLDER    Keep the processes' logs in FOLDER
+  --plant NAME     Plant a defect in every agent (needs a build with planted-defects)
   --json           Print the verdict as one JSON object on the last line
 
 EXIT CODES:
@@ -80,6 +81,7 @@
     let seed = option(&mut arguments, "--seed")?.unwrap_or(1);
     let candidates = option(&mut arguments, "--candidates")?.unwrap_or(3);
     let logs: Option<String> = option(&mut arguments, "--logs")?;
+    let plant = option(&mut arguments, "--plant")?;
     let json = arguments.contains("--json");
     let name: String =
         arguments.free_from_str().map_err(|_| format!("no scenario given\n\n{HELP}"))?;
@@ -90,7 +92,7 @@
     if let Some(seconds) = seconds {
         scenario.seconds = seconds.max(1);
     }
-    let fleet = FleetOptions { seed, candidates, logs: logs.map(PathBuf::from) };
+    let fleet = FleetOptions { seed, candidates, logs: logs.map(PathBuf::from), plant };
     Ok(RunOptions { name, scenario, fleet, json })
 }
 
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -89,6 +89,10 @@
     /// Share of the requests that come over kept flows, several on each.
     #[serde(default)]
     pub kept_flow_share: f64,
+    /// Share of callers whose TCP has no timestamps, so that their packets carry
+    /// no holder hint.
+    #[serde(default)]
+    pub plain_caller_share: f64,
     /// Bytes of an answer.
     #[serde(default = "default_answer_bytes")]
     pub answer_bytes: usize,
@@ -143,6 +147,16 @@
         /// How long.
         seconds: f64,
     },
+    /// Sends what is meant for a target's agent to another target's for some
+    /// seconds, as when its address changes hands.
+    MisdirectTarget {
+        /// The target.
+        target: usize,
+        /// The target whose agent gets the packets.
+        to: usize,
+        /// How long.
+        seconds: f64,
+    },
     /// Makes a target's back end refuse connections for some seconds.
     RefuseConnections {
         /// The target.
@@ -241,6 +255,7 @@
             | FaultAction::KillAgent(target)
             | FaultAction::PauseAgent { target, .. }
             | FaultAction::RefuseConnections { target, .. }
+            | FaultAction::MisdirectTarget { target, .. }
             | FaultAction::MisleadingReports(target) => {
                 below(file, &field, *target, self.target_count())
             }
@@ -281,6 +296,7 @@
     at_least(file, &field("port"), usize::from(service.port), 1)?;
     share(file, &field("load"), service.load)?;
     share(file, &field("kept_flow_share"), service.kept_flow_share)?;
+    share(file, &field("plain_caller_share"), service.plain_caller_share)?;
     at_least(file, &field("feed_interval_ms"), service.feed_interval_ms as usize, 1)?;
     if service.service_ms > 0.0 {
         return Ok(());
--- a/crates/rehearsal/src/standin/caller.rs
+++ b/crates/rehearsal/src/standin/caller.rs
@@ -13,7 +13,7 @@
 use tokio::io::DuplexStream;
 use tokio::sync::oneshot;
 use weirhinge_stack::{
-    BufferSizes, EndpointOptions, FlowObserver, PacketSink, TcpEndpoint, splice,
+    BufferSizes, EndpointOptions, FlowObserver, PacketSink, TcpEndpoint, TimestampSource, splice,
 };
 
 use crate::standin::fabric::Fabric;
@@ -81,7 +81,7 @@
     }
 }
 
-/// Opens a connection to a service.
+/// Opens a connection to a service, with or without TCP timestamps.
 ///
 /// # Errors
 /// When it is refused or not answered; nothing has been sent then.
@@ -89,13 +89,14 @@
     fabric: &Fabric,
     pool: &AddressPool,
     destination: SocketAddr,
+    with_timestamps: bool,
 ) -> Result<DuplexStream, OpenError> {
     let source = pool.take(destination);
     let mut packets = fabric.add_caller(source);
     let options = EndpointOptions {
         buffers: BUFFERS,
         seed: getrandom::u64().map_err(|_| OpenError::Local)?,
-        timestamps: caller_timestamp,
+        timestamps: with_timestamps.then_some(caller_timestamp as TimestampSource),
     };
     let endpoint =
         TcpEndpoint::connect(source, destination, options).map_err(|_| OpenError::Local)?;
--- a/crates/rehearsal/src/standin/link.rs
+++ b/crates/rehearsal/src/standin/link.rs
@@ -191,6 +191,7 @@
 pub struct LinkProxy {
     socket: Arc<UdpSocket>,
     address: SocketAddr,
+    target: Arc<Mutex<Option<SocketAddr>>>,
 }
 
 /// Which zone each process's socket address is in; filled as processes start.
@@ -219,7 +220,7 @@
         let socket = UdpSocket::bind("127.0.0.1:0")?;
         enlarge_receive_buffer(&socket);
         let address = socket.local_addr()?;
-        Ok(Self { socket: Arc::new(socket), address })
+        Ok(Self { socket: Arc::new(socket), address, target: Arc::default() })
     }
 
     /// The address that others send to.
@@ -227,7 +228,12 @@
         self.address
     }
 
-    /// Forwards to the process at `target` in `zone` from now on.
+    /// Forwards to another process from now on.
+    pub fn set_target(&self, target: SocketAddr) {
+        *self.target.lock().unwrap_or_else(PoisonError::into_inner) = Some(target);
+    }
+
+    /// Starts to forward to the process at `target` in `zone`.
     pub fn forward_to(
         &self,
         target: SocketAddr,
@@ -235,12 +241,19 @@
         zones: ZoneMap,
         network: Network,
     ) -> std::io::Result<()> {
+        self.set_target(target);
         let socket = self.socket.clone();
-        let destination = Destination::Process { socket: socket.clone(), address: target };
+        let target = self.target.clone();
         std::thread::Builder::new().name("link".to_owned()).spawn(move || {
             let mut datagram = [0; 2_048];
-            while let Ok((length, source)) = socket.recv_from(&mut datagram) {
-                if let Some(from) = zones.get(source) {
+            loop {
+                // A closed port of a dead agent surfaces as an error here.
+                let Ok((length, source)) = socket.recv_from(&mut datagram) else {
+                    continue;
+                };
+                let address = *target.lock().unwrap_or_else(PoisonError::into_inner);
+                if let (Some(from), Some(address)) = (zones.get(source), address) {
+                    let destination = Destination::Process { socket: socket.clone(), address };
                     network.send(&from, &zone, &destination, &datagram[..length]);
                 }
             }
--- /dev/null
+++ b/crates/rehearsal/tests/checks.rs
@@ -0,0 +1,111 @@
+//! The kit's own checks: each promise's check notices its violation, and bad
+//! scenarios are refused by field and reason.
+
+use std::time::{Duration, Instant};
+
+use insta::assert_snapshot;
+use weirhinge_rehearsal::history::{Drain, FlowKind, History};
+use weirhinge_rehearsal::sampler::{Window, imbalance};
+use weirhinge_rehearsal::scenario::Scenario;
+use weirhinge_rehearsal::scrape::Counters;
+use weirhinge_rehearsal::verdict::{Verdict, judge};
+
+fn verdict(plant: impl FnOnce(&History)) -> Verdict {
+    let history = History::new().expect("history");
+    for request in 1..=3 {
+        history.ran(request);
+        history.answered(Duration::from_millis(10));
+    }
+    plant(&history);
+    let record = history.lock();
+    judge(&record, &[], Counters::new())
+}
+
+#[test]
+fn a_sound_record_holds() {
+    assert!(verdict(|_| {}).held);
+}
+
+#[test]
+fn an_empty_record_proves_nothing() {
+    let history = History::new().expect("history");
+    assert!(!judge(&history.lock(), &[], Counters::new()).held);
+}
+
+#[test]
+fn each_violation_is_noticed() {
+    let doubled = verdict(|history| history.ran(2));
+    assert_eq!((doubled.held, doubled.requests_doubled), (false, 1));
+    let lied = verdict(|history| history.told_not_run(3));
+    assert_eq!((lied.held, lied.refused_but_ran), (false, 1));
+    let truthful = verdict(|history| history.told_not_run(4));
+    assert_eq!((truthful.held, truthful.requests_not_run), (true, 1));
+    let crossed = verdict(|history| history.lock().crossed = 1);
+    assert_eq!((crossed.held, crossed.answers_crossed), (false, 1));
+    let misrouted = verdict(|history| history.lock().misrouted = 1);
+    assert_eq!((misrouted.held, misrouted.packets_misrouted), (false, 1));
+    let broken = verdict(|history| history.broken(FlowKind::Feed, Some(1), "reset"));
+    assert_eq!((broken.held, broken.flows_broken), (false, 1));
+}
+
+#[test]
+fn only_the_dead_agents_own_flows_count_as_lost_with_it() {
+    let verdict = verdict(|history| {
+        history.lock().killed_agents.push((1, Instant::now()));
+        std::thread::sleep(Duration::from_millis(2));
+        history.broken(FlowKind::Feed, Some(1), "held by the dead agent");
+        history.broken(FlowKind::Feed, Some(2), "held elsewhere");
+    });
+    assert_eq!((verdict.flows_lost_with_machine, verdict.flows_broken), (1, 1));
+}
+
+#[test]
+fn admissions_are_late_only_after_the_grace_and_before_the_end() {
+    let late = |seconds_after: u64, until: Option<u64>| {
+        verdict(|history| {
+            let now = Instant::now();
+            let from = now - Duration::from_secs(seconds_after);
+            let until = until.map(|seconds| from + Duration::from_secs(seconds));
+            history.lock().drains.push(Drain { target: 4, from, until });
+            history.lock().accepted.push((now, 4));
+            history.lock().accepted.push((now, 5));
+        })
+        .late_admissions
+    };
+    assert_eq!(late(2, None), 0);
+    assert_eq!(late(4, None), 1);
+    assert_eq!(late(9, Some(5)), 0);
+    assert_eq!(late(4, Some(5)), 1);
+}
+
+#[test]
+fn imbalance_leaves_draining_targets_out_of_the_mean() {
+    let window = Window { means: vec![4.0, 2.0, 0.0], active: vec![true, true, false] };
+    assert_eq!(window.imbalance(), Some(4.0 / 3.0));
+    let idle = Window { means: vec![0.0, 0.0], active: vec![true, true] };
+    assert_eq!(idle.imbalance(), None);
+    let values = imbalance(&[window.clone(), window, idle]).expect("busy windows");
+    assert_eq!((values.median, values.p99), (4.0 / 3.0, 4.0 / 3.0));
+}
+
+#[test]
+fn shipped_scenarios_are_sound() {
+    assert!(Scenario::shipped().count() >= 2);
+    for name in Scenario::shipped() {
+        Scenario::load(name).expect("sound");
+    }
+}
+
+#[test]
+fn bad_scenarios_are_refused_by_field_and_reason() {
+    let text = include_str!("../scenarios/bluebonnet.toml");
+    let refused = |from: &str, to: &str| {
+        assert!(text.contains(from));
+        Scenario::from_toml("mine.toml", &text.replace(from, to)).expect_err("refused").to_string()
+    };
+    assert_snapshot!(refused("client_loss = 0.01", "client_loss = 1.5"), @"mine.toml: field network.client_loss: found 1.5, expected a share from 0 to 1");
+    assert_snapshot!(refused("drain-target = 2", "drain-target = 10"), @"mine.toml: field faults[2].action: found 10, expected a number below 10");
+    assert_snapshot!(refused("service_ms = 200.0", "service_ms = 0.0"), @"mine.toml: field services[0].service_ms: found 0, expected a number above 0");
+    assert_snapshot!(refused("balancers = 6", "balancers = 0"), @"mine.toml: field balancers: found 0, expected at least 1");
+    assert!(refused("drain-target", "drane-target").contains("drane-target"));
+}
--- /dev/null
+++ b/crates/rehearsal/tests/promises.rs
@@ -0,0 +1,133 @@
+//! Real processes behind a damaging network keep every promise through kills,
+//! drains, pauses, refusals, cuts and a failing platform; and planted defects
+//! are noticed.
+
+use weirhinge_rehearsal::fleet::FleetOptions;
+use weirhinge_rehearsal::run::rehearse;
+use weirhinge_rehearsal::scenario::Scenario;
+use weirhinge_rehearsal::verdict::Verdict;
+
+const FLEET: &str = r#"
+description = "a small fleet for tests"
+seconds = 8
+zones = ["one", "two"]
+balancers = 3
+
+[network]
+client_delay_ms = 1.0
+zone_delay_ms = 1.0
+client_loss = 0.01
+zone_loss = 0.001
+duplicate = 0.005
+reorder = 0.03
+reorder_delay_ms = 5.0
+fabric_lag_ms = 500
+
+[[services]]
+name = "approvals"
+address = "203.0.113.10"
+port = 8443
+targets = 4
+slots = 4
+connections = 500
+service_ms = 50.0
+load = 0.4
+feeds = 60
+feed_interval_ms = 200
+kept_flow_share = 0.3
+plain_caller_share = 0.4
+
+[[services]]
+name = "statements"
+address = "203.0.113.20"
+port = 8080
+targets = 2
+slots = 4
+connections = 500
+service_ms = 50.0
+load = 0.3
+answer_bytes = 8000
+plain_caller_share = 0.4
+"#;
+
+async fn run(faults: &str, plant: Option<&str>) -> Verdict {
+    let scenario = Scenario::from_toml("test", &format!("{faults}\n{FLEET}")).expect("sound");
+    let options =
+        FleetOptions { seed: 5, candidates: 3, logs: None, plant: plant.map(str::to_owned) };
+    rehearse(&scenario, &options).await.expect("rehearsal")
+}
+
+fn assert_held(verdict: &Verdict) {
+    assert!(verdict.held, "{verdict:#?}");
+    assert!(verdict.flows_opened > 100 && verdict.feed_updates > 500, "{verdict:#?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn balancers_and_drains_break_nothing() {
+    let verdict = run(
+        r#"
+        faults = [
+            { at = 2.5, action = { kill-balancer = 0 } },
+            { at = 3.0, action = "add-balancer" },
+            { at = 3.5, action = { drain-target = 0 } },
+            { at = 4.0, action = { drain-target = 1 } },
+            { at = 4.5, action = { stop-balancer = 1 } },
+            { at = 5.0, action = { activate-target = 0 } },
+            { at = 6.0, action = { drain-target = 2 } },
+        ]"#,
+        None,
+    )
+    .await;
+    assert_held(&verdict);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn pauses_refusals_cuts_and_a_failing_platform_break_nothing() {
+    let verdict = run(
+        r#"
+        faults = [
+            { at = 2.5, action = { pause-agent = { target = 0, seconds = 1.5 } } },
+            { at = 3.0, action = { pause-balancer = { balancer = 0, seconds = 1.0 } } },
+            { at = 3.0, action = { platform-stale = { seconds = 1.0 } } },
+            { at = 4.5, action = { refuse-connections = { target = 1, seconds = 1.5 } } },
+            { at = 4.5, action = { misleading-reports = 2 } },
+            { at = 5.0, action = { platform-down = { seconds = 2.0 } } },
+            { at = 6.0, action = { cut-zones = { from = "one", to = "two", seconds = 0.7 } } },
+        ]"#,
+        None,
+    )
+    .await;
+    assert_held(&verdict);
+}
+
+const ADDRESS_CHANGES_HANDS: &str = "faults = [{ at = 2.5, action = { misdirect-target = { target = 0, to = 4, seconds = 2.0 } } }]";
+const OWNERS_CHANGE: &str = "faults = [
+    { at = 3.0, action = { drain-target = 0 } },
+    { at = 3.0, action = { drain-target = 1 } },
+]";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_address_that_changes_hands_misroutes_nothing() {
+    let verdict = run(ADDRESS_CHANGES_HANDS, None).await;
+    assert_held(&verdict);
+}
+
+#[cfg(feature = "planted-defects")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_missing_fence_is_noticed() {
+    let verdict = run(ADDRESS_CHANGES_HANDS, Some("no-fence")).await;
+    assert!(!verdict.held && verdict.packets_misrouted > 0, "{verdict:#?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn owners_change_under_callers_without_timestamps() {
+    let verdict = run(OWNERS_CHANGE, None).await;
+    assert_held(&verdict);
+}
+
+#[cfg(feature = "planted-defects")]
+#[tokio::test(flavor = "multi_thread")]
+async fn resets_of_unknown_flows_are_noticed() {
+    let verdict = run(OWNERS_CHANGE, Some("reset-unknown")).await;
+    assert!(!verdict.held && verdict.flows_broken > 0, "{verdict:#?}");
+}
--- /dev/null
+++ b/crates/routing/tests/routing.rs
@@ -0,0 +1,156 @@
+//! Routes are deterministic, move little, follow weights, and trust no hint
+//! across services.
+
+use etherparse::PacketBuilder;
+use weirhinge_config::{
+    ConfigDocument, HashKey, Service, ServiceId, Target, TargetId, TargetState, TransportProtocol,
+};
+use weirhinge_packet::decode_packet;
+use weirhinge_routing::{BucketTable, HolderHint, RouteBasis, RouteError, RoutingTable};
+
+const KEY: HashKey = HashKey([7; 16]);
+const SEED: u64 = 11;
+
+fn weighted(ids: impl IntoIterator<Item = u16>) -> Vec<(TargetId, u32)> {
+    ids.into_iter().map(|id| (TargetId(id), 100)).collect()
+}
+
+fn moved(before: &BucketTable, after: &BucketTable) -> Vec<(TargetId, TargetId)> {
+    before
+        .owners()
+        .iter()
+        .copied()
+        .zip(after.owners().iter().copied())
+        .filter(|(old, new)| old != new)
+        .collect()
+}
+
+#[test]
+fn removing_a_target_moves_only_its_buckets() {
+    let before = BucketTable::build(SEED, &weighted(0..7), 7);
+    let after = BucketTable::build(SEED, &weighted((0..7).filter(|&id| id != 3)), 7);
+    let moved = moved(&before, &after);
+    assert!(moved.iter().all(|(old, _)| *old == TargetId(3)));
+    let owned = before.owners().iter().filter(|&&owner| owner == TargetId(3)).count();
+    assert_eq!(moved.len(), owned);
+}
+
+#[test]
+fn adding_a_target_moves_buckets_only_to_it() {
+    let before = BucketTable::build(SEED, &weighted(0..7), 8);
+    let after = BucketTable::build(SEED, &weighted(0..8), 8);
+    let moved = moved(&before, &after);
+    assert!(moved.iter().all(|(_, new)| *new == TargetId(7)));
+    let fair = before.len() / 8;
+    assert!(moved.len() < fair + fair / 2, "{} of {}", moved.len(), before.len());
+}
+
+#[test]
+fn shares_follow_weights() {
+    let targets = [(TargetId(1), 100), (TargetId(2), 300)];
+    let table = BucketTable::build(SEED, &targets, 64);
+    let light = table.owners().iter().filter(|&&owner| owner == TargetId(1)).count();
+    let share = light as f64 / table.len() as f64;
+    assert!((0.22..0.28).contains(&share), "{share}");
+}
+
+#[test]
+fn order_of_targets_does_not_matter() {
+    let forward = BucketTable::build(SEED, &weighted(0..9), 9);
+    let backward = BucketTable::build(SEED, &weighted((0..9).rev()), 9);
+    assert_eq!(forward, backward);
+}
+
+fn document(draining: &[u16]) -> ConfigDocument {
+    let service = |id: u32, last: u8| Service {
+        id: ServiceId(id),
+        name: format!("service-{id}"),
+        address: [203, 0, 113, last].into(),
+        port: 8_443,
+        protocol: TransportProtocol::Tcp,
+        proxy_protocol: false,
+    };
+    let target = |id: u16| Target {
+        id: TargetId(id),
+        name: format!("target-{id}"),
+        service: ServiceId(if id < 4 { 1 } else { 2 }),
+        zone: "austin".to_owned(),
+        agent: ([127, 0, 0, 1], 7_000 + id).into(),
+        back_end: ([127, 0, 0, 1], 9_000 + id).into(),
+        weight: 100,
+        state: if draining.contains(&id) { TargetState::Draining } else { TargetState::Active },
+        slots: 7,
+        connections: 2_000,
+    };
+    ConfigDocument {
+        revision: 5,
+        services: vec![service(1, 10), service(2, 20)],
+        targets: (0..6).map(target).collect(),
+    }
+}
+
+fn segment(last: u8, syn: bool, echo: Option<u32>) -> Vec<u8> {
+    let step =
+        PacketBuilder::ipv4([198, 18, 0, 1], [203, 0, 113, last], 64).tcp(40_000, 8_443, 1, 4_000);
+    let step = if syn { step.syn() } else { step.ack(1) };
+    let mut packet = Vec::new();
+    let options = echo.map(|echo| {
+        let mut options = vec![1, 1, 8, 10, 0, 0, 0, 1];
+        options.extend(echo.to_be_bytes());
+        options
+    });
+    step.options_raw(&options.unwrap_or_default())
+        .expect("options")
+        .write(&mut packet, &[])
+        .expect("packet");
+    packet
+}
+
+#[test]
+fn a_hint_leads_to_its_holder_also_while_it_drains() {
+    let table = RoutingTable::build(&document(&[2]), &KEY);
+    let echo = HolderHint(TargetId(2)).timestamp(123_456);
+    let packet = segment(10, false, Some(echo));
+    let route = table.route(&decode_packet(&packet).expect("sound")).expect("route");
+    assert_eq!((route.target, route.basis), (TargetId(2), RouteBasis::Hint));
+    let opening = segment(10, true, Some(echo));
+    let route = table.route(&decode_packet(&opening).expect("sound")).expect("route");
+    assert_eq!(route.basis, RouteBasis::Owner);
+    assert_ne!(route.target, TargetId(2), "a draining target takes no opening packet");
+}
+
+#[test]
+fn a_hint_never_leads_to_another_service() {
+    let table = RoutingTable::build(&document(&[]), &KEY);
+    for foreign in [4, 5, 6, 8_191] {
+        let echo = HolderHint(TargetId(foreign)).timestamp(9);
+        let packet = segment(10, false, Some(echo));
+        let route = table.route(&decode_packet(&packet).expect("sound")).expect("route");
+        assert_eq!(route.service, ServiceId(1));
+        assert_eq!(route.basis, RouteBasis::Owner);
+        assert!(route.target < TargetId(4));
+    }
+}
+
+#[test]
+fn unknown_destinations_and_empty_services_have_no_route() {
+    let table = RoutingTable::build(&document(&[4, 5]), &KEY);
+    let unknown = segment(99, true, None);
+    let unknown = decode_packet(&unknown).expect("sound");
+    assert_eq!(table.route(&unknown), Err(RouteError::UnknownService));
+    let drained = segment(20, true, None);
+    let drained = decode_packet(&drained).expect("sound");
+    assert_eq!(table.route(&drained), Err(RouteError::NoTarget));
+}
+
+#[test]
+fn timestamps_never_run_backwards_for_three_days() {
+    let hint = HolderHint(TargetId(8_191));
+    let start = 0xFFFF_FFFF_u64;
+    let first = hint.timestamp(start);
+    for hours in 1..72 {
+        let later = hint.timestamp(start + hours * 3_600);
+        assert!((later.wrapping_sub(first) as i32) > 0, "after {hours} h");
+        assert_eq!(HolderHint::from_echo(later), hint);
+    }
+}
--- a/crates/stack/src/endpoint.rs
+++ b/crates/stack/src/endpoint.rs
@@ -36,8 +36,9 @@
     pub buffers: BufferSizes,
     /// Seed of the initial sequence number. Must come from a secure source.
     pub seed: u64,
-    /// Source of timestamp values.
-    pub timestamps: TimestampSource,
+    /// Source of timestamp values; without one, the endpoint neither offers nor
+    /// takes up the timestamps option.
+    pub timestamps: Option<TimestampSource>,
 }
 
 /// Why an endpoint could not be created.
@@ -254,7 +255,7 @@
     let mut socket = Socket::new(receive, send);
     socket.set_congestion_control(CongestionControl::Reno);
     socket.set_nagle_enabled(false);
-    socket.set_tsval_generator(Some(options.timestamps));
+    socket.set_tsval_generator(options.timestamps);
     socket.set_keep_alive(Some(stack_duration(KEEP_ALIVE_INTERVAL)));
     socket.set_timeout(Some(stack_duration(PEER_TIMEOUT)));
     socket
--- a/crates/weirhinge/src/cli/agent.rs
+++ b/crates/weirhinge/src/cli/agent.rs
@@ -1,6 +1,7 @@
 //! `weirhinge agent`.
 
 use pico_args::Arguments;
+use weirhinge_agent::Plant;
 
 use super::CliFailure;
 use super::daemon::{COMMON_OPTIONS, option, print_ready, read_options, run_daemon};
@@ -25,6 +26,7 @@
         print!("{USAGE}{COMMON_OPTIONS}");
         return Ok(());
     }
+    let plant: Option<Plant> = option(&mut arguments, "--plant")?;
     let options = read_options(arguments, |arguments, flags| {
         flags.target = option(arguments, "--target")?;
         flags.fabric = option(arguments, "--fabric")?;
@@ -35,6 +37,6 @@
     })?;
     let settings = options.settings.into_agent(&options.origin).map_err(CliFailure::usage)?;
     run_daemon(options.log, |log, stop| {
-        weirhinge_agent::run(settings, log, print_ready, stop.wait())
+        weirhinge_agent::run(settings, plant, log, print_ready, stop.wait())
     })
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,6 @@
 mod message;
 
 pub use message::{
-    AgentMessage, Delivery, HolderAnswer, HolderQuery, Offer, PROTOCOL_VERSION, PacketEnvelope,
-    WireAddress, WireError, WireFlowKey, decode, encode_into,
+    AgentMessage, Delivery, HolderAnswer, HolderQuery, Holding, Offer, PROTOCOL_VERSION,
+    PacketEnvelope, WireAddress, WireError, WireFlowKey, decode, encode_into,
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -135,7 +135,19 @@
     pub flow: WireFlowKey,
 }
 
-/// Answers a [`HolderQuery`].
+/// How a target holds a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Holding {
+    /// Not at all.
+    Not,
+    /// The handshake is not complete; another target may win it.
+    Opening,
+    /// The handshake is complete: no other target holds the flow.
+    Open,
+}
+
+/// Tells how a target holds a flow, as the answer to a [`HolderQuery`] or
+/// unasked to the owner of the flow's bucket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct HolderAnswer {
     /// The service that the flow belongs to.
@@ -144,8 +156,8 @@
     pub from: u16,
     /// The flow asked about.
     pub flow: WireFlowKey,
-    /// Whether the answering target holds it.
-    pub holds: bool,
+    /// How the answering target holds it.
+    pub holding: Holding,
 }
 
 /// Every message that an agent receives.
