--- a/crates/balancer/src/data_path.rs
+++ b/crates/balancer/src/data_path.rs
@@ -8,8 +8,8 @@
 
 use arc_swap::ArcSwap;
 use weirhinge_routing::{RouteBasis, RoutingTable};
+use weirhinge_udp::{ReceiveBatch, SendBatch};
 
-use crate::batch::{ReceiveBatch, SendBatch};
 use crate::forward::Forwarder;
 use crate::metrics::BalancerMetrics;
 
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -6,7 +6,6 @@
 //! runs on `tokio` and hands the data path a new routing table by one atomic
 //! pointer swap.
 
-mod batch;
 mod data_path;
 mod forward;
 mod metrics;
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -296,11 +296,12 @@
 /// every caller has closed its own.
 const STOP_DEADLINE_SECONDS: u64 = 30;
 /// Name of the keys file in the fleet's work folder.
-const KEYS_FILE: &str = "keys.toml";
+pub(crate) const KEYS_FILE: &str = "keys.toml";
 /// The rehearsal's flow hash key; not a secret, as no real caller exists.
 const KEYS: &str = "flow_hash = \"000102030405060708090a0b0c0d0e0f\"\n";
 
-fn make_work_folder() -> eyre::Result<PathBuf> {
+/// Makes a folder with the keys file in it.
+pub(crate) fn make_work_folder() -> eyre::Result<PathBuf> {
     let unique = getrandom::u64().map_err(|error| eyre::eyre!("read random source: {error}"))?;
     let folder = std::env::temp_dir().join(format!("weirhinge-rehearsal-{unique:016x}"));
     std::fs::create_dir_all(&folder).wrap_err("make the work folder")?;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
+use weirhinge_rehearsal::bench::{ForwardingRound, measure_forwarding};
 use weirhinge_rehearsal::fleet::FleetOptions;
 use weirhinge_rehearsal::report;
 use weirhinge_rehearsal::run::rehearse;
@@ -16,6 +17,7 @@
   rehearse run SCENARIO [OPTIONS]   Run a shipped scenario or a scenario file
   rehearse list                     List the shipped scenarios
   rehearse check FILE               Check a scenario file
+  rehearse bench [OPTIONS]          Compare the balancer with a bare UDP relay
 
 OPTIONS OF run:
   --seconds N      Length of the load  [default: the scenario's]
@@ -25,6 +27,10 @@
   --plant NAME     Plant a defect in every agent (needs a build with planted-defects)
   --json           Print the verdict as one JSON object on the last line
 
+OPTIONS OF bench:
+  --rounds N       Rounds of relay, unbatched and batched balancer  [default: 5]
+  --seconds N      Length of each measurement  [default: 2]
+
 EXIT CODES:
   0  every promise held
   1  a promise was broken, or the rehearsal failed
@@ -53,6 +59,7 @@
         Some("run") => read_run(arguments).map(run),
         Some("list") => list(),
         Some("check") => check(arguments),
+        Some("bench") => bench(arguments),
         _ => Err(format!("expected a command\n\n{HELP}")),
     };
     outcome.unwrap_or_else(|reason| {
@@ -76,6 +83,29 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn bench(mut arguments: Arguments) -> Result<ExitCode, String> {
+    let rounds: usize = option(&mut arguments, "--rounds")?.unwrap_or(5).max(1);
+    let seconds: f64 = option(&mut arguments, "--seconds")?.unwrap_or(2.0);
+    let measured = tokio::runtime::Runtime::new()
+        .map_err(eyre::Report::from)
+        .and_then(|runtime| runtime.block_on(measure_forwarding(rounds, seconds)));
+    let result = match measured {
+        Ok(result) => result,
+        Err(report) => {
+            eprintln!("rehearse: {report:#}");
+            return Ok(ExitCode::from(EXIT_FAILED));
+        }
+    };
+    println!("packets a second        relay   unbatched     batched");
+    for round in &result.rounds {
+        let ForwardingRound { relay, unbatched, batched } = round;
+        println!("                 {relay:>12.0}{unbatched:>12.0}{batched:>12.0}");
+    }
+    println!("median ratio to relay  unbatched {:.2}", result.unbatched_ratio);
+    println!("median ratio to relay  batched   {:.2}", result.batched_ratio);
+    Ok(ExitCode::SUCCESS)
+}
+
 fn read_run(mut arguments: Arguments) -> Result<RunOptions, String> {
     let seconds: Option<u64> = option(&mut arguments, "--seconds")?;
     let seed = option(&mut arguments, "--seed")?.unwrap_or(1);
--- a/crates/balancer/src/batch.rs
+++ b/crates/udp/src/batch.rs
@@ -10,17 +10,18 @@
 };
 
 /// Room for one datagram; the largest inner packet is 1,400 bytes.
-pub(crate) const DATAGRAM_ROOM: usize = 2_048;
+pub const DATAGRAM_ROOM: usize = 2_048;
 
 /// Reusable room for the datagrams of one receive call.
-pub(crate) struct ReceiveBatch {
+pub struct ReceiveBatch {
     buffers: Vec<Vec<u8>>,
     lengths: Vec<usize>,
     headers: MultiHeaders<SockaddrStorage>,
 }
 
 impl ReceiveBatch {
-    pub(crate) fn new(size: usize) -> Self {
+    /// Room for `size` datagrams.
+    pub fn new(size: usize) -> Self {
         Self {
             buffers: vec![vec![0; DATAGRAM_ROOM]; size],
             lengths: Vec::with_capacity(size),
@@ -30,7 +31,10 @@
 
     /// Waits for at least one datagram and takes what else has arrived. With
     /// the socket's read time-out, returns an empty batch when nothing comes.
-    pub(crate) fn receive(&mut self, socket: &UdpSocket) -> io::Result<()> {
+    ///
+    /// # Errors
+    /// The operating system's error, if the socket can no longer receive.
+    pub fn receive(&mut self, socket: &UdpSocket) -> io::Result<()> {
         self.lengths.clear();
         let mut slices: Vec<[IoSliceMut<'_>; 1]> =
             self.buffers.iter_mut().map(|buffer| [IoSliceMut::new(buffer)]).collect();
@@ -45,13 +49,14 @@
         Ok(())
     }
 
-    pub(crate) fn datagrams(&self) -> impl Iterator<Item = &[u8]> {
+    /// The datagrams of the latest receive call.
+    pub fn datagrams(&self) -> impl Iterator<Item = &[u8]> {
         self.buffers.iter().zip(&self.lengths).map(|(buffer, &length)| &buffer[..length])
     }
 }
 
 /// Reusable room for the datagrams of one send call.
-pub(crate) struct SendBatch {
+pub struct SendBatch {
     buffers: Vec<Vec<u8>>,
     addresses: Vec<Option<SockaddrStorage>>,
     headers: MultiHeaders<SockaddrStorage>,
@@ -59,7 +64,8 @@
 }
 
 impl SendBatch {
-    pub(crate) fn new(size: usize) -> Self {
+    /// Room for `size` datagrams.
+    pub fn new(size: usize) -> Self {
         Self {
             buffers: vec![Vec::with_capacity(DATAGRAM_ROOM); size],
             addresses: Vec::with_capacity(size),
@@ -68,20 +74,25 @@
         }
     }
 
+    /// Whether nothing more can be committed before a flush.
+    pub fn is_full(&self) -> bool {
+        self.used == self.buffers.len()
+    }
+
     /// The buffer that the next [`SendBatch::commit`] will send.
-    pub(crate) fn next_buffer(&mut self) -> &mut Vec<u8> {
+    pub fn next_buffer(&mut self) -> &mut Vec<u8> {
         &mut self.buffers[self.used]
     }
 
     /// Adds the buffer last given out as a datagram to `address`.
-    pub(crate) fn commit(&mut self, address: SocketAddr) {
+    pub fn commit(&mut self, address: SocketAddr) {
         self.addresses.push(Some(SockaddrStorage::from(address)));
         self.used += 1;
     }
 
     /// Sends everything committed and returns how many datagrams were sent. A
     /// datagram that the kernel refuses is passed over.
-    pub(crate) fn flush(&mut self, socket: &UdpSocket) -> usize {
+    pub fn flush(&mut self, socket: &UdpSocket) -> usize {
         let mut sent = 0;
         let mut start = 0;
         while start < self.used {
