Let the deputy of a bucket admit flows while its owner is dead

Only a balancer meets those packets, and it may hold no state and no heartbeats with 7,200 agents. Change: the balancer sends a copy of each opening packet to the bucket's deputy, the second in rendezvous order, who owns the bucket when the owner goes. Whoever admits a flow claims it with owner and deputy; after 250 ms without a claim the deputy acts, after three such in a row it stops waiting for that owner for 3 s. Back ends in rehearsals learn callers by the PROXY header, so that a broken flow is put down to the machine that held it. Weighed: heartbeats from balancers (7,200 a second each), gossip of deaths (waits for detection), two owners per flow (doubles every packet). Cost: one more packet per new flow. Later packets without timestamps still wait for the configuration when their bucket's owner is dead.

--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -8,7 +8,9 @@
 
 use weirhinge_config::TargetId;
 use weirhinge_flow::admission::{AdmissionStep, Candidates, OwnLoad, RefusalReason, consider};
-use weirhinge_flow::{Directory, FlowPhase, FlowTable, LookupStep, RecentSet};
+use weirhinge_flow::{
+    Directory, DuePacket, FlowPhase, FlowTable, LookupStep, RecentSet, StandbyQueue,
+};
 use weirhinge_packet::{
     FlowKey, PacketView, TcpSegment, build_tcp_reset, decode_packet, verify_checksums,
 };
@@ -53,8 +55,8 @@
     Open {
         /// The flow.
         key: FlowKey,
-        /// Another agent to tell, which will meet the flow's later packets.
-        announce: Option<Announcement>,
+        /// Other agents to tell, which may meet the flow's packets.
+        announce: Vec<Announcement>,
     },
     /// Send the packet to other agents: one, or all that claim its flow.
     PassOn(Vec<PassOn>),
@@ -136,6 +138,7 @@
     /// Flows held here.
     pub flows: FlowTable<H>,
     directory: Directory,
+    standby: StandbyQueue,
     passed_on: RecentSet<FlowKey>,
     started: Instant,
     last_change: Instant,
@@ -160,6 +163,7 @@
             view,
             flows: FlowTable::new(half_open_limit, QUARANTINE),
             directory: Directory::default(),
+            standby: StandbyQueue::default(),
             passed_on: RecentSet::new(REPEATED_OFFER, REPEATED_OFFER_CAPACITY),
             started: now,
             last_change: now,
@@ -266,6 +270,40 @@
 
     /// An opening packet of a TCP flow that is not held here.
     fn open_tcp(&mut self, arrival: &Arrival<'_>) -> Dispatch {
+        if arrival.envelope.delivery == Delivery::Standby {
+            return self.stand_by(arrival);
+        }
+        self.offer_tcp(arrival)
+    }
+
+    /// The balancer's copy of an opening packet for the bucket's deputy.
+    fn stand_by(&mut self, arrival: &Arrival<'_>) -> Dispatch {
+        let key = arrival.view.key;
+        let owner = self.owner(&key).filter(|&owner| owner != self.own_target);
+        match owner {
+            Some(_) if self.directory.knows_claim(&key) => Dispatch::Drop("claimed"),
+            Some(owner) if !self.standby.is_silent(owner, arrival.now) => {
+                self.standby.push(key, owner, arrival.envelope.packet, arrival.now);
+                Dispatch::Learned
+            }
+            // The owner is silent, or this agent is the owner by now.
+            _ => self.offer_tcp(arrival),
+        }
+    }
+
+    /// When the next packet that this agent stands by for falls due.
+    pub fn next_standby(&self) -> Option<Instant> {
+        self.standby.next_due()
+    }
+
+    /// Takes the next opening packet that nobody has claimed in time.
+    pub fn take_due_standby(&mut self, now: Instant) -> Option<DuePacket> {
+        let (directory, flows) = (&self.directory, &self.flows);
+        self.standby.take_due(now, |key| directory.knows_claim(key) || flows.get(key).is_some())
+    }
+
+    /// Offers a new flow to its candidates, or admits it.
+    fn offer_tcp(&mut self, arrival: &Arrival<'_>) -> Dispatch {
         let first_hop = arrival.envelope.delivery == Delivery::Owner;
         let claim = self.directory.recent_claim(&arrival.view.key, arrival.now);
         if let (true, Some(claimant)) = (first_hop, claim) {
@@ -291,11 +329,16 @@
         }
     }
 
-    /// Admits the flow, and claims it with the owner of its bucket.
+    /// Admits the flow, and claims it with the owner and the deputy of its bucket.
     fn admit(&mut self, arrival: &Arrival<'_>) -> Dispatch {
         let key = arrival.view.key;
         self.directory.forget(&key);
-        Dispatch::Open { key, announce: self.announcement(&key, Holding::Opening) }
+        let (owner, deputy) = (self.owner(&key), self.deputy(&key));
+        let announce = [owner, deputy]
+            .into_iter()
+            .filter_map(|target| self.announcement_to(target?, &key, Holding::Opening))
+            .collect();
+        Dispatch::Open { key, announce }
     }
 
     /// Notes that the handshake of a flow held here is complete. Packets without
@@ -311,8 +354,19 @@
 
     /// What to tell the owner of the flow's bucket, if that is another agent.
     fn announcement(&self, key: &FlowKey, holding: Holding) -> Option<Announcement> {
-        let owner = self.owner(key).filter(|&owner| owner != self.own_target)?;
-        let agent = self.view.table.target(owner)?.agent;
+        self.announcement_to(self.owner(key)?, key, holding)
+    }
+
+    fn announcement_to(
+        &self,
+        target: TargetId,
+        key: &FlowKey,
+        holding: Holding,
+    ) -> Option<Announcement> {
+        if target == self.own_target {
+            return None;
+        }
+        let agent = self.view.table.target(target)?.agent;
         Some(Announcement { agent, answer: self.holder_answer(key, holding)? })
     }
 
@@ -418,6 +472,15 @@
         buckets.owner(buckets.bucket(hash))
     }
 
+    /// The deputy of the flow's bucket under this agent's own revision.
+    fn deputy(&self, key: &FlowKey) -> Option<TargetId> {
+        let buckets = &self.view.own_service()?.buckets;
+        if buckets.is_empty() {
+            return None;
+        }
+        buckets.deputy(buckets.bucket(self.view.table.hasher().hash(key)))
+    }
+
     fn locate(&mut self, arrival: &Arrival<'_>) -> LookupStep {
         let others = self.others();
         self.directory.locate(&arrival.view.key, &others, arrival.envelope.packet, arrival.now)
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -15,6 +15,8 @@
     pub(crate) packets_unsent: Counter,
     /// Bytes of control messages sent to other agents.
     pub(crate) control_bytes: Counter,
+    /// Opening packets handled in the place of a silent owner.
+    pub(crate) standby_acted: Counter,
     /// Flows held.
     pub(crate) flows_open: Gauge,
     /// Flows whose handshake completed.
@@ -41,6 +43,7 @@
             packets_passed_on: metrics.reasons("packets_passed_on", "Packets sent to agents"),
             packets_unsent: metrics.counter("packets_unsent", "Packets the kernel did not take"),
             control_bytes: metrics.counter("control_bytes", "Control bytes sent to agents"),
+            standby_acted: metrics.counter("standby_acted", "Packets handled for a silent owner"),
             flows_open: metrics.gauge("flows_open", "Flows held"),
             flows_opened: metrics.counter("flows_opened", "Flows whose handshake completed"),
             flows_refused: metrics.reasons("flows_refused", "Flows refused before they ran"),
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -171,6 +171,14 @@
     }
 }
 
+/// Sleeps until a packet falls due, for ever if none waits.
+async fn sleep_until_due(due: Option<Instant>) {
+    match due {
+        Some(due) => tokio::time::sleep_until(due.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn random_u64() -> eyre::Result<u64> {
     getrandom::u64().map_err(|error| eyre!("read the system's random source: {error}"))
 }
@@ -231,6 +239,7 @@
                     self.receive_burst();
                 }
                 Some(event) = events.recv() => self.handle_event(event),
+                () = sleep_until_due(self.dispatcher.next_standby()) => self.act_on_standby(),
                 Some(view) = documents.recv() => self.apply(view),
                 _ = housekeeping.tick() => {
                     self.keep_house();
@@ -318,7 +327,7 @@
             }
             (Dispatch::Open { key, announce }, AgentMessage::Packet(envelope)) => {
                 self.open(key, envelope.packet.to_vec());
-                if let Some(Announcement { agent, answer }) = announce {
+                for Announcement { agent, answer } in announce {
                     self.answer(agent, answer);
                 }
             }
@@ -405,7 +414,7 @@
             Delivery::Offered(_) => "offered",
             Delivery::Assigned => "assigned",
             Delivery::Forwarded => "forwarded",
-            Delivery::Owner | Delivery::Hinted => "owner",
+            Delivery::Owner | Delivery::Hinted | Delivery::Standby => "owner",
         });
         self.send(pass_on.agent, &message);
     }
@@ -460,6 +469,16 @@
         }
     }
 
+    /// Acts in the place of owners that have not claimed their packets.
+    fn act_on_standby(&mut self) {
+        while let Some(due) = self.dispatcher.take_due_standby(Instant::now()) {
+            self.metrics.standby_acted.inc();
+            if let Some(envelope) = self.own_envelope(&due.packet) {
+                self.handle_message(&AgentMessage::Packet(envelope));
+            }
+        }
+    }
+
     fn handle_event(&mut self, event: FlowEvent) {
         match event {
             FlowEvent::Opened { key, has_timestamps } => {
--- a/crates/agent/tests/dispatch.rs
+++ b/crates/agent/tests/dispatch.rs
@@ -80,9 +80,10 @@
     let mut agent = agent(owner, &document);
     let message = AgentMessage::Packet(envelope(owner, Delivery::Owner, &packet));
     let now = Instant::now();
-    let Dispatch::Open { key, announce: None } = agent.handle(&message, 0, now) else {
+    let Dispatch::Open { key, announce } = agent.handle(&message, 0, now) else {
         panic!("the owner admits");
     };
+    assert_eq!(announce.len(), 1, "the deputy is told");
     agent.flows.insert(key, (), now).expect("inserted");
     assert_eq!(agent.handle(&message, 0, now), Dispatch::Deliver(key));
 }
@@ -180,10 +181,10 @@
     let mut holder = agent(holder_target, &document);
     let now = Instant::now();
     let assigned = AgentMessage::Packet(envelope(holder_target, Delivery::Assigned, &opening));
-    let Dispatch::Open { key, announce: Some(announcement) } = holder.handle(&assigned, 0, now)
-    else {
+    let Dispatch::Open { key, announce } = holder.handle(&assigned, 0, now) else {
         panic!("the holder admits and tells the owner");
     };
+    let announcement = announce[0];
     assert_eq!(announcement.agent.port(), 7_000 + owner_target);
     holder.flows.insert(key, (), now).expect("inserted");
     let mut owner = agent(owner_target, &document);
@@ -267,6 +268,35 @@
     assert_eq!(abandoned, Dispatch::Abandon(key));
 }
 
+#[test]
+fn a_deputy_acts_only_when_nobody_claims_the_flow() {
+    let document = document(1, &[]);
+    let opening = segment(40_000, true, true);
+    let table = RoutingTable::build(&document, &KEY);
+    let route = table.route(&decode_packet(&opening).expect("sound")).expect("route");
+    let deputy_target = route.standby.expect("a deputy").target.0;
+    let copy = AgentMessage::Packet(envelope(deputy_target, Delivery::Standby, &opening));
+    let start = Instant::now();
+    let later = start + Duration::from_secs(1);
+
+    let mut deputy = agent(deputy_target, &document);
+    assert_eq!(deputy.handle(&copy, 0, start), Dispatch::Learned);
+    assert_eq!(deputy.take_due_standby(start), None);
+    let due = deputy.take_due_standby(later).expect("nobody claimed it");
+    assert_eq!(due.packet, opening);
+
+    let mut deputy = agent(deputy_target, &document);
+    deputy.handle(&copy, 0, start);
+    let claim = HolderAnswer {
+        service: 1,
+        from: route.target.0,
+        flow: due.key.into(),
+        holding: Holding::Opening,
+    };
+    deputy.handle(&AgentMessage::HolderAnswer(claim), 0, start);
+    assert_eq!(deputy.take_due_standby(later), None);
+}
+
 #[test]
 fn a_new_owner_finds_the_holder_after_a_change() {
     let before = document(1, &[]);
--- a/crates/balancer/src/data_path.rs
+++ b/crates/balancer/src/data_path.rs
@@ -35,7 +35,8 @@
     /// When the socket can no longer receive.
     pub(crate) fn run(&self) -> io::Result<()> {
         let mut incoming = ReceiveBatch::new(self.batch);
-        let mut outgoing = SendBatch::new(self.batch);
+        // Each packet may bring a copy for the deputy.
+        let mut outgoing = SendBatch::new(2 * self.batch);
         let mut last_packet = Instant::now();
         let mut was_stopping = false;
         loop {
@@ -66,6 +67,11 @@
                 Ok(forwarded) => {
                     hinted += u64::from(forwarded.basis == RouteBasis::Hint);
                     outgoing.commit(forwarded.agent);
+                    if let Some(copy) = forwarded.standby
+                        && forwarder.forward_standby(&copy, packet, outgoing.next_buffer()).is_ok()
+                    {
+                        outgoing.commit(copy.agent());
+                    }
                 }
                 Err(error) => self.metrics.packets_dropped.increment(error.name()),
             }
--- a/crates/balancer/src/forward.rs
+++ b/crates/balancer/src/forward.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 
+use weirhinge_config::{ServiceId, TargetId};
 use weirhinge_packet::{DropReason, decode_packet};
-use weirhinge_routing::{RouteBasis, RouteError, RoutingTable};
+use weirhinge_routing::{RouteBasis, RouteError, RoutingTable, Standby};
 use weirhinge_wire::{AgentMessage, Delivery, PacketEnvelope, WireError, encode_into};
 
 /// Why a packet is not forwarded.
@@ -28,6 +29,20 @@
     }
 }
 
+/// A copy of an opening packet for the deputy of its bucket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StandbyCopy {
+    service: ServiceId,
+    standby: Standby,
+}
+
+impl StandbyCopy {
+    /// The deputy's agent.
+    pub fn agent(&self) -> SocketAddr {
+        self.standby.agent
+    }
+}
+
 /// Where an envelope goes and why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Forwarded {
@@ -35,6 +50,8 @@
     pub agent: SocketAddr,
     /// What the route rests on.
     pub basis: RouteBasis,
+    /// For an opening packet: the copy to send to the deputy as well.
+    pub standby: Option<StandbyCopy>,
 }
 
 /// Forwards packets under one routing table.
@@ -60,18 +77,44 @@
     ) -> Result<Forwarded, ForwardError> {
         let view = decode_packet(packet).map_err(ForwardError::Packet)?;
         let route = self.table.route(&view).map_err(ForwardError::Route)?;
+        let delivery = match route.basis {
+            RouteBasis::Owner => Delivery::Owner,
+            RouteBasis::Hint => Delivery::Hinted,
+        };
+        self.encode(route.service, route.target, delivery, packet, envelope)?;
+        let standby = route.standby.map(|standby| StandbyCopy { service: route.service, standby });
+        Ok(Forwarded { agent: route.agent, basis: route.basis, standby })
+    }
+
+    /// Writes the envelope of an opening packet's copy for the deputy.
+    ///
+    /// # Errors
+    /// When the envelope cannot be encoded.
+    pub fn forward_standby(
+        &self,
+        copy: &StandbyCopy,
+        packet: &[u8],
+        envelope: &mut Vec<u8>,
+    ) -> Result<(), ForwardError> {
+        self.encode(copy.service, copy.standby.target, Delivery::Standby, packet, envelope)
+    }
+
+    fn encode(
+        &self,
+        service: ServiceId,
+        target: TargetId,
+        delivery: Delivery,
+        packet: &[u8],
+        envelope: &mut Vec<u8>,
+    ) -> Result<(), ForwardError> {
         let message = AgentMessage::Packet(PacketEnvelope {
             revision: self.table.revision(),
-            service: route.service.0,
-            target: route.target.0,
-            delivery: match route.basis {
-                RouteBasis::Owner => Delivery::Owner,
-                RouteBasis::Hint => Delivery::Hinted,
-            },
+            service: service.0,
+            target: target.0,
+            delivery,
             hops: 0,
             packet,
         });
-        encode_into(&message, envelope).map_err(ForwardError::Wire)?;
-        Ok(Forwarded { agent: route.agent, basis: route.basis })
+        encode_into(&message, envelope).map_err(ForwardError::Wire)
     }
 }
--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -134,7 +134,7 @@
     match delivery {
         Delivery::Assigned => admit_or_refuse(own),
         Delivery::Offered(offer) => consider_offer(offer, own, candidates),
-        Delivery::Owner | Delivery::Hinted | Delivery::Forwarded => {
+        Delivery::Owner | Delivery::Hinted | Delivery::Forwarded | Delivery::Standby => {
             let offer = Offer { best: candidates.own.0, best_load: NO_CANDIDATE_LOAD, visited: 0 };
             consider_offer(offer, own, candidates)
         }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -8,10 +8,12 @@
 pub mod directory;
 pub mod fence;
 pub mod recent;
+pub mod standby;
 pub mod table;
 
 pub use admission::{AdmissionStep, Candidates, OwnLoad, RefusalReason, consider};
 pub use directory::{Directory, LookupStep};
 pub use fence::{Fence, FenceError};
 pub use recent::RecentSet;
+pub use standby::{DuePacket, StandbyQueue};
 pub use table::{FlowPhase, FlowTable, FlowTableError};
--- a/crates/flow/tests/state.rs
+++ b/crates/flow/tests/state.rs
@@ -4,7 +4,9 @@
 
 use weirhinge_config::{ServiceId, TargetId};
 use weirhinge_flow::table::FlowTableError;
-use weirhinge_flow::{Directory, Fence, FenceError, FlowTable, LookupStep, RecentSet};
+use weirhinge_flow::{
+    Directory, Fence, FenceError, FlowTable, LookupStep, RecentSet, StandbyQueue,
+};
 use weirhinge_packet::{FlowKey, Protocol};
 use weirhinge_wire::{Delivery, Holding, PacketEnvelope};
 
@@ -170,3 +172,39 @@
     assert_eq!(fence.check(&envelope, Some(ServiceId(2))), Err(FenceError::WrongDestination));
     assert_eq!(fence.check(&envelope, None), Err(FenceError::WrongDestination));
 }
+
+#[test]
+fn a_silent_owner_is_not_waited_for_until_it_claims_again() {
+    let mut queue = StandbyQueue::default();
+    let owner = TargetId(2);
+    let mut now = Instant::now();
+    for port in 0..3 {
+        assert!(!queue.is_silent(owner, now));
+        queue.push(key(port), owner, b"opening", now);
+        queue.push(key(port), owner, b"repeated", now);
+        now = queue.next_due().expect("waiting");
+        assert!(queue.take_due(now, |_| false).is_some());
+        assert!(queue.take_due(now, |_| false).is_none(), "a repeated packet waits once");
+    }
+    assert!(queue.is_silent(owner, now));
+    assert!(!queue.is_silent(TargetId(3), now));
+    queue.push(key(9), owner, b"opening", now);
+    now = queue.next_due().expect("waiting");
+    assert!(queue.take_due(now, |_| true).is_none(), "claimed");
+    assert!(!queue.is_silent(owner, now));
+}
+
+#[test]
+fn standing_by_is_bounded() {
+    let mut queue = StandbyQueue::default();
+    let now = Instant::now();
+    for port in 0..10_000 {
+        queue.push(key(port), TargetId(2), b"opening", now);
+    }
+    let later = now + Duration::from_secs(1);
+    let mut taken = 0;
+    while queue.take_due(later, |_| false).is_some() {
+        taken += 1;
+    }
+    assert_eq!(taken, 4_096);
+}
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -316,7 +316,7 @@
         address: service.address,
         port: service.port,
         protocol: TransportProtocol::Tcp,
-        proxy_protocol: false,
+        proxy_protocol: true,
     }
 }
 
--- a/crates/rehearsal/src/history.rs
+++ b/crates/rehearsal/src/history.rs
@@ -1,6 +1,7 @@
 //! What callers and back ends saw, recorded on both sides of the product.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -19,8 +20,8 @@
     pub at: Duration,
     /// What the flow carried.
     pub kind: FlowKind,
-    /// The target that held the flow, if the caller had learnt it.
-    pub target: Option<usize>,
+    /// The caller's address, none if it had not opened a connection.
+    pub caller: Option<SocketAddr>,
     /// What the caller saw.
     pub reason: String,
 }
@@ -76,6 +77,8 @@
     pub crossed: u64,
     /// Connections that each target accepted.
     pub accepted: Vec<(Instant, usize)>,
+    /// Targets that accepted a connection for each caller.
+    pub holders: HashMap<SocketAddr, Vec<usize>>,
     /// Drains in the order in which they began.
     pub drains: Vec<Drain>,
     /// Agents killed: target and time.
@@ -110,6 +113,7 @@
             misrouted: 0,
             crossed: 0,
             accepted: Vec::new(),
+            holders: HashMap::new(),
             drains: Vec::new(),
             killed_agents: Vec::new(),
             faults: Vec::new(),
@@ -138,10 +142,10 @@
     }
 
     /// A flow broke while in use.
-    pub fn broken(&self, kind: FlowKind, target: Option<usize>, reason: impl ToString) {
+    pub fn broken(&self, kind: FlowKind, caller: Option<SocketAddr>, reason: impl ToString) {
         let mut record = self.lock();
         let at = record.started.elapsed();
-        record.broken.push(BrokenFlow { at, kind, target, reason: reason.to_string() });
+        record.broken.push(BrokenFlow { at, kind, caller, reason: reason.to_string() });
     }
 
     /// A back end began to run a request.
@@ -154,9 +158,11 @@
         self.lock().told_not_run.insert(request);
     }
 
-    /// A back end accepted a connection.
-    pub fn accepted(&self, target: usize) {
-        self.lock().accepted.push((Instant::now(), target));
+    /// A back end accepted a connection for a caller.
+    pub fn accepted(&self, target: usize, caller: SocketAddr) {
+        let mut record = self.lock();
+        record.accepted.push((Instant::now(), target));
+        record.holders.entry(caller).or_default().push(target);
     }
 
     /// The configuration began to say that a target drains.
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -17,7 +17,7 @@
 use crate::history::{FlowKind, History, RequestId};
 use crate::scenario::ServiceScenario;
 use crate::standin::back_end::{
-    DEADLINE_HEADER, REQUEST_HEADER, SERVICE_HEADER, TARGET_HEADER, answer_bytes, feed_line,
+    DEADLINE_HEADER, REQUEST_HEADER, SERVICE_HEADER, answer_bytes, feed_line,
 };
 use crate::standin::caller::{AddressPool, HttpClient, open};
 use crate::standin::fabric::Fabric;
@@ -92,9 +92,9 @@
 
     async fn keep_feed(&self) {
         while !self.context.is_ending() {
-            let mut target = None;
-            if let Err(reason) = self.follow_feed(&mut target).await {
-                self.context.history.broken(FlowKind::Feed, target, reason);
+            let mut caller = None;
+            if let Err(reason) = self.follow_feed(&mut caller).await {
+                self.context.history.broken(FlowKind::Feed, caller, reason);
             }
             if !self.context.is_ending() {
                 sleep(REOPEN_PAUSE).await;
@@ -104,17 +104,17 @@
 
     /// Follows one feed until the load ends; an error is a broken flow. A feed
     /// that cannot be opened is counted as refused and is no broken flow.
-    async fn follow_feed(&self, target: &mut Option<usize>) -> Result<(), String> {
+    async fn follow_feed(&self, caller: &mut Option<SocketAddr>) -> Result<(), String> {
         let id = self.context.request_id();
         let Some(mut client) = self.open_client(id).await else {
             return Ok(());
         };
+        *caller = Some(client.source);
         let silent = self.feed_interval() * SILENT_INTERVALS;
         let response = timeout(silent, client.sender.send_request(self.request("/feed", id)))
             .await
             .map_err(|_| "no feed began".to_owned())?
             .map_err(|error| error.to_string())?;
-        *target = answering_target(&response);
         let mut body = response.into_body();
         let mut expected: u64 = 0;
         while !self.context.is_ending() {
@@ -197,15 +197,15 @@
         };
         let kind = if kept { FlowKind::Kept } else { FlowKind::Single };
         let count = if kept { REQUESTS_PER_KEPT_FLOW } else { 1 };
-        let mut target = None;
+        let caller = Some(client.source);
         for number in 0..count {
             let (id, intended) = match number {
                 0 => (first, intended),
                 _ => (self.context.request_id(), Instant::now()),
             };
-            if let Err(reason) = self.request_once(&mut client, id, intended, &mut target).await {
+            if let Err(reason) = self.request_once(&mut client, id, intended).await {
                 self.context.history.lock().unknown += 1;
-                self.context.history.broken(kind, target, reason);
+                self.context.history.broken(kind, caller, reason);
                 return;
             }
             if Instant::now() >= until {
@@ -220,7 +220,6 @@
         client: &mut HttpClient,
         id: RequestId,
         intended: Instant,
-        target: &mut Option<usize>,
     ) -> Result<(), String> {
         let exchange = async {
             let response = client.sender.send_request(self.request("/run", id)).await?;
@@ -232,7 +231,6 @@
             .map_err(|_| "no whole answer in time".to_owned())?
             .map_err(|error| error.to_string())?;
         let head = Response::from_parts(head, ());
-        *target = answering_target(&head);
         match head.status() {
             StatusCode::OK => {
                 let own = header_number(&head, REQUEST_HEADER) == Some(id);
@@ -253,15 +251,15 @@
         let context = &self.context;
         let timestamps = self.with_timestamps(id);
         let opened = open(&context.fabric, &context.pool, self.destination(), timestamps).await;
-        let stream = match opened {
-            Ok(stream) => stream,
+        let connection = match opened {
+            Ok(connection) => connection,
             Err(error) => {
                 self.context.history.refused(format!("{error:?}"));
                 return None;
             }
         };
         self.context.history.lock().flows_opened += 1;
-        HttpClient::start(stream).await.ok()
+        HttpClient::start(connection).await.ok()
     }
 
     /// Whether a caller's TCP has timestamps: a fixed share has not.
@@ -288,10 +286,6 @@
     }
 }
 
-fn answering_target<B>(response: &Response<B>) -> Option<usize> {
-    header_number(response, TARGET_HEADER).map(|target| target as usize)
-}
-
 fn header_number<B>(response: &Response<B>, name: &str) -> Option<u64> {
     response.headers().get(name)?.to_str().ok()?.parse().ok()
 }
--- a/crates/rehearsal/src/standin/back_end.rs
+++ b/crates/rehearsal/src/standin/back_end.rs
@@ -16,8 +16,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use ppp::v2::{Addresses, Header};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::time::Interval;
@@ -28,12 +30,12 @@
 pub const REQUEST_HEADER: &str = "x-request-id";
 /// Header with the service that the caller means.
 pub const SERVICE_HEADER: &str = "x-service";
-/// Header with the number of the target that answers.
-pub const TARGET_HEADER: &str = "x-target";
 /// Header with the milliseconds that the caller waits at most.
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
 /// Requests per slot that may wait; further ones are shed.
 const QUEUE_PER_SLOT: u32 = 8;
+/// Length of the fixed part of a PROXY protocol version 2 header.
+const PROXY_FIXED_LENGTH: usize = 16;
 /// How long a cold back end works slower.
 const COLD_START: Duration = Duration::from_secs(3);
 /// How much slower a completely cold back end works.
@@ -162,9 +164,12 @@
         state.connections.fetch_sub(1, Ordering::Relaxed);
         return;
     }
-    state.history.accepted(state.options.target);
     let _ = stream.set_nodelay(true);
     tokio::spawn(async move {
+        let mut stream = stream;
+        if let Ok(caller) = read_proxy_header(&mut stream).await {
+            state.history.accepted(state.options.target, caller);
+        }
         let service = service_fn(|request| {
             let state = state.clone();
             async move { Ok::<_, Infallible>(state.answer(request).await) }
@@ -176,6 +181,21 @@
     });
 }
 
+/// Reads the PROXY protocol header that precedes the caller's bytes.
+async fn read_proxy_header(stream: &mut TcpStream) -> std::io::Result<SocketAddr> {
+    let mut header = vec![0; PROXY_FIXED_LENGTH];
+    stream.read_exact(&mut header).await?;
+    let length = u16::from_be_bytes([header[14], header[15]]);
+    header.resize(PROXY_FIXED_LENGTH + usize::from(length), 0);
+    stream.read_exact(&mut header[PROXY_FIXED_LENGTH..]).await?;
+    let parsed = Header::try_from(header.as_slice()).map_err(std::io::Error::other)?;
+    match parsed.addresses {
+        Addresses::IPv4(ends) => Ok((ends.source_address, ends.source_port).into()),
+        Addresses::IPv6(ends) => Ok((ends.source_address, ends.source_port).into()),
+        _ => Err(std::io::Error::other("no IP addresses in the PROXY header")),
+    }
+}
+
 impl State {
     async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         match request.uri().path() {
@@ -196,9 +216,7 @@
             "/run" => self.run(id, &request).await,
             _ => status(StatusCode::NOT_FOUND),
         };
-        let headers = response.headers_mut();
-        headers.insert(REQUEST_HEADER, HeaderValue::from(id));
-        headers.insert(TARGET_HEADER, HeaderValue::from(self.options.target));
+        response.headers_mut().insert(REQUEST_HEADER, HeaderValue::from(id));
         response
     }
 
--- a/crates/rehearsal/src/standin/caller.rs
+++ b/crates/rehearsal/src/standin/caller.rs
@@ -81,6 +81,14 @@
     }
 }
 
+/// An open connection.
+pub struct Connection {
+    /// The caller's own address.
+    pub source: SocketAddr,
+    /// The connection's bytes.
+    pub stream: DuplexStream,
+}
+
 /// Opens a connection to a service, with or without TCP timestamps.
 ///
 /// # Errors
@@ -90,7 +98,7 @@
     pool: &AddressPool,
     destination: SocketAddr,
     with_timestamps: bool,
-) -> Result<DuplexStream, OpenError> {
+) -> Result<Connection, OpenError> {
     let source = pool.take(destination);
     let mut packets = fabric.add_caller(source);
     let options = EndpointOptions {
@@ -111,7 +119,7 @@
         fabric.remove_caller(source);
     });
     match is_opened.await {
-        Ok(()) => Ok(near),
+        Ok(()) => Ok(Connection { source, stream: near }),
         Err(_) if started.elapsed() >= OPEN_TIMEOUT => Err(OpenError::TimedOut),
         Err(_) => Err(OpenError::Refused { after: started.elapsed() }),
     }
@@ -121,6 +129,8 @@
 pub struct HttpClient {
     /// Sends requests.
     pub sender: SendRequest<Empty<Bytes>>,
+    /// The caller's own address.
+    pub source: SocketAddr,
     driver: tokio::task::JoinHandle<()>,
 }
 
@@ -129,13 +139,14 @@
     ///
     /// # Errors
     /// When the client cannot start.
-    pub async fn start(stream: DuplexStream) -> hyper::Result<Self> {
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+    pub async fn start(connection: Connection) -> hyper::Result<Self> {
+        let source = connection.source;
+        let (sender, connection) = handshake(TokioIo::new(connection.stream)).await?;
         let driver = tokio::spawn(async move {
             // The caller's requests report the same error.
             let _ = connection.await;
         });
-        Ok(Self { sender, driver })
+        Ok(Self { sender, source, driver })
     }
 }
 
--- a/crates/rehearsal/src/verdict.rs
+++ b/crates/rehearsal/src/verdict.rs
@@ -92,7 +92,7 @@
         imbalance_p99: BTreeMap::new(),
         p50_ms: milliseconds(record.latencies.value_at_quantile(0.5)),
         p99_ms: milliseconds(record.latencies.value_at_quantile(0.99)),
-        first_breaks: broken.iter().take(LISTED).map(|broken| describe(broken)).collect(),
+        first_breaks: broken.iter().take(LISTED).map(|broken| describe(record, broken)).collect(),
         first_refusals: record.refused.iter().take(LISTED).map(describe_event).collect(),
         faults: record.faults.iter().map(describe_event).collect(),
         counters,
@@ -134,10 +134,16 @@
 
 fn lost_with_machine(record: &Record, broken: &BrokenFlow) -> bool {
     let at = record.started + broken.at;
-    record.killed_agents.iter().any(|&(target, killed)| {
-        // A caller that had learnt no target yet is counted as broken.
-        broken.target == Some(target) && at >= killed
-    })
+    record
+        .killed_agents
+        .iter()
+        .any(|&(target, killed)| holders(record, broken).contains(&target) && at >= killed)
+}
+
+/// The targets that accepted a connection for a broken flow's caller.
+fn holders<'a>(record: &'a Record, broken: &BrokenFlow) -> &'a [usize] {
+    let holders = broken.caller.and_then(|caller| record.holders.get(&caller));
+    holders.map_or(&[], Vec::as_slice)
 }
 
 fn refused_but_ran(record: &Record) -> u64 {
@@ -157,10 +163,12 @@
         .count() as u64
 }
 
-fn describe(broken: &BrokenFlow) -> String {
-    let target = broken.target.map_or("unknown".to_owned(), |target| target.to_string());
+fn describe(record: &Record, broken: &BrokenFlow) -> String {
     let at = broken.at.as_secs_f64();
-    format!("{at:.3} s: {:?} flow at target {target}: {}", broken.kind, broken.reason)
+    let caller = broken.caller.map_or("unknown".to_owned(), |caller| caller.to_string());
+    let holders = holders(record, broken);
+    let BrokenFlow { kind, reason, .. } = broken;
+    format!("{at:.3} s: {kind:?} flow of {caller} at targets {holders:?}: {reason}")
 }
 
 fn describe_event((at, description): &(Duration, String)) -> String {
--- a/crates/rehearsal/tests/promises.rs
+++ b/crates/rehearsal/tests/promises.rs
@@ -100,6 +100,24 @@
     assert_held(&verdict);
 }
 
+/// Only the dead agents' own flows are lost; new flows of their buckets go to
+/// the deputies, so that nobody is refused and nobody waits for an operator.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_agent_takes_only_its_own_flows_with_it() {
+    let verdict = run(
+        "faults = [
+            { at = 3.0, action = { kill-agent = 1 } },
+            { at = 6.0, action = { drain-target = 1 } },
+        ]",
+        None,
+    )
+    .await;
+    assert_held(&verdict);
+    assert!(verdict.flows_lost_with_machine > 0, "{verdict:#?}");
+    assert_eq!(verdict.flows_refused, 0, "{verdict:#?}");
+    assert!(verdict.counters["standby_acted"] > 0, "{verdict:#?}");
+}
+
 const ADDRESS_CHANGES_HANDS: &str = "faults = [{ at = 2.5, action = { misdirect-target = { target = 0, to = 4, seconds = 2.0 } } }]";
 const OWNERS_CHANGE: &str = "faults = [
     { at = 3.0, action = { drain-target = 0 } },
--- a/crates/routing/src/bucket.rs
+++ b/crates/routing/src/bucket.rs
@@ -18,10 +18,13 @@
 /// Largest table, in buckets.
 const MAXIMUM_BUCKETS: usize = 1 << 16;
 
-/// Maps buckets to targets.
+/// Maps each bucket to its owner and to the deputy, which would own the bucket
+/// if the owner went.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BucketTable {
     owners: Vec<TargetId>,
+    /// Empty for a service with a single target.
+    deputies: Vec<TargetId>,
 }
 
 impl BucketTable {
@@ -30,12 +33,17 @@
     /// target does not change the size and thereby move every bucket.
     pub fn build(service_seed: u64, targets: &[(TargetId, u32)], size_for: usize) -> Self {
         if targets.is_empty() {
-            return Self { owners: Vec::new() };
+            return Self { owners: Vec::new(), deputies: Vec::new() };
         }
         let size = (size_for.max(1) * BUCKETS_PER_TARGET).next_power_of_two().min(MAXIMUM_BUCKETS);
-        let owners =
-            (0..size as u64).map(|bucket| best_target(service_seed, bucket, targets)).collect();
-        Self { owners }
+        let mut owners = Vec::with_capacity(size);
+        let mut deputies = Vec::new();
+        for bucket in 0..size as u64 {
+            let (owner, deputy) = best_targets(service_seed, bucket, targets);
+            owners.push(owner);
+            deputies.extend(deputy);
+        }
+        Self { owners, deputies }
     }
 
     /// Whether the service has no target that takes new flows.
@@ -59,25 +67,52 @@
         self.owners.get(bucket as usize).copied()
     }
 
+    /// The deputy of a bucket, if the service has more than one target.
+    pub fn deputy(&self, bucket: u32) -> Option<TargetId> {
+        self.deputies.get(bucket as usize).copied()
+    }
+
     /// All owners in bucket order.
     pub fn owners(&self) -> &[TargetId] {
         &self.owners
     }
 }
 
-fn best_target(service_seed: u64, bucket: u64, targets: &[(TargetId, u32)]) -> TargetId {
+/// The two best targets of a bucket.
+fn best_targets(
+    service_seed: u64,
+    bucket: u64,
+    targets: &[(TargetId, u32)],
+) -> (TargetId, Option<TargetId>) {
     let bucket_seed = mix(service_seed, bucket);
-    let mut best = targets[0].0;
-    let mut best_score = f64::NEG_INFINITY;
+    let mut owner = Candidate::WORST;
+    let mut deputy = Candidate::WORST;
     for &(target, weight) in targets {
         let score = score(mix(bucket_seed, u64::from(target.0) + 1), weight);
-        // A tie goes to the lower identifier, whatever the order of the list.
-        if score > best_score || (score == best_score && target < best) {
-            best = target;
-            best_score = score;
+        let candidate = Candidate { score, target };
+        if candidate.beats(&owner) {
+            deputy = owner;
+            owner = candidate;
+        } else if candidate.beats(&deputy) {
+            deputy = candidate;
         }
     }
-    best
+    (owner.target, (targets.len() > 1).then_some(deputy.target))
+}
+
+#[derive(Clone, Copy)]
+struct Candidate {
+    score: f64,
+    target: TargetId,
+}
+
+impl Candidate {
+    const WORST: Self = Self { score: f64::NEG_INFINITY, target: TargetId(u16::MAX) };
+
+    /// A tie goes to the lower identifier, whatever the order of the list.
+    fn beats(&self, other: &Self) -> bool {
+        self.score > other.score || (self.score == other.score && self.target < other.target)
+    }
 }
 
 /// `-weight / ln(u)` for a uniform `u`. `libm` computes the logarithm in
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,4 +12,4 @@
 pub use bucket::{BUCKETS_PER_TARGET, BucketTable};
 pub use hash::FlowHasher;
 pub use hint::HolderHint;
-pub use table::{Route, RouteBasis, RouteError, RoutingTable, ServiceRoute, TargetRoute};
+pub use table::{Route, RouteBasis, RouteError, RoutingTable, ServiceRoute, Standby, TargetRoute};
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -53,6 +53,17 @@
     pub agent: SocketAddr,
     /// What the choice rests on.
     pub basis: RouteBasis,
+    /// For an opening packet: who stands by in case the owner is dead.
+    pub standby: Option<Standby>,
+}
+
+/// The deputy of a flow's bucket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standby {
+    /// The deputy's target.
+    pub target: TargetId,
+    /// The agent beside that target.
+    pub agent: SocketAddr,
 }
 
 /// What routing knows of one target.
@@ -152,7 +163,9 @@
         }
         let target = service.buckets.owner(bucket).ok_or(RouteError::NoTarget)?;
         let agent = self.target(target).ok_or(RouteError::NoTarget)?.agent;
-        Ok(Route { service: service.id, bucket, target, agent, basis: RouteBasis::Owner })
+        let standby = self.standby(service, packet, bucket);
+        let basis = RouteBasis::Owner;
+        Ok(Route { service: service.id, bucket, target, agent, basis, standby })
     }
 
     fn bucket(&self, service: &ServiceRoute, packet: &PacketView<'_>) -> u32 {
@@ -162,6 +175,19 @@
         service.buckets.bucket(self.hasher.hash(&packet.key))
     }
 
+    fn standby(
+        &self,
+        service: &ServiceRoute,
+        packet: &PacketView<'_>,
+        bucket: u32,
+    ) -> Option<Standby> {
+        if !packet.tcp()?.opens_flow() {
+            return None;
+        }
+        let target = service.buckets.deputy(bucket)?;
+        Some(Standby { target, agent: self.target(target)?.agent })
+    }
+
     /// A hint counts only if it names a target of the packet's own service.
     fn hinted(
         &self,
@@ -181,6 +207,7 @@
             target,
             agent: holder.agent,
             basis: RouteBasis::Hint,
+            standby: None,
         })
     }
 }
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -45,6 +45,21 @@
     assert!(moved.len() < fair + fair / 2, "{} of {}", moved.len(), before.len());
 }
 
+#[test]
+fn the_deputy_owns_the_bucket_when_the_owner_goes() {
+    let before = BucketTable::build(SEED, &weighted(0..7), 7);
+    let after = BucketTable::build(SEED, &weighted((0..7).filter(|&id| id != 3)), 7);
+    for bucket in 0..before.len() as u32 {
+        let deputy = before.deputy(bucket).expect("a deputy");
+        assert_ne!(before.owner(bucket), Some(deputy));
+        if before.owner(bucket) == Some(TargetId(3)) {
+            assert_eq!(after.owner(bucket), Some(deputy));
+        }
+    }
+    let single = BucketTable::build(SEED, &weighted(0..1), 1);
+    assert_eq!((single.owner(0), single.deputy(0)), (Some(TargetId(0)), None));
+}
+
 #[test]
 fn shares_follow_weights() {
     let targets = [(TargetId(1), 100), (TargetId(2), 300)];
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -31,6 +31,9 @@
     Hinted,
     /// The receiver is asked to compare its load and admit or pass on.
     Offered(Offer),
+    /// The receiver stands by for the owner: it acts only if nobody claims the
+    /// flow soon.
+    Standby,
     /// The receiver was the least loaded candidate and shall admit the flow.
     Assigned,
     /// The sender knows, or guesses, that the receiver holds the flow.
