--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -132,9 +132,14 @@
 /// Decides one step of an opening packet that arrived by `delivery`.
 pub fn consider(delivery: Delivery, own: &OwnLoad, candidates: &Candidates<'_>) -> AdmissionStep {
     match delivery {
-        Delivery::Assigned => admit_or_refuse(own),
+        Delivery::Assigned if own.has_room() => AdmissionStep::Admit,
         Delivery::Offered(offer) => consider_offer(offer, own, candidates),
-        Delivery::Owner | Delivery::Hinted | Delivery::Forwarded | Delivery::Standby => {
+        // Assigned, but the room has gone meanwhile: the offer starts over.
+        Delivery::Assigned
+        | Delivery::Owner
+        | Delivery::Hinted
+        | Delivery::Forwarded
+        | Delivery::Standby => {
             let offer = Offer { best: candidates.own.0, best_load: NO_CANDIDATE_LOAD, visited: 0 };
             consider_offer(offer, own, candidates)
         }
--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -114,6 +114,25 @@
     assert_eq!(first.visited.len(), 4, "three candidates and the way back to the best");
 }
 
+/// The fault behind a needless refusal that rehearsals found: the best target
+/// of a chain was drained before the flow arrived there.
+#[test]
+fn a_flow_assigned_to_a_target_without_room_starts_over() {
+    let active: Vec<TargetId> = (0..4).map(TargetId).collect();
+    let candidates = Candidates {
+        own: TargetId(9),
+        owner: Some(TargetId(1)),
+        active: &active,
+        flow_hash: 7,
+        limit: 3,
+    };
+    let step = consider(Delivery::Assigned, &load(0, false), &candidates);
+    assert!(
+        matches!(step, AdmissionStep::PassOn { delivery: Delivery::Offered(_), .. }),
+        "{step:?}"
+    );
+}
+
 #[test]
 fn a_cold_back_end_counts_as_busier() {
     let warm = load(2, true);
--- a/crates/rehearsal/src/bench.rs
+++ b/crates/rehearsal/src/bench.rs
@@ -26,6 +26,8 @@
 const GENERATORS: usize = 2;
 /// Payload of a generated packet, in bytes: a small request.
 const PAYLOAD: usize = 100;
+/// Agents that the balancer spreads the packets over, as for a service of today.
+const AGENTS: u16 = 7;
 /// Different flows that are generated.
 const FLOWS: usize = 1_024;
 /// Time before each measurement in which the load runs up.
@@ -85,33 +87,36 @@
 
 async fn measure_relay(window: Duration) -> eyre::Result<f64> {
     let ending = Arc::new(AtomicBool::new(false));
-    let sink = Sink::start(&ending)?;
+    let sink = Sink::start(&ending, AGENTS)?;
     let socket = bind()?;
     let address = socket.local_addr().wrap_err("read the relay's address")?;
     let relay_ending = ending.clone();
-    let to = sink.address;
-    let relay = std::thread::spawn(move || relay_all(&socket, to, &relay_ending));
+    let receivers = sink.addresses.clone();
+    let relay = std::thread::spawn(move || relay_all(&socket, &receivers, &relay_ending));
     let rate = measure_rate(&sink, address, window, &ending).await?;
     // The thread ends by itself within its time-out.
     let _ = relay.join();
     Ok(rate)
 }
 
-fn relay_all(socket: &UdpSocket, to: SocketAddr, ending: &AtomicBool) {
+/// Sends each datagram on to the next receiver in turn.
+fn relay_all(socket: &UdpSocket, receivers: &[SocketAddr], ending: &AtomicBool) {
     let mut datagram = [0; 2_048];
+    let mut next = 0;
     while !ending.load(Ordering::Relaxed) {
         if let Ok((length, _)) = socket.recv_from(&mut datagram) {
             // A full receiver loses the datagram, here and in the balancer.
-            let _ = socket.send_to(&datagram[..length], to);
+            let _ = socket.send_to(&datagram[..length], receivers[next]);
+            next = (next + 1) % receivers.len();
         }
     }
 }
 
 async fn measure_balancer(window: Duration, batch: usize) -> eyre::Result<f64> {
     let ending = Arc::new(AtomicBool::new(false));
-    let sink = Sink::start(&ending)?;
+    let sink = Sink::start(&ending, AGENTS)?;
     let platform = Platform::start().await.wrap_err("start platform")?;
-    platform.publish(document(sink.address));
+    platform.publish(document(&sink.addresses));
     let work_folder = make_work_folder()?;
     let keys = work_folder.join(crate::fleet::KEYS_FILE).display().to_string();
     let pairs = [
@@ -189,25 +194,28 @@
         .collect()
 }
 
-/// Counts the datagrams that arrive.
+/// Counts the datagrams that arrive at several addresses.
 struct Sink {
-    address: SocketAddr,
+    addresses: Vec<SocketAddr>,
     received: Arc<AtomicU64>,
 }
 
 impl Sink {
-    fn start(ending: &Arc<AtomicBool>) -> eyre::Result<Self> {
-        let socket = bind()?;
-        let address = socket.local_addr().wrap_err("read the sink's address")?;
+    fn start(ending: &Arc<AtomicBool>, count: u16) -> eyre::Result<Self> {
+        let mut addresses = Vec::new();
         let received = Arc::new(AtomicU64::new(0));
-        let (counter, ending) = (received.clone(), ending.clone());
-        std::thread::spawn(move || {
-            let mut batch = ReceiveBatch::new(BATCH);
-            while !ending.load(Ordering::Relaxed) && batch.receive(&socket).is_ok() {
-                counter.fetch_add(batch.datagrams().count() as u64, Ordering::Relaxed);
-            }
-        });
-        Ok(Self { address, received })
+        for _ in 0..count {
+            let socket = bind()?;
+            addresses.push(socket.local_addr().wrap_err("read the sink's address")?);
+            let (counter, ending) = (received.clone(), ending.clone());
+            std::thread::spawn(move || {
+                let mut batch = ReceiveBatch::new(BATCH);
+                while !ending.load(Ordering::Relaxed) && batch.receive(&socket).is_ok() {
+                    counter.fetch_add(batch.datagrams().count() as u64, Ordering::Relaxed);
+                }
+            });
+        }
+        Ok(Self { addresses, received })
     }
 }
 
@@ -218,7 +226,19 @@
     Ok(socket)
 }
 
-fn document(agent: SocketAddr) -> ConfigDocument {
+fn document(agents: &[SocketAddr]) -> ConfigDocument {
+    let target = |(number, &agent): (usize, &SocketAddr)| Target {
+        id: TargetId(number as u16),
+        name: format!("bench-{number}"),
+        service: ServiceId(1),
+        zone: "bench".to_owned(),
+        agent,
+        back_end: agent,
+        weight: 100,
+        state: TargetState::Active,
+        slots: 1,
+        connections: 1,
+    };
     ConfigDocument {
         revision: 1,
         services: vec![Service {
@@ -229,17 +249,6 @@
             protocol: TransportProtocol::Tcp,
             proxy_protocol: false,
         }],
-        targets: vec![Target {
-            id: TargetId(1),
-            name: "bench-1".to_owned(),
-            service: ServiceId(1),
-            zone: "bench".to_owned(),
-            agent,
-            back_end: agent,
-            weight: 100,
-            state: TargetState::Active,
-            slots: 1,
-            connections: 1,
-        }],
+        targets: agents.iter().enumerate().map(target).collect(),
     }
 }
--- a/crates/rehearsal/src/history.rs
+++ b/crates/rehearsal/src/history.rs
@@ -22,6 +22,8 @@
     pub kind: FlowKind,
     /// The caller's address, none if it had not opened a connection.
     pub caller: Option<SocketAddr>,
+    /// The request under way, if there was one.
+    pub request: Option<RequestId>,
     /// What the caller saw.
     pub reason: String,
 }
@@ -142,10 +144,16 @@
     }
 
     /// A flow broke while in use.
-    pub fn broken(&self, kind: FlowKind, caller: Option<SocketAddr>, reason: impl ToString) {
+    pub fn broken(
+        &self,
+        kind: FlowKind,
+        caller: Option<SocketAddr>,
+        request: Option<RequestId>,
+        reason: impl ToString,
+    ) {
         let mut record = self.lock();
         let at = record.started.elapsed();
-        record.broken.push(BrokenFlow { at, kind, caller, reason: reason.to_string() });
+        record.broken.push(BrokenFlow { at, kind, caller, request, reason: reason.to_string() });
     }
 
     /// A back end began to run a request.
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -94,7 +94,7 @@
         while !self.context.is_ending() {
             let mut caller = None;
             if let Err(reason) = self.follow_feed(&mut caller).await {
-                self.context.history.broken(FlowKind::Feed, caller, reason);
+                self.context.history.broken(FlowKind::Feed, caller, None, reason);
             }
             if !self.context.is_ending() {
                 sleep(REOPEN_PAUSE).await;
@@ -205,7 +205,7 @@
             };
             if let Err(reason) = self.request_once(&mut client, id, intended).await {
                 self.context.history.lock().unknown += 1;
-                self.context.history.broken(kind, caller, reason);
+                self.context.history.broken(kind, caller, Some(id), reason);
                 return;
             }
             if Instant::now() >= until {
--- a/crates/rehearsal/src/verdict.rs
+++ b/crates/rehearsal/src/verdict.rs
@@ -167,8 +167,12 @@
     let at = broken.at.as_secs_f64();
     let caller = broken.caller.map_or("unknown".to_owned(), |caller| caller.to_string());
     let holders = holders(record, broken);
-    let BrokenFlow { kind, reason, .. } = broken;
-    format!("{at:.3} s: {kind:?} flow of {caller} at targets {holders:?}: {reason}")
+    let BrokenFlow { kind, request, reason, .. } = broken;
+    let ran = request.and_then(|request| record.runs.get(&request)).copied().unwrap_or(0);
+    format!(
+        "{at:.3} s: {kind:?} flow of {caller}, request {request:?} ran {ran} times, \
+         connections at targets {holders:?}: {reason}"
+    )
 }
 
 fn describe_event((at, description): &(Duration, String)) -> String {
--- a/crates/rehearsal/tests/checks.rs
+++ b/crates/rehearsal/tests/checks.rs
@@ -45,7 +45,7 @@
     assert_eq!((crossed.held, crossed.answers_crossed), (false, 1));
     let misrouted = verdict(|history| history.lock().misrouted = 1);
     assert_eq!((misrouted.held, misrouted.packets_misrouted), (false, 1));
-    let broken = verdict(|history| history.broken(FlowKind::Feed, None, "reset"));
+    let broken = verdict(|history| history.broken(FlowKind::Feed, None, None, "reset"));
     assert_eq!((broken.held, broken.flows_broken), (false, 1));
 }
 
@@ -57,8 +57,8 @@
         history.accepted(2, caller(2));
         history.lock().killed_agents.push((1, Instant::now()));
         std::thread::sleep(Duration::from_millis(2));
-        history.broken(FlowKind::Feed, Some(caller(1)), "held by the dead agent");
-        history.broken(FlowKind::Feed, Some(caller(2)), "held elsewhere");
+        history.broken(FlowKind::Feed, Some(caller(1)), None, "held by the dead agent");
+        history.broken(FlowKind::Feed, Some(caller(2)), None, "held elsewhere");
     });
     assert_eq!((verdict.flows_lost_with_machine, verdict.flows_broken), (1, 1));
 }
--- a/crates/udp/src/lib.rs
+++ b/crates/udp/src/lib.rs
@@ -1,6 +1,8 @@
 //! Batched UDP: many datagrams by one system call, which is most of what a
 //! forwarded packet costs.
 
-mod batch;
+mod receive;
+mod send;
 
-pub use batch::{DATAGRAM_ROOM, ReceiveBatch, SendBatch};
+pub use receive::{DATAGRAM_ROOM, ReceiveBatch};
+pub use send::SendBatch;
