Split the agent's decisions and main loop into modules of one job

Change: decisions about opening packets, about holders, and the entry to both are modules; so are starting the agent, carrying decisions out, and the flows' tasks. No behaviour changes.

--- /dev/null
+++ b/crates/agent/src/dispatch/opening.rs
@@ -0,0 +1,145 @@
+//! Decisions about opening packets: who admits a new TCP flow.
+
+use std::time::{Duration, Instant};
+
+use weirhinge_flow::DuePacket;
+use weirhinge_flow::admission::{AdmissionStep, Candidates, OwnLoad, RefusalReason, consider};
+use weirhinge_wire::{Delivery, Holding};
+
+use super::{Arrival, Dispatch, Dispatcher, reset};
+
+/// How long a fresh agent's back end takes to reach full speed.
+const WARM_UP: Duration = Duration::from_secs(10);
+/// How long a target is in the configuration before it takes flows: a change is
+/// in force everywhere by then.
+const JOIN_DELAY: Duration = Duration::from_secs(3);
+/// Thousandths of full speed at which warming up starts.
+const COLD_WARMTH: u32 = 100;
+/// Thousandths of full speed of a warm back end.
+const FULL_WARMTH: u32 = 1_000;
+
+impl<H> Dispatcher<H> {
+    /// An opening packet of a TCP flow that is not held here.
+    pub(super) fn open_tcp(&mut self, arrival: &Arrival<'_>) -> Dispatch {
+        if arrival.envelope.delivery == Delivery::Standby {
+            return self.stand_by(arrival);
+        }
+        self.offer_tcp(arrival)
+    }
+
+    /// The balancer's copy of an opening packet for the bucket's deputy.
+    pub(super) fn stand_by(&mut self, arrival: &Arrival<'_>) -> Dispatch {
+        let key = arrival.view.key;
+        let owner = self.owner(&key).filter(|&owner| owner != self.own_target);
+        match owner {
+            Some(_) if self.directory.knows_claim(&key) => Dispatch::Drop("claimed"),
+            Some(owner) if !self.standby.is_silent(owner, arrival.now) => {
+                self.standby.push(key, owner, arrival.envelope.packet, arrival.now);
+                Dispatch::Learned
+            }
+            // The owner is silent, or this agent is the owner by now.
+            _ => self.offer_tcp(arrival),
+        }
+    }
+
+    /// When the next packet that this agent stands by for falls due.
+    pub fn next_standby(&self) -> Option<Instant> {
+        self.standby.next_due()
+    }
+
+    /// Takes the next opening packet that nobody has claimed in time.
+    pub fn take_due_standby(&mut self, now: Instant) -> Option<DuePacket> {
+        let (directory, flows) = (&self.directory, &mut self.flows);
+        // A flow that this agent admitted may have come to its end already.
+        self.standby.take_due(now, |key| {
+            directory.knows_claim(key) || flows.get(key).is_some() || flows.is_quarantined(key, now)
+        })
+    }
+
+    /// Offers a new flow to its candidates, or admits it.
+    pub(super) fn offer_tcp(&mut self, arrival: &Arrival<'_>) -> Dispatch {
+        let first_hop = arrival.envelope.delivery == Delivery::Owner;
+        let claim = self.directory.recent_claim(&arrival.view.key, arrival.now);
+        if let (true, Some(claimant)) = (first_hop, claim) {
+            return self.pass_on(arrival, claimant, Delivery::Assigned);
+        }
+        if let Err(error) = self.flows.check_insert(&arrival.view.key, arrival.now) {
+            return Dispatch::Drop(error.name());
+        }
+        let step = consider(
+            arrival.envelope.delivery,
+            &self.own_load(arrival),
+            &self.candidates_for(arrival, self.candidates),
+        );
+        match step {
+            AdmissionStep::Admit => self.admit(arrival),
+            AdmissionStep::Refuse(reason) => self.refuse(arrival, reason),
+            AdmissionStep::PassOn { to, delivery } => {
+                if first_hop && !self.passed_on.insert(arrival.view.key, arrival.now) {
+                    return Dispatch::Drop("repeated_opening");
+                }
+                self.pass_on(arrival, to, delivery)
+            }
+        }
+    }
+
+    /// Admits the flow, and claims it with the owner and the deputy of its bucket.
+    pub(super) fn admit(&mut self, arrival: &Arrival<'_>) -> Dispatch {
+        let key = arrival.view.key;
+        self.directory.forget(&key);
+        let (owner, deputy) = (self.owner(&key), self.deputy(&key));
+        let announce = [owner, deputy]
+            .into_iter()
+            .filter_map(|target| self.announcement_to(target?, &key, Holding::Opening))
+            .collect();
+        Dispatch::Open { key, announce }
+    }
+
+    pub(super) fn refuse(&self, arrival: &Arrival<'_>, reason: RefusalReason) -> Dispatch {
+        match arrival.view.tcp() {
+            Some(segment) => reset(&arrival.view.key, segment, reason.name()),
+            None => Dispatch::Drop(reason.name()),
+        }
+    }
+
+    pub(super) fn own_load(&self, arrival: &Arrival<'_>) -> OwnLoad {
+        let suspect = self.suspect_until.is_some_and(|until| until > arrival.now);
+        OwnLoad {
+            in_flight: arrival.in_flight,
+            slots: arrival.own.slots,
+            flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
+            connections: arrival.own.connections,
+            accepts: arrival.own.active
+                && !self.stopping
+                && !suspect
+                && self.has_joined(arrival.now),
+            warmth: warmth(arrival.now.saturating_duration_since(self.started)),
+        }
+    }
+
+    /// Whether the target has been in the configuration for long enough that the
+    /// service's other agents know it: one that does not would take this agent's
+    /// flows for unknown.
+    pub(super) fn has_joined(&self, now: Instant) -> bool {
+        self.known_since.is_some_and(|since| now.saturating_duration_since(since) >= JOIN_DELAY)
+    }
+
+    pub(super) fn candidates_for(&self, arrival: &Arrival<'_>, limit: u8) -> Candidates<'_> {
+        let service = self.view.own_service();
+        Candidates {
+            own: self.own_target,
+            owner: self.owner(&arrival.view.key),
+            active: service.map_or(&[], |service| &service.active),
+            flow_hash: self.view.table.hasher().hash(&arrival.view.key),
+            limit,
+        }
+    }
+}
+
+fn warmth(age: Duration) -> u32 {
+    if age >= WARM_UP {
+        return FULL_WARMTH;
+    }
+    let gained = (FULL_WARMTH - COLD_WARMTH) as u128 * age.as_millis() / WARM_UP.as_millis();
+    COLD_WARMTH + gained as u32
+}
--- /dev/null
+++ b/crates/agent/src/flows.rs
@@ -0,0 +1,150 @@
+//! Starts the tasks of flows and takes in what they report.
+
+use std::time::Instant;
+
+use slog::warn;
+use tokio::sync::mpsc;
+use weirhinge_flow::RefusalReason;
+use weirhinge_packet::{FlowKey, Protocol};
+use weirhinge_stack::SpliceEnd;
+use weirhinge_wire::AgentMessage;
+
+use crate::dispatch::Announcement;
+use crate::run::{Agent, random_u64};
+use crate::tcp_flow::TcpFlow;
+use crate::udp_flow::UdpFlow;
+
+/// Packets of one flow that may wait for its task; further ones are dropped.
+const FLOW_QUEUE: usize = 64;
+
+/// What a flow's task reports to the main loop.
+#[derive(Debug)]
+pub(crate) enum FlowEvent {
+    /// The handshake is complete.
+    Opened { key: FlowKey, has_timestamps: bool },
+    /// The back end took no connection; nothing was answered to the caller yet.
+    NotOpened { flow: FlowId, reason: RefusalReason, opening_packet: Vec<u8> },
+    /// The flow has ended.
+    Ended { flow: FlowId, end: SpliceEnd },
+}
+
+/// Tells two flows of one key apart: an event of the earlier one must not touch
+/// the later one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct FlowId {
+    pub(crate) key: FlowKey,
+    pub(crate) number: u64,
+}
+
+/// How the main loop reaches a flow's task.
+#[derive(Debug)]
+pub(crate) struct FlowHandle {
+    pub(crate) queue: mpsc::Sender<Vec<u8>>,
+    pub(crate) number: u64,
+}
+
+impl Agent {
+    pub(crate) fn open(&mut self, key: FlowKey, opening_packet: Vec<u8>) {
+        let Some(own) = self.dispatcher.view().own else {
+            return;
+        };
+        let plant = self.dispatcher.planted();
+        let seed = match random_u64() {
+            Ok(seed) => seed,
+            Err(_) => return self.metrics.packets_dropped.increment("no_random_source"),
+        };
+        let (queue, packets) = mpsc::channel(FLOW_QUEUE);
+        self.next_flow += 1;
+        let id = FlowId { key, number: self.next_flow };
+        let handle = FlowHandle { queue, number: id.number };
+        if let Err(error) = self.dispatcher.flows.insert(key, handle, Instant::now()) {
+            return self.metrics.packets_dropped.increment(error.name());
+        }
+        let sink = self.sink.clone();
+        let in_flight = self.in_flight.begin();
+        let events = self.events.clone();
+        match key.protocol {
+            Protocol::Tcp => {
+                let flow = TcpFlow {
+                    id,
+                    own,
+                    opening_packet,
+                    packets,
+                    sink,
+                    in_flight,
+                    events,
+                    seed,
+                    plant,
+                };
+                tokio::spawn(flow.run());
+            }
+            Protocol::Udp => {
+                let flow = UdpFlow { id, own, opening_packet, packets, sink, in_flight, events };
+                tokio::spawn(flow.run());
+            }
+        }
+    }
+
+    pub(crate) fn handle_event(&mut self, event: FlowEvent) {
+        match event {
+            FlowEvent::Opened { key, has_timestamps } => {
+                self.metrics.flows_opened.inc();
+                let announcement = self.dispatcher.opened(&key, has_timestamps);
+                if let Some(Announcement { agent, answer }) = announcement {
+                    self.answer(agent, answer);
+                }
+            }
+            FlowEvent::NotOpened { flow, reason, opening_packet } => {
+                self.handle_not_opened(&flow, reason, &opening_packet);
+            }
+            FlowEvent::Ended { flow, end } => self.handle_ended(&flow, end),
+        }
+    }
+
+    /// Whether the table still holds this flow and not a later one of its key.
+    pub(crate) fn is_current(&self, flow: &FlowId) -> bool {
+        let handle = self.dispatcher.flows.get(&flow.key);
+        handle.is_some_and(|handle| handle.number == flow.number)
+    }
+
+    /// Nothing has run, so the flow may be tried elsewhere: the opening packet
+    /// starts over, while this agent counts as having no room.
+    pub(crate) fn handle_not_opened(
+        &mut self,
+        flow: &FlowId,
+        reason: RefusalReason,
+        packet: &[u8],
+    ) {
+        if !self.is_current(flow) {
+            return;
+        }
+        self.dispatcher.flows.release(&flow.key);
+        self.dispatcher.suspect_back_end(Instant::now());
+        warn!(self.log, "agent: Back end takes no connection."; "reason" => reason.name());
+        if let Some(envelope) = self.own_envelope(packet) {
+            self.handle_message(&AgentMessage::Packet(envelope));
+        }
+    }
+
+    pub(crate) fn handle_ended(&mut self, flow: &FlowId, end: SpliceEnd) {
+        let key = &flow.key;
+        if self.is_current(flow) {
+            // A flow that never opened may be tried again by its caller at once.
+            if key.protocol == Protocol::Tcp && end != SpliceEnd::NeverOpened {
+                self.dispatcher.flows.remove(key, Instant::now());
+            } else {
+                self.dispatcher.flows.release(key);
+            }
+        }
+        self.metrics.flows_ended.increment(match end {
+            SpliceEnd::Closed => "closed",
+            SpliceEnd::PeerReset => "caller_reset",
+            SpliceEnd::StreamFailed => "back_end_failed",
+            SpliceEnd::Cancelled => "cancelled",
+            SpliceEnd::NeverOpened => "never_opened",
+        });
+        if end == SpliceEnd::StreamFailed {
+            self.metrics.flows_broken.inc();
+        }
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,8 +5,10 @@
 //! modules run one task per flow; [`run`] owns the socket and wires them up.
 
 mod back_end;
+mod carry_out;
 pub mod dispatch;
 mod fabric;
+mod flows;
 mod load;
 mod metrics;
 pub mod plant;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -1,6 +1,5 @@
 //! Starts an agent, carries out its decisions, and stops it.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -10,24 +9,18 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use weirhinge_config::{AgentSettings, ConfigDocument, HashKey};
-use weirhinge_flow::RefusalReason;
 use weirhinge_observe::{BoundAddresses, Health, HealthSource, Metrics, start_admin};
-use weirhinge_packet::{FlowKey, Protocol};
 use weirhinge_platform::{ConfigFollower, ConfigFreshness, FollowerLog};
 use weirhinge_routing::HolderHint;
-use weirhinge_stack::{PacketSink, SpliceEnd};
-use weirhinge_wire::{
-    AgentMessage, Delivery, HolderAnswer, HolderQuery, PacketEnvelope, decode, encode_into,
-};
+use weirhinge_wire::decode;
 
-use crate::dispatch::{Announcement, Dispatch, Dispatcher, PassOn};
+use crate::dispatch::{Announcement, Dispatcher};
 use crate::fabric::FabricSink;
+use crate::flows::{FlowEvent, FlowHandle};
 use crate::load::InFlight;
 use crate::metrics::AgentMetrics;
 use crate::plant::Plant;
-use crate::tcp_flow::TcpFlow;
 use crate::timestamps;
-use crate::udp_flow::UdpFlow;
 use crate::view::AgentView;
 
 /// Receive buffer asked of the kernel, in bytes.
@@ -36,8 +29,6 @@
 const DATAGRAM_ROOM: usize = 2_048;
 /// Most datagrams handled before other events get their turn.
 const RECEIVE_BURST: usize = 64;
-/// Packets of one flow that may wait for its task; further ones are dropped.
-const FLOW_QUEUE: usize = 64;
 /// Time between two rounds of housekeeping.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(500);
 /// After the last flow of a planned stop: how long the agent passes on what
@@ -46,35 +37,9 @@
 /// The longest that it does so.
 const LONGEST_QUIET_WAIT: Duration = Duration::from_secs(10);
 
-/// What a flow's task reports to the main loop.
-#[derive(Debug)]
-pub(crate) enum FlowEvent {
-    /// The handshake is complete.
-    Opened { key: FlowKey, has_timestamps: bool },
-    /// The back end took no connection; nothing was answered to the caller yet.
-    NotOpened { flow: FlowId, reason: RefusalReason, opening_packet: Vec<u8> },
-    /// The flow has ended.
-    Ended { flow: FlowId, end: SpliceEnd },
-}
-
-/// Tells two flows of one key apart: an event of the earlier one must not touch
-/// the later one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct FlowId {
-    pub(crate) key: FlowKey,
-    pub(crate) number: u64,
-}
-
-/// How the main loop reaches a flow's task.
-#[derive(Debug)]
-struct FlowHandle {
-    queue: mpsc::Sender<Vec<u8>>,
-    number: u64,
-}
-
 /// What the main loop shares with the health endpoint.
 #[derive(Debug, Default)]
-struct SharedState {
+pub(crate) struct SharedState {
     revision: AtomicU64,
     flows: AtomicU64,
     stopping: AtomicBool,
@@ -99,19 +64,20 @@
     }
 }
 
-struct Agent {
-    settings: AgentSettings,
-    log: Logger,
-    socket: Arc<UdpSocket>,
-    sink: FabricSink,
-    dispatcher: Dispatcher<FlowHandle>,
-    next_flow: u64,
-    in_flight: InFlight,
-    metrics: AgentMetrics,
-    shared: Arc<SharedState>,
-    events: mpsc::UnboundedSender<FlowEvent>,
-    last_datagram: Instant,
-    envelope: Vec<u8>,
+/// A running agent: what the main loop owns.
+pub(crate) struct Agent {
+    pub(crate) settings: AgentSettings,
+    pub(crate) log: Logger,
+    pub(crate) socket: Arc<UdpSocket>,
+    pub(crate) sink: FabricSink,
+    pub(crate) dispatcher: Dispatcher<FlowHandle>,
+    pub(crate) next_flow: u64,
+    pub(crate) in_flight: InFlight,
+    pub(crate) metrics: AgentMetrics,
+    pub(crate) shared: Arc<SharedState>,
+    pub(crate) events: mpsc::UnboundedSender<FlowEvent>,
+    pub(crate) last_datagram: Instant,
+    pub(crate) envelope: Vec<u8>,
 }
 
 /// Runs an agent until `stop` asks for a planned stop and its last flow has
@@ -179,7 +145,7 @@
     }
 }
 
-fn random_u64() -> eyre::Result<u64> {
+pub(crate) fn random_u64() -> eyre::Result<u64> {
     getrandom::u64().map_err(|error| eyre!("read the system's random source: {error}"))
 }
 
@@ -315,237 +281,4 @@
             }
         }
     }
-
-    fn handle_message(&mut self, message: &AgentMessage<'_>) {
-        let in_flight = self.in_flight.count();
-        let dispatch = self.dispatcher.handle(message, in_flight, Instant::now());
-        self.carry_out(dispatch, message);
-    }
-
-    fn carry_out(&mut self, dispatch: Dispatch, message: &AgentMessage<'_>) {
-        match (dispatch, message) {
-            (Dispatch::Deliver(key), AgentMessage::Packet(envelope)) => {
-                self.deliver(&key, envelope.packet);
-            }
-            (Dispatch::Open { key, announce }, AgentMessage::Packet(envelope)) => {
-                self.open(key, envelope.packet.to_vec());
-                for Announcement { agent, answer } in announce {
-                    self.answer(agent, answer);
-                }
-            }
-            (Dispatch::Release { packets, pass_on }, _) => self.release(&packets, &pass_on),
-            (Dispatch::PassOn(ways), AgentMessage::Packet(envelope)) => {
-                for way in &ways {
-                    self.pass_on(way, envelope);
-                }
-            }
-            (Dispatch::Several(all), _) => {
-                for dispatch in all {
-                    self.carry_out(dispatch, message);
-                }
-            }
-            (Dispatch::Abandon(key), _) => {
-                // Its task ends silently when its queue is gone.
-                self.dispatcher.flows.release(&key);
-            }
-            (Dispatch::Ask { query, agents }, _) => self.ask(query, &agents),
-            (Dispatch::Answer { agent, answer }, _) => self.answer(agent, answer),
-            (Dispatch::Reset { packet, reason }, _) => {
-                self.metrics.flows_refused.increment(reason);
-                self.sink.send(&packet);
-            }
-            (Dispatch::Drop(reason), _) => self.metrics.packets_dropped.increment(reason),
-            (
-                Dispatch::Learned
-                | Dispatch::Deliver(_)
-                | Dispatch::Open { .. }
-                | Dispatch::PassOn(_),
-                _,
-            ) => {}
-        }
-    }
-
-    fn deliver(&mut self, key: &FlowKey, packet: &[u8]) {
-        if let Some(handle) = self.dispatcher.flows.get(key)
-            && handle.queue.try_send(packet.to_vec()).is_err()
-        {
-            self.metrics.packets_dropped.increment("flow_queue_full");
-        }
-    }
-
-    fn open(&mut self, key: FlowKey, opening_packet: Vec<u8>) {
-        let Some(own) = self.dispatcher.view().own else {
-            return;
-        };
-        let plant = self.dispatcher.planted();
-        let seed = match random_u64() {
-            Ok(seed) => seed,
-            Err(_) => return self.metrics.packets_dropped.increment("no_random_source"),
-        };
-        let (queue, packets) = mpsc::channel(FLOW_QUEUE);
-        self.next_flow += 1;
-        let id = FlowId { key, number: self.next_flow };
-        let handle = FlowHandle { queue, number: id.number };
-        if let Err(error) = self.dispatcher.flows.insert(key, handle, Instant::now()) {
-            return self.metrics.packets_dropped.increment(error.name());
-        }
-        let sink = self.sink.clone();
-        let in_flight = self.in_flight.begin();
-        let events = self.events.clone();
-        match key.protocol {
-            Protocol::Tcp => {
-                let flow = TcpFlow {
-                    id,
-                    own,
-                    opening_packet,
-                    packets,
-                    sink,
-                    in_flight,
-                    events,
-                    seed,
-                    plant,
-                };
-                tokio::spawn(flow.run());
-            }
-            Protocol::Udp => {
-                let flow = UdpFlow { id, own, opening_packet, packets, sink, in_flight, events };
-                tokio::spawn(flow.run());
-            }
-        }
-    }
-
-    fn pass_on(&mut self, pass_on: &PassOn, envelope: &PacketEnvelope<'_>) {
-        let message = AgentMessage::Packet(PacketEnvelope {
-            revision: self.dispatcher.view().table.revision(),
-            target: pass_on.target.0,
-            delivery: pass_on.delivery,
-            hops: envelope.hops.saturating_add(1),
-            ..*envelope
-        });
-        self.metrics.packets_passed_on.increment(match pass_on.delivery {
-            Delivery::Offered(_) => "offered",
-            Delivery::Assigned => "assigned",
-            Delivery::Forwarded => "forwarded",
-            Delivery::Owner | Delivery::Hinted | Delivery::Standby => "owner",
-        });
-        self.send(pass_on.agent, &message);
-    }
-
-    fn ask(&mut self, query: HolderQuery, agents: &[SocketAddr]) {
-        for &agent in agents {
-            let sent = self.send(agent, &AgentMessage::HolderQuery(query));
-            self.metrics.control_bytes.inc_by(sent as u64);
-        }
-    }
-
-    fn release(&mut self, packets: &[Vec<u8>], pass_on: &PassOn) {
-        for packet in packets {
-            if let Some(envelope) = self.own_envelope(packet) {
-                self.pass_on(pass_on, &envelope);
-            }
-        }
-    }
-
-    /// An envelope as if a balancer had sent the packet here.
-    fn own_envelope<'a>(&self, packet: &'a [u8]) -> Option<PacketEnvelope<'a>> {
-        let view = self.dispatcher.view();
-        let own = view.own?;
-        Some(PacketEnvelope {
-            revision: view.table.revision(),
-            service: own.fence.service.0,
-            target: own.fence.target.0,
-            delivery: Delivery::Forwarded,
-            hops: 0,
-            packet,
-        })
-    }
-
-    fn answer(&mut self, agent: SocketAddr, answer: HolderAnswer) {
-        let sent = self.send(agent, &AgentMessage::HolderAnswer(answer));
-        self.metrics.control_bytes.inc_by(sent as u64);
-    }
-
-    /// Sends a message to another agent; returns the bytes sent. A message that
-    /// the kernel does not take is lost like any other datagram.
-    fn send(&mut self, agent: SocketAddr, message: &AgentMessage<'_>) -> usize {
-        if encode_into(message, &mut self.envelope).is_err() {
-            self.metrics.packets_dropped.increment("encoding");
-            return 0;
-        }
-        match self.socket.try_send_to(&self.envelope, agent) {
-            Ok(length) => length,
-            Err(_) => {
-                self.metrics.packets_unsent.inc();
-                0
-            }
-        }
-    }
-
-    /// Acts in the place of owners that have not claimed their packets.
-    fn act_on_standby(&mut self) {
-        while let Some(due) = self.dispatcher.take_due_standby(Instant::now()) {
-            self.metrics.standby_acted.inc();
-            if let Some(envelope) = self.own_envelope(&due.packet) {
-                self.handle_message(&AgentMessage::Packet(envelope));
-            }
-        }
-    }
-
-    fn handle_event(&mut self, event: FlowEvent) {
-        match event {
-            FlowEvent::Opened { key, has_timestamps } => {
-                self.metrics.flows_opened.inc();
-                let announcement = self.dispatcher.opened(&key, has_timestamps);
-                if let Some(Announcement { agent, answer }) = announcement {
-                    self.answer(agent, answer);
-                }
-            }
-            FlowEvent::NotOpened { flow, reason, opening_packet } => {
-                self.handle_not_opened(&flow, reason, &opening_packet);
-            }
-            FlowEvent::Ended { flow, end } => self.handle_ended(&flow, end),
-        }
-    }
-
-    /// Whether the table still holds this flow and not a later one of its key.
-    fn is_current(&self, flow: &FlowId) -> bool {
-        let handle = self.dispatcher.flows.get(&flow.key);
-        handle.is_some_and(|handle| handle.number == flow.number)
-    }
-
-    /// Nothing has run, so the flow may be tried elsewhere: the opening packet
-    /// starts over, while this agent counts as having no room.
-    fn handle_not_opened(&mut self, flow: &FlowId, reason: RefusalReason, packet: &[u8]) {
-        if !self.is_current(flow) {
-            return;
-        }
-        self.dispatcher.flows.release(&flow.key);
-        self.dispatcher.suspect_back_end(Instant::now());
-        warn!(self.log, "agent: Back end takes no connection."; "reason" => reason.name());
-        if let Some(envelope) = self.own_envelope(packet) {
-            self.handle_message(&AgentMessage::Packet(envelope));
-        }
-    }
-
-    fn handle_ended(&mut self, flow: &FlowId, end: SpliceEnd) {
-        let key = &flow.key;
-        if self.is_current(flow) {
-            // A flow that never opened may be tried again by its caller at once.
-            if key.protocol == Protocol::Tcp && end != SpliceEnd::NeverOpened {
-                self.dispatcher.flows.remove(key, Instant::now());
-            } else {
-                self.dispatcher.flows.release(key);
-            }
-        }
-        self.metrics.flows_ended.increment(match end {
-            SpliceEnd::Closed => "closed",
-            SpliceEnd::PeerReset => "caller_reset",
-            SpliceEnd::StreamFailed => "back_end_failed",
-            SpliceEnd::Cancelled => "cancelled",
-            SpliceEnd::NeverOpened => "never_opened",
-        });
-        if end == SpliceEnd::StreamFailed {
-            self.metrics.flows_broken.inc();
-        }
-    }
 }
--- a/crates/agent/src/tcp_flow.rs
+++ b/crates/agent/src/tcp_flow.rs
@@ -11,9 +11,9 @@
 
 use crate::back_end;
 use crate::fabric::FabricSink;
+use crate::flows::{FlowEvent, FlowId};
 use crate::load::FlowInFlight;
 use crate::plant::Plant;
-use crate::run::{FlowEvent, FlowId};
 use crate::timestamps;
 use crate::view::OwnTarget;
 
--- a/crates/agent/src/udp_flow.rs
+++ b/crates/agent/src/udp_flow.rs
@@ -7,8 +7,8 @@
 use crate::back_end;
 use crate::dispatch::UDP_IDLE_TIMEOUT;
 use crate::fabric::FabricSink;
+use crate::flows::{FlowEvent, FlowId};
 use crate::load::FlowInFlight;
-use crate::run::{FlowEvent, FlowId};
 use crate::view::OwnTarget;
 
 /// What a flow's task needs.
