Let balancers agree on the configuration and serve it through an API

Cause: a configuration accepted through an API must be in force on every balancer within seconds and never revert; there was neither API nor agreement, only the platform's document. Change: a control crate runs one replica of the consensus core in each balancer: hellos by the platform's machine list, a group founded by one balancer and grown to five voters over the zones, frames over TCP in musli, writes forwarded to the leader. A resource API (dropshot, loopback only) with If-Match, Idempotency-Key and refusals that say 'not applied' or 'unknown'. Balancers put the agreed document in force; agents follow any balancer and look at the platform only until one has an agreed document. Not there yet: TLS and tokens, keyed frames, deltas to followers, a way back after losing a majority, two-step changes.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 use weirhinge_config::{AgentSettings, ConfigDocument, HashKey};
 use weirhinge_observe::{BoundAddresses, Health, HealthSource, Metrics, start_admin};
-use weirhinge_platform::{ConfigFollower, ConfigFreshness, FollowerLog};
+use weirhinge_platform::{ConfigFollower, ConfigFreshness, FollowerLog, Following};
 use weirhinge_routing::HolderHint;
 use weirhinge_wire::decode;
 
@@ -111,11 +111,12 @@
     let _ = socket2::SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BUFFER);
     let admin = start_admin(settings.admin, health, declared.freeze(), &log)?;
     info!(log, "agent: Started."; "data" => %data, "admin" => %admin.address());
-    ready(BoundAddresses { data, admin: admin.address() });
+    ready(BoundAddresses { data, admin: admin.address(), control: None, api: None });
 
     let (documents, new_documents) = mpsc::unbounded_channel();
     let follower = ConfigFollower {
         platform: settings.platform,
+        following: Following::Balancers,
         freshness,
         errors: metrics.platform_errors.clone(),
         log: FollowerLog { log: log.clone(), part: "agent" },
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -7,12 +7,14 @@
 use arc_swap::ArcSwap;
 use eyre::{WrapErr, eyre};
 use slog::{Logger, info};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use weirhinge_config::{BalancerSettings, ConfigDocument, HashKey};
+use weirhinge_control::{ControlOptions, start_control};
 use weirhinge_observe::{BoundAddresses, Health, HealthSource, Metrics, start_admin};
-use weirhinge_platform::{ConfigFollower, ConfigFreshness, FollowerLog};
+use weirhinge_platform::{ConfigFollower, ConfigFreshness, FollowerLog, Following};
 use weirhinge_routing::RoutingTable;
 
+use crate::api::start_api;
 use crate::data_path::{DataPath, RECEIVE_TIMEOUT};
 use crate::metrics::BalancerMetrics;
 
@@ -74,18 +76,37 @@
         batch: settings.batch,
     };
     let ended = start_data_path(data_path)?;
-    info!(log, "balancer: Started."; "data" => %data, "admin" => %admin.address());
-    ready(BoundAddresses { data, admin: admin.address() });
+    let (base, followed_base) = watch::channel(Arc::new(ConfigDocument::default()));
+    let control_options = ControlOptions {
+        listen: settings.control,
+        zone: settings.zone.clone(),
+        platform: settings.platform,
+        founds: settings.found_group,
+    };
+    let control = start_control(control_options, followed_base.clone(), log.clone()).await?;
+    let api = start_api(settings.api, control.clone(), &log)?;
+    info!(log, "balancer: Started."; "data" => %data, "admin" => %admin.address(),
+        "control" => %control.address, "api" => %api.address());
+    ready(BoundAddresses {
+        data,
+        admin: admin.address(),
+        control: Some(control.address),
+        api: Some(api.address()),
+    });
 
     let follower = ConfigFollower {
         platform: settings.platform,
+        following: Following::Platform,
         freshness,
         errors: metrics.platform_errors.clone(),
         log: FollowerLog { log: log.clone(), part: "balancer" },
     };
-    let revision = metrics.revision.clone();
     let follow = follower.run(move |document| {
-        let next = table.load().rebuild(&document);
+        base.send_replace(document);
+    });
+    let revision = metrics.revision.clone();
+    let put_in_force = put_in_force(followed_base, control.document(), move |document| {
+        let next = table.load().rebuild(document);
         table.store(Arc::new(next));
         revision.set(i64::try_from(document.revision).unwrap_or(i64::MAX));
     });
@@ -97,6 +118,7 @@
     };
     tokio::select! {
         () = follow => Err(eyre!("follow configuration: ended unexpectedly")),
+        () = put_in_force => Err(eyre!("put configuration in force: ended unexpectedly")),
         () = stopped => Err(eyre!("planned stop: ended unexpectedly")),
         result = ended => {
             result.wrap_err("data path: thread ended without a result")??;
@@ -106,6 +128,35 @@
     }
 }
 
+/// Puts the agreed document in force once there is one, the platform's until
+/// then; never one with a lower revision than before.
+async fn put_in_force(
+    mut base: watch::Receiver<Arc<ConfigDocument>>,
+    mut agreed: watch::Receiver<Arc<ConfigDocument>>,
+    mut apply: impl FnMut(&ConfigDocument),
+) {
+    let mut in_force = 0;
+    loop {
+        let newest = {
+            let agreed = agreed.borrow_and_update().clone();
+            let base = base.borrow_and_update().clone();
+            if agreed.revision > 0 { agreed } else { base }
+        };
+        if newest.revision > in_force {
+            in_force = newest.revision;
+            apply(&newest);
+        }
+        // Both senders live as long as the daemon.
+        let changed = tokio::select! {
+            changed = base.changed() => changed,
+            changed = agreed.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
 fn bind_data_socket(address: SocketAddr) -> eyre::Result<std::net::UdpSocket> {
     let socket = std::net::UdpSocket::bind(address)
         .wrap_err_with(|| format!("bind data socket at {address}"))?;
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -155,6 +155,14 @@
         Ok(document)
     }
 
+    /// Checks every service, every target and how they refer to each other.
+    ///
+    /// # Errors
+    /// Names the first field that cannot be used.
+    pub fn check(&self, origin: &str) -> Result<(), ConfigError> {
+        validate::check_document(origin, self)
+    }
+
     /// Checks that this document may follow `previous`: a target never changes
     /// its service, or its open flows would end at the wrong one.
     ///
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -24,6 +24,13 @@
     pub keys_file: String,
     /// Most packets that one system call receives or sends; 1 turns batching off.
     pub batch: usize,
+    /// TCP address at which other balancers talk about the configuration.
+    pub control: SocketAddr,
+    /// TCP address of the resource API; loopback only.
+    pub api: SocketAddr,
+    /// Whether this balancer founds a group when it finds none. Set on one
+    /// balancer of a deployment, once.
+    pub found_group: bool,
 }
 
 /// Settings of `weirhinge agent`.
@@ -83,6 +90,12 @@
     pub keys_file: Option<String>,
     /// See [`BalancerSettings::batch`].
     pub batch: Option<u64>,
+    /// See [`BalancerSettings::control`].
+    pub control: Option<String>,
+    /// See [`BalancerSettings::api`].
+    pub api: Option<String>,
+    /// See [`BalancerSettings::found_group`].
+    pub found_group: Option<bool>,
     /// See [`AgentSettings::fabric`].
     pub fabric: Option<String>,
     /// See [`AgentSettings::target`].
@@ -124,6 +137,9 @@
             platform: flags.platform.or(self.platform),
             keys_file: flags.keys_file.or(self.keys_file),
             batch: flags.batch.or(self.batch),
+            control: flags.control.or(self.control),
+            api: flags.api.or(self.api),
+            found_group: flags.found_group.or(self.found_group),
             fabric: flags.fabric.or(self.fabric),
             target: flags.target.or(self.target),
             half_open_limit: flags.half_open_limit.or(self.half_open_limit),
@@ -141,6 +157,9 @@
             number(file, "batch", self.batch, DEFAULT_BATCH as u64, 1, MAXIMUM_BATCH as u64)?;
         refuse_field(file, "fabric", self.fabric.is_some())?;
         refuse_field(file, "target", self.target.is_some())?;
+        let control = address(file, "control", self.control.as_deref(), Some(DEFAULT_LISTEN))?;
+        let api = address(file, "api", self.api.as_deref(), Some(DEFAULT_LISTEN))?;
+        let found_group = self.found_group.unwrap_or(false);
         let common = self.common(file, "balancer")?;
         Ok(BalancerSettings {
             name: common.name,
@@ -150,6 +169,9 @@
             platform: common.platform,
             keys_file: common.keys_file,
             batch: batch as usize,
+            control,
+            api,
+            found_group,
         })
     }
 
@@ -159,6 +181,9 @@
     /// Names the first field that is missing or cannot be used.
     pub fn into_agent(self, file: &str) -> Result<AgentSettings, ConfigError> {
         refuse_field(file, "batch", self.batch.is_some())?;
+        refuse_field(file, "control", self.control.is_some())?;
+        refuse_field(file, "api", self.api.is_some())?;
+        refuse_field(file, "found_group", self.found_group.is_some())?;
         let fabric = address(file, "fabric", self.fabric.as_deref(), None)?;
         let target = self.target.ok_or_else(|| missing(file, "target", "a target's id"))?;
         check_bounds(file, "target", target, 0, u64::from(MAXIMUM_TARGET_ID))?;
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -1,5 +1,7 @@
 //! The log of one replica: a snapshot and the entries after it.
 
+use serde::{Deserialize, Serialize};
+
 use crate::node::ReplicaId;
 
 /// A term of office; at most one leader in each.
@@ -17,7 +19,7 @@
 }
 
 /// What an entry says.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload<C> {
     /// Nothing; a new leader commits one such entry first.
     Nothing,
@@ -28,7 +30,7 @@
 }
 
 /// One entry of the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry<C> {
     /// The term in which a leader created it.
     pub term: Term,
@@ -37,7 +39,7 @@
 }
 
 /// The state after all entries up to an index.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot<M> {
     /// The last index that the snapshot covers.
     pub index: Index,
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -1,10 +1,16 @@
 //! What replicas say to each other.
 
+use serde::{Deserialize, Serialize};
+
 use crate::log::{Entry, Index, Machine, Snapshot, Term};
 use crate::node::ReplicaId;
 
 /// A message with its ends.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(bound(
+    serialize = "M: serde::Serialize, M::Command: serde::Serialize",
+    deserialize = "M: serde::de::DeserializeOwned, M::Command: serde::de::DeserializeOwned"
+))]
 pub struct Envelope<M: Machine> {
     /// Who sends.
     pub from: ReplicaId,
@@ -15,7 +21,11 @@
 }
 
 /// What one replica says to another.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(bound(
+    serialize = "M: serde::Serialize, M::Command: serde::Serialize",
+    deserialize = "M: serde::de::DeserializeOwned, M::Command: serde::de::DeserializeOwned"
+))]
 pub enum Message<M: Machine> {
     /// Would you vote for me in this term? Changes nothing at the receiver.
     PreVote {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -9,7 +9,9 @@
 use crate::message::{Envelope, Message};
 
 /// Identifies one start of one process; drawn at random, never used again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 pub struct ReplicaId(pub u64);
 
 impl fmt::Display for ReplicaId {
@@ -312,6 +314,11 @@
         self.learners.insert(id);
     }
 
+    /// Stops sending to every learner that is not among these.
+    pub fn keep_learners(&mut self, ids: &[ReplicaId]) {
+        self.learners.retain(|id| ids.contains(id));
+    }
+
     /// Stops sending to a learner.
     pub fn remove_learner(&mut self, id: ReplicaId) {
         self.learners.remove(&id);
--- a/crates/observe/src/admin.rs
+++ b/crates/observe/src/admin.rs
@@ -19,12 +19,16 @@
 const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// The addresses at which a started daemon can be reached.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct BoundAddresses {
     /// UDP address of the data path.
     pub data: SocketAddr,
     /// TCP address of health and metrics.
     pub admin: SocketAddr,
+    /// TCP address for other balancers; none for agents.
+    pub control: Option<SocketAddr>,
+    /// TCP address of the resource API; none for agents.
+    pub api: Option<SocketAddr>,
 }
 
 /// What a daemon says about its health.
--- a/crates/platform/src/follower.rs
+++ b/crates/platform/src/follower.rs
@@ -10,7 +10,7 @@
 use weirhinge_config::ConfigDocument;
 use weirhinge_observe::ReasonCounters;
 
-use crate::watch::{WatchEvent, WatchOutcome, run_watch};
+use crate::watch::{Following, WatchEvent, WatchOutcome, run_watch};
 
 /// When the platform last confirmed the configuration in force.
 #[derive(Debug)]
@@ -54,6 +54,8 @@
 pub struct ConfigFollower {
     /// The platform's address.
     pub platform: SocketAddr,
+    /// Whom to poll.
+    pub following: Following,
     /// Updated by every confirmation.
     pub freshness: Arc<ConfigFreshness>,
     /// Counts polls without use.
@@ -66,7 +68,7 @@
     /// Polls the platform until dropped; calls `apply` with each newer document.
     pub async fn run(self, mut apply: impl FnMut(Arc<ConfigDocument>)) {
         let mut was_failing = false;
-        run_watch(self.platform, |event| {
+        run_watch(self.platform, self.following, |event| {
             let failing = self.report(event, was_failing, &mut apply);
             was_failing = failing;
         })
@@ -95,7 +97,7 @@
             WatchEvent::Served(WatchOutcome::Stale { served, in_force }) => {
                 self.errors.increment("stale");
                 if !was_failing {
-                    warn!(log, "{}: Platform serves an older configuration.", part;
+                    warn!(log, "{}: An older configuration is served.", part;
                         "served" => served, "in_force" => in_force);
                 }
                 true
@@ -103,7 +105,7 @@
             WatchEvent::Served(WatchOutcome::Invalid(error)) => {
                 self.errors.increment("invalid");
                 if !was_failing {
-                    warn!(log, "{}: Platform serves an invalid configuration.", part;
+                    warn!(log, "{}: An invalid configuration is served.", part;
                         "error" => %error);
                 }
                 true
@@ -111,7 +113,7 @@
             WatchEvent::Failed(error) => {
                 self.errors.increment("unreachable");
                 if !was_failing {
-                    warn!(log, "{}: Platform cannot be read.", part; "error" => %error);
+                    warn!(log, "{}: Configuration cannot be read.", part; "error" => %error);
                 }
                 true
             }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,9 +8,9 @@
 mod follower;
 mod watch;
 
-pub use client::{FetchError, Fetched, fetch};
+pub use client::{Answer, FetchError, Fetched, fetch, send};
 pub use follower::{ConfigFollower, ConfigFreshness, FollowerLog};
-pub use watch::{ConfigWatch, WatchEvent, WatchOutcome, run_watch};
+pub use watch::{ConfigWatch, Following, SourceKind, WatchEvent, WatchOutcome, run_watch};
 
 /// Path of the configuration document on the platform.
 pub const CONFIGURATION_PATH: &str = "/v1/configuration";
--- a/crates/platform/tests/watch.rs
+++ b/crates/platform/tests/watch.rs
@@ -1,6 +1,6 @@
 //! A stale or invalid platform never reverts what is in force.
 
-use weirhinge_platform::{ConfigWatch, WatchOutcome};
+use weirhinge_platform::{ConfigWatch, SourceKind, WatchOutcome};
 
 fn document(revision: u64, service_of_target: u32) -> Vec<u8> {
     let service = |id: u32, last: u32| {
@@ -26,19 +26,35 @@
 #[test]
 fn revisions_only_grow() {
     let mut watch = ConfigWatch::default();
-    assert_eq!(revision(watch.consider("p", &document(3, 1))), Some(3));
-    assert_eq!(watch.consider("p", &document(3, 1)), WatchOutcome::Current);
+    assert_eq!(revision(watch.consider(SourceKind::Platform, "p", &document(3, 1))), Some(3));
+    assert_eq!(watch.consider(SourceKind::Platform, "p", &document(3, 1)), WatchOutcome::Current);
     let stale = WatchOutcome::Stale { served: 2, in_force: 3 };
-    assert_eq!(watch.consider("p", &document(2, 1)), stale);
-    assert_eq!(revision(watch.consider("p", &document(7, 1))), Some(7));
+    assert_eq!(watch.consider(SourceKind::Platform, "p", &document(2, 1)), stale);
+    assert_eq!(revision(watch.consider(SourceKind::Platform, "p", &document(7, 1))), Some(7));
 }
 
 #[test]
 fn invalid_documents_change_nothing() {
     let mut watch = ConfigWatch::default();
-    watch.consider("p", &document(3, 1));
-    assert!(matches!(watch.consider("p", b"{"), WatchOutcome::Invalid(_)));
-    assert!(matches!(watch.consider("p", &document(4, 9)), WatchOutcome::Invalid(_)));
-    assert!(matches!(watch.consider("p", &document(4, 2)), WatchOutcome::Invalid(_)));
-    assert_eq!(revision(watch.consider("p", &document(4, 1))), Some(4));
+    watch.consider(SourceKind::Platform, "p", &document(3, 1));
+    assert!(matches!(watch.consider(SourceKind::Platform, "p", b"{"), WatchOutcome::Invalid(_)));
+    assert!(matches!(
+        watch.consider(SourceKind::Platform, "p", &document(4, 9)),
+        WatchOutcome::Invalid(_)
+    ));
+    assert!(matches!(
+        watch.consider(SourceKind::Platform, "p", &document(4, 2)),
+        WatchOutcome::Invalid(_)
+    ));
+    assert_eq!(revision(watch.consider(SourceKind::Platform, "p", &document(4, 1))), Some(4));
+}
+
+#[test]
+fn an_agreed_document_stands_against_any_of_the_platform() {
+    let mut watch = ConfigWatch::default();
+    assert_eq!(revision(watch.consider(SourceKind::Platform, "p", &document(3, 1))), Some(3));
+    assert_eq!(revision(watch.consider(SourceKind::Balancer, "b", &document(4, 1))), Some(4));
+    let ignored = watch.consider(SourceKind::Platform, "p", &document(9, 1));
+    assert_eq!(ignored, WatchOutcome::Current);
+    assert_eq!(revision(watch.consider(SourceKind::Balancer, "b", &document(5, 1))), Some(5));
 }
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -197,6 +197,10 @@
         let is_stale = number < self.scenario.stale_balancers;
         let platform = if is_stale { &self.lagging_platform } else { &self.platform };
         let arguments = self.common_arguments("balancer", &name, &zone, platform);
+        let mut arguments = arguments;
+        if self.scenario.agreement && number == 0 {
+            arguments.push("--found-group".to_owned());
+        }
         let process = self.program.start(&name, &arguments).await?;
         self.zones.set(process.addresses.data, &zone);
         self.balancers.push(Balancer { process, zone, state: Presence::Listed });
@@ -224,6 +228,8 @@
                 name: balancer.process.name.clone(),
                 zone: balancer.zone.clone(),
                 address: balancer.process.addresses.data,
+                control: balancer.process.addresses.control,
+                api: balancer.process.addresses.api,
                 state: MachineState::Live,
             })
             .collect();
--- a/crates/rehearsal/src/processes.rs
+++ b/crates/rehearsal/src/processes.rs
@@ -36,6 +36,12 @@
     pub data: SocketAddr,
     /// TCP address of health and metrics.
     pub admin: SocketAddr,
+    /// TCP address for other balancers; none for agents.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
+    /// TCP address of the resource API; none for agents.
+    #[serde(default)]
+    pub api: Option<SocketAddr>,
 }
 
 /// One running process; killed when dropped.
--- a/crates/rehearsal/src/scale/followers.rs
+++ b/crates/rehearsal/src/scale/followers.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use weirhinge_platform::{WatchEvent, WatchOutcome, run_watch};
+use weirhinge_platform::{Following, WatchEvent, WatchOutcome, run_watch};
 
 use super::{ProcessUsage, document_of_size};
 use crate::standin::platform::Platform;
@@ -78,7 +78,7 @@
     applied: mpsc::UnboundedSender<u64>,
     polls: Arc<AtomicUsize>,
 ) {
-    run_watch(platform, |event| {
+    run_watch(platform, Following::Platform, |event| {
         polls.fetch_add(1, Ordering::Relaxed);
         if let WatchEvent::Served(WatchOutcome::Apply(document)) = event {
             // The measurement may have ended already.
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -26,6 +26,10 @@
     pub zones: Vec<String>,
     /// Number of balancers, spread over the zones in turn.
     pub balancers: usize,
+    /// Whether balancers agree on the configuration; changes then go through
+    /// their API instead of the platform.
+    #[serde(default)]
+    pub agreement: bool,
     /// How many of the first balancers read a platform that lags.
     #[serde(default)]
     pub stale_balancers: usize,
--- /dev/null
+++ b/crates/rehearsal/tests/agreement.rs
@@ -0,0 +1,252 @@
+//! Real balancers agree on the configuration: writes through any of them are in
+//! force everywhere and never revert, while leaders die, every machine is
+//! replaced, and the platform goes stale or away.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::{Method, Request, StatusCode};
+use serde_json::Value;
+use weirhinge_platform::{Answer, Fetched, fetch, send};
+use weirhinge_rehearsal::fleet::{Fleet, FleetOptions};
+use weirhinge_rehearsal::history::History;
+use weirhinge_rehearsal::scenario::Scenario;
+use weirhinge_rehearsal::standin::platform::PlatformMode;
+
+const FLEET: &str = r#"
+description = "agreement"
+seconds = 1
+zones = ["one", "two", "three"]
+balancers = 5
+agreement = true
+[network]
+client_delay_ms = 0.5
+zone_delay_ms = 0.5
+fabric_lag_ms = 100
+[[services]]
+name = "approvals"
+address = "203.0.113.10"
+port = 8443
+targets = 3
+slots = 4
+connections = 100
+service_ms = 50.0
+load = 0.0
+"#;
+
+/// How long to wait for something that must come to be. Long, so that a slow
+/// machine gives the same verdict; the time itself is no part of it.
+const PATIENCE: Duration = Duration::from_secs(60);
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+struct Group {
+    fleet: Fleet,
+    alive: Vec<usize>,
+}
+
+impl Group {
+    async fn start() -> Self {
+        let scenario = Scenario::from_toml("test", FLEET).expect("sound");
+        let options = FleetOptions { seed: 3, candidates: 3, logs: None, plant: None };
+        let history = History::new().expect("history");
+        let fleet = Fleet::start(&scenario, &options, &history).await.expect("fleet");
+        let group = Self { fleet, alive: (0..5).collect() };
+        group.wait_for_voters(5).await;
+        group
+    }
+
+    fn api(&self, balancer: usize) -> SocketAddr {
+        self.fleet.balancers[balancer].process.addresses.api.expect("an API")
+    }
+
+    async fn status(&self, balancer: usize) -> Option<Value> {
+        let answer = fetch(self.api(balancer), "/v1/status", None, REQUEST_TIMEOUT).await;
+        match answer {
+            Ok(Fetched::Body { bytes, .. }) => serde_json::from_slice(&bytes).ok(),
+            _ => None,
+        }
+    }
+
+    async fn leader(&self) -> Option<usize> {
+        for &balancer in &self.alive {
+            if let Some(status) = self.status(balancer).await
+                && status["leads"] == true
+            {
+                return Some(balancer);
+            }
+        }
+        None
+    }
+
+    /// Waits until a leader counts this many voters, all of them living.
+    async fn wait_for_voters(&self, count: usize) {
+        let deadline = Instant::now() + PATIENCE;
+        while Instant::now() < deadline {
+            if let Some(leader) = self.leader().await
+                && let Some(status) = self.status(leader).await
+            {
+                let voters = status["voters"].as_array().expect("voters").clone();
+                let mut living = Vec::new();
+                for &balancer in &self.alive {
+                    if let Some(status) = self.status(balancer).await {
+                        living.push(status["replica"].clone());
+                    }
+                }
+                if voters.len() == count && voters.iter().all(|voter| living.contains(voter)) {
+                    return;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        panic!("no leader with {count} living voters");
+    }
+
+    async fn write(
+        &self,
+        balancer: usize,
+        weight: u32,
+        key: &str,
+        expected: Option<u64>,
+    ) -> Option<Answer> {
+        let mut target = self.fleet.platform.document().targets[0].clone();
+        target.weight = weight;
+        let body = serde_json::to_vec(&target).expect("JSON");
+        let mut request = Request::builder()
+            .method(Method::PUT)
+            .uri("/v1/targets/0")
+            .header("idempotency-key", key);
+        if let Some(expected) = expected {
+            request = request.header("if-match", format!("\"{expected}\""));
+        }
+        send(self.api(balancer), request, body.into(), REQUEST_TIMEOUT).await.ok()
+    }
+
+    /// Writes until the write is accepted, always with the same key, as an
+    /// operator would after a time-out; returns its revision.
+    async fn write_until_accepted(&self, weight: u32, key: &str) -> u64 {
+        let deadline = Instant::now() + PATIENCE;
+        let mut turn = 0;
+        while Instant::now() < deadline {
+            let balancer = self.alive[turn % self.alive.len()];
+            turn += 1;
+            if let Some(answer) = self.write(balancer, weight, key, None).await
+                && answer.status == StatusCode::OK
+            {
+                return revision_of(&answer);
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        panic!("write {key} was not accepted");
+    }
+
+    /// Waits until every living balancer and every agent has this revision, and
+    /// fails if one ever goes back.
+    async fn wait_in_force(&self, revision: u64) {
+        let balancers = self.alive.iter().map(|&one| &self.fleet.balancers[one].process);
+        let admins: Vec<SocketAddr> =
+            balancers.chain(&self.fleet.agents).map(|process| process.addresses.admin).collect();
+        let deadline = Instant::now() + PATIENCE;
+        for admin in admins {
+            let mut highest = 0;
+            loop {
+                let current = health_revision(admin).await;
+                assert!(current >= highest, "{admin} went from {highest} back to {current}");
+                highest = current;
+                if current >= revision {
+                    break;
+                }
+                assert!(Instant::now() < deadline, "{admin} stays at {current}, not {revision}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    async fn kill(&mut self, balancer: usize) {
+        self.fleet.balancers[balancer].process.kill().await;
+        self.fleet.remove_from_list(balancer);
+        self.alive.retain(|&one| one != balancer);
+    }
+
+    async fn add(&mut self) {
+        let number = self.fleet.start_balancer().await.expect("balancer");
+        self.fleet.publish_machines();
+        self.alive.push(number);
+    }
+}
+
+async fn health_revision(admin: SocketAddr) -> u64 {
+    match fetch(admin, "/health", None, REQUEST_TIMEOUT).await {
+        Ok(Fetched::Body { bytes, .. }) => {
+            let health: Value = serde_json::from_slice(&bytes).expect("JSON");
+            health["revision"].as_u64().expect("a revision")
+        }
+        other => panic!("health of {admin}: {other:?}"),
+    }
+}
+
+fn revision_of(answer: &Answer) -> u64 {
+    let body: Value = serde_json::from_slice(&answer.body).expect("JSON");
+    body["revision"].as_u64().expect("a revision")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_writes_are_in_force_everywhere_and_survive_the_leader() {
+    let mut group = Group::start().await;
+    let first = group.write_until_accepted(50, "first").await;
+    group.wait_in_force(first).await;
+
+    let leader = group.leader().await.expect("a leader");
+    group.kill(leader).await;
+    let second = group.write_until_accepted(60, "second").await;
+    assert!(second > first);
+    group.wait_in_force(second).await;
+
+    // The platform's document is older than what was agreed on, or away.
+    group.fleet.platform.set_mode(PlatformMode::Stale);
+    let third = group.write_until_accepted(70, "third").await;
+    group.wait_in_force(third).await;
+    group.fleet.platform.set_mode(PlatformMode::Down);
+    let fourth = group.write_until_accepted(80, "fourth").await;
+    group.wait_in_force(fourth).await;
+    group.wait_in_force(fourth).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn writers_race_repeat_and_err_without_harm() {
+    let group = Group::start().await;
+    let base = group.write_until_accepted(50, "base").await;
+    let (one, other) = tokio::join!(
+        group.write(0, 51, "one", Some(base)),
+        group.write(3, 52, "other", Some(base))
+    );
+    let mut statuses = [one.expect("answer").status, other.expect("answer").status];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [StatusCode::OK, StatusCode::PRECONDITION_FAILED]);
+
+    let again = group.write_until_accepted(50, "base").await;
+    assert_eq!(again, base, "a repeated write finds its first outcome");
+
+    let invalid = group.write(2, 0, "invalid", None).await.expect("answer");
+    assert_eq!(invalid.status, StatusCode::BAD_REQUEST);
+    let text = String::from_utf8_lossy(&invalid.body).into_owned();
+    assert!(text.contains("not applied") && text.contains("weight"), "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_machine_is_replaced_and_nothing_is_lost() {
+    let mut group = Group::start().await;
+    let mut latest = group.write_until_accepted(50, "start").await;
+    for round in 0..5 {
+        group.add().await;
+        group.kill(round).await;
+        let key = format!("round-{round}");
+        let revision = group.write_until_accepted(60 + round as u32, &key).await;
+        assert!(revision > latest, "{revision} after {latest}");
+        latest = revision;
+        group.wait_for_voters(5).await;
+    }
+    assert!(group.alive.iter().all(|&balancer| balancer >= 5), "none of the first is left");
+    group.wait_in_force(latest).await;
+    let repeated = group.write_until_accepted(50, "start").await;
+    assert!(repeated < latest, "the first write's outcome is still known: {repeated}");
+}
--- a/crates/weirhinge/src/cli/balancer.rs
+++ b/crates/weirhinge/src/cli/balancer.rs
@@ -12,6 +12,9 @@
   weirhinge balancer [OPTIONS]
 
 OPTIONS:
+  --control IP:PORT          TCP address for other balancers  [default: 127.0.0.1:0]
+  --api IP:PORT              TCP address of the resource API, loopback only  [default: 127.0.0.1:0]
+  --found-group              Found a group if none is found; on one balancer, once
   --batch N                  Most packets per system call, 1 to 256  [default: 32]
 ";
 
@@ -23,6 +26,9 @@
     }
     let options = read_options(arguments, |arguments, flags| {
         flags.batch = option(arguments, "--batch")?;
+        flags.control = option(arguments, "--control")?;
+        flags.api = option(arguments, "--api")?;
+        flags.found_group = arguments.contains("--found-group").then_some(true);
         Ok(())
     })?;
     let settings = options.settings.into_balancer(&options.origin).map_err(CliFailure::usage)?;
--- a/crates/weirhinge/src/cli/daemon.rs
+++ b/crates/weirhinge/src/cli/daemon.rs
@@ -157,8 +157,8 @@
 /// that it is ready and where.
 pub fn print_ready(addresses: BoundAddresses) {
     let mut output = std::io::stdout().lock();
-    let line =
-        format!(r#"{{"ready":{{"data":"{}","admin":"{}"}}}}"#, addresses.data, addresses.admin);
+    // Addresses always have a JSON form.
+    let line = serde_json::json!({ "ready": addresses });
     // Nobody may be reading; the daemon runs all the same.
     let _ = writeln!(output, "{line}").and_then(|()| output.flush());
 }
