Route a write to whoever leads, until it is answered

Change: the balancer keeps the write and sends it to each next leader; its idempotency key keeps it from running twice.

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -31,7 +31,7 @@
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a founder looks for an existing group before it founds one.
 const FOUNDING_DELAY: Duration = Duration::from_secs(2);
-/// Longest that a write may wait for its commit.
+/// Longest that a write may wait for its commit, over all leaders.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest that reading the machine list may take.
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
@@ -115,10 +115,8 @@
         let (answer, answered) = oneshot::channel();
         let pending = PendingWrite { command, answer };
         self.writes.send(pending).await.map_err(|_| WriteError::NoLeader)?;
-        match tokio::time::timeout(WRITE_TIMEOUT, answered).await {
-            Ok(Ok(result)) => result,
-            Ok(Err(_)) | Err(_) => Err(WriteError::Unknown),
-        }
+        // The replica answers every write within its time-out.
+        answered.await.unwrap_or(Err(WriteError::Unknown))
     }
 
     /// The replica's status.
@@ -140,11 +138,22 @@
     reply: Reply,
 }
 
+/// Whom the leader answers.
 enum Reply {
-    Local(oneshot::Sender<Result<Outcome, WriteError>>),
+    Local { ticket: u64 },
     Remote { to: SocketAddr, ticket: u64 },
 }
 
+/// A write that came to this balancer's API, until it is answered. It goes to
+/// whoever leads; its key keeps it from running twice when leaders change.
+struct OwnWrite {
+    command: ConfigCommand,
+    answer: oneshot::Sender<Result<Outcome, WriteError>>,
+    sent_to: Option<ReplicaId>,
+    was_sent: bool,
+    since: Instant,
+}
+
 struct Driver {
     options: ControlOptions,
     log: Logger,
@@ -157,7 +166,7 @@
     senders: Senders,
     started: Instant,
     waiting: Vec<Waiting>,
-    forwarded: HashMap<u64, oneshot::Sender<Result<Outcome, WriteError>>>,
+    own_writes: HashMap<u64, OwnWrite>,
     next_ticket: u64,
     base: watch::Receiver<Arc<ConfigDocument>>,
     document: watch::Sender<Arc<ConfigDocument>>,
@@ -198,7 +207,7 @@
         senders: Senders::default(),
         started: Instant::now(),
         waiting: Vec::new(),
-        forwarded: HashMap::new(),
+        own_writes: HashMap::new(),
         next_ticket: 0,
         base,
         document,
@@ -232,6 +241,7 @@
                         self.say_hello();
                     }
                     self.tick();
+                    self.route_own_writes();
                 }
                 Some(frame) = frames.recv() => self.handle_frame(frame),
                 Some(write) = writes.recv() => self.handle_write(write),
@@ -367,32 +377,67 @@
             FrameBody::Write { ticket, command } => {
                 self.propose(command, Reply::Remote { to: from, ticket });
             }
-            FrameBody::WriteAnswer { ticket, answer } => {
-                if let Some(waiting) = self.forwarded.remove(&ticket) {
-                    // The writer may have given up.
-                    let _ = waiting.send(answer);
-                }
-            }
+            FrameBody::WriteAnswer { ticket, answer } => self.handle_write_answer(ticket, answer),
         }
     }
 
     fn handle_write(&mut self, write: PendingWrite) {
         let PendingWrite { command, answer } = write;
+        self.next_ticket += 1;
+        let own =
+            OwnWrite { command, answer, sent_to: None, was_sent: false, since: Instant::now() };
+        self.own_writes.insert(self.next_ticket, own);
+        self.route_own_writes();
+    }
+
+    /// Sends every own write to the leader of the moment, unless it is there,
+    /// and gives up on those that have waited too long.
+    fn route_own_writes(&mut self) {
         let leader = self.node.as_ref().and_then(Node::leader);
-        if leader == Some(self.id) {
-            return self.propose(command, Reply::Local(answer));
+        let tickets: Vec<u64> = self.own_writes.keys().copied().collect();
+        for ticket in tickets {
+            let Some(own) = self.own_writes.get_mut(&ticket) else {
+                continue;
+            };
+            if own.since.elapsed() >= WRITE_TIMEOUT {
+                // What was never sent has certainly not been applied.
+                let error = if own.was_sent { WriteError::Unknown } else { WriteError::NoLeader };
+                self.finish_own_write(ticket, Err(error));
+                continue;
+            }
+            let Some(leader) = leader.filter(|&leader| own.sent_to != Some(leader)) else {
+                continue;
+            };
+            own.sent_to = Some(leader);
+            own.was_sent = true;
+            let command = own.command.clone();
+            if leader == self.id {
+                self.propose(command, Reply::Local { ticket });
+            } else if let Some(address) = self.peers.address(leader) {
+                let frame = self.frame(FrameBody::Write { ticket, command });
+                self.senders.send(address, &frame);
+            }
         }
-        let Some(address) = leader.and_then(|leader| self.peers.address(leader)) else {
+    }
+
+    fn finish_own_write(&mut self, ticket: u64, result: Result<Outcome, WriteError>) {
+        if let Some(own) = self.own_writes.remove(&ticket) {
             // The writer may have given up.
-            let _ = answer.send(Err(WriteError::NoLeader));
-            return;
-        };
-        self.next_ticket += 1;
-        let ticket = self.next_ticket;
-        self.forwarded.retain(|_, waiting| !waiting.is_closed());
-        self.forwarded.insert(ticket, answer);
-        let frame = self.frame(FrameBody::Write { ticket, command });
-        self.senders.send(address, &frame);
+            let _ = own.answer.send(result);
+        }
+    }
+
+    /// Takes in a leader's answer. One that led no more is asked no longer; the
+    /// write goes to the next leader.
+    fn handle_write_answer(&mut self, ticket: u64, answer: Result<Outcome, WriteError>) {
+        match answer {
+            Ok(outcome) => self.finish_own_write(ticket, Ok(outcome)),
+            Err(_) => {
+                if let Some(own) = self.own_writes.get_mut(&ticket) {
+                    own.sent_to = None;
+                }
+            }
+        }
     }
 
     fn propose(&mut self, command: ConfigCommand, reply: Reply) {
@@ -439,8 +484,7 @@
 
     fn reply(&mut self, reply: Reply, result: Result<Outcome, WriteError>) {
         match reply {
-            // The writer may have given up.
-            Reply::Local(answer) => drop(answer.send(result)),
+            Reply::Local { ticket } => self.handle_write_answer(ticket, result),
             Reply::Remote { to, ticket } => {
                 let frame = self.frame(FrameBody::WriteAnswer { ticket, answer: result });
                 self.senders.send(to, &frame);
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -256,6 +256,16 @@
         self.fabric.set_members(members);
     }
 
+    /// The admin addresses of the balancers that are on the machine list.
+    pub fn balancer_admins(&self) -> Vec<SocketAddr> {
+        self.listed().map(|balancer| balancer.process.addresses.admin).collect()
+    }
+
+    /// The admin addresses of all agents.
+    pub fn agent_admins(&self) -> Vec<SocketAddr> {
+        self.agents.iter().map(|agent| agent.addresses.admin).collect()
+    }
+
     /// The admin addresses of all processes, dead ones too.
     pub fn admin_addresses(&self) -> Vec<SocketAddr> {
         let balancers = self.balancers.iter().map(|balancer| &balancer.process);
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`scenario`] describes a rehearsal, [`run`] carries it out, [`history`]
 //! records what callers and back ends saw, and [`verdict`] judges it.
 
+pub mod agreement;
 pub mod bench;
 pub mod faults;
 pub mod fleet;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
+use weirhinge_rehearsal::agreement::measure_agreement;
 use weirhinge_rehearsal::bench::{ForwardingRound, measure_forwarding};
 use weirhinge_rehearsal::fleet::FleetOptions;
 use weirhinge_rehearsal::report;
@@ -22,6 +23,7 @@
   rehearse check FILE               Check a scenario file
   rehearse bench [OPTIONS]          Compare the balancer with a bare UDP relay
   rehearse simulate [OPTIONS]       Compare policies and schemes in simulated time
+  rehearse agreement                Measure writes to the configuration and leaders' deaths
   rehearse scale                    Measure the slopes behind docs/CAPACITY.md
 
 OPTIONS OF run:
@@ -70,7 +72,8 @@
         Some("check") => check(arguments),
         Some("bench") => bench(arguments),
         Some("simulate") => simulate_policies(arguments),
-        Some("scale") => Ok(scale()),
+        Some("scale") => Ok(measure(measure_scale())),
+        Some("agreement") => Ok(measure(print_agreement())),
         _ => Err(format!("expected a command\n\n{HELP}")),
     };
     outcome.unwrap_or_else(|reason| {
@@ -177,10 +180,14 @@
 /// Hollow daemons that are measured.
 const DAEMONS: [usize; 4] = [125, 250, 500, 1_000];
 
-fn scale() -> ExitCode {
+/// Writes, and deaths of leaders, that are measured.
+const AGREEMENT: (usize, usize) = (40, 4);
+
+/// Runs a measurement that prints its own results.
+fn measure(measurement: impl Future<Output = eyre::Result<()>>) -> ExitCode {
     let measured = tokio::runtime::Runtime::new()
         .map_err(eyre::Report::from)
-        .and_then(|runtime| runtime.block_on(measure_scale()));
+        .and_then(|runtime| runtime.block_on(measurement));
     match measured {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
@@ -190,6 +197,13 @@
     }
 }
 
+async fn print_agreement() -> eyre::Result<()> {
+    let (writes, deaths) = AGREEMENT;
+    let result = measure_agreement(writes, deaths).await?;
+    println!("{}", serde_json::to_string(&result)?);
+    Ok(())
+}
+
 /// Prints one JSON object per measurement, as it is made.
 async fn measure_scale() -> eyre::Result<()> {
     for share in SHARES {
