--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -45,6 +45,32 @@
     }
 }
 
+/// Every endpoint of the API.
+fn describe_api() -> eyre::Result<ApiDescription<ApiContext>> {
+    let mut api = ApiDescription::new();
+    let failed = |error: dropshot::ApiDescriptionRegisterError| eyre!("register API: {error}");
+    api.register(get_configuration).map_err(failed)?;
+    api.register(put_configuration).map_err(failed)?;
+    api.register(put_service).map_err(failed)?;
+    api.register(delete_service).map_err(failed)?;
+    api.register(put_target).map_err(failed)?;
+    api.register(delete_target).map_err(failed)?;
+    api.register(get_status).map_err(failed)?;
+    Ok(api)
+}
+
+/// The API's OpenAPI document, as indented JSON.
+///
+/// # Errors
+/// When the description cannot be made.
+pub fn open_api() -> eyre::Result<String> {
+    let document = describe_api()?
+        .openapi("weirhinge", semver::Version::new(1, 0, 0))
+        .json()
+        .wrap_err("describe API")?;
+    serde_json::to_string_pretty(&document).wrap_err("write API description")
+}
+
 /// Starts the API. It has neither TLS nor tokens yet, so that it is kept to
 /// loopback.
 ///
@@ -58,15 +84,7 @@
     if !address.ip().is_loopback() {
         return Err(eyre!("bind API at {address}: only loopback is allowed without TLS"));
     }
-    let mut api = ApiDescription::new();
-    let failed = |error: dropshot::ApiDescriptionRegisterError| eyre!("register API: {error}");
-    api.register(get_configuration).map_err(failed)?;
-    api.register(put_configuration).map_err(failed)?;
-    api.register(put_service).map_err(failed)?;
-    api.register(delete_service).map_err(failed)?;
-    api.register(put_target).map_err(failed)?;
-    api.register(delete_target).map_err(failed)?;
-    api.register(get_status).map_err(failed)?;
+    let api = describe_api()?;
     let quiet =
         Logger::root(slog::LevelFilter::new(log.clone(), slog::Level::Warning).fuse(), slog::o!());
     let config = ConfigDropshot {
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -6,7 +6,7 @@
 //! runs on `tokio` and hands the data path a new routing table by one atomic
 //! pointer swap.
 
-mod api;
+pub mod api;
 mod data_path;
 mod forward;
 mod metrics;
