Seal frames between balancers, with rotating keys and a replay guard

Cause: anything that reached a balancer's control port could vote, write or replay. A keys file is read as a whole and never quoted in errors. The data path is not authenticated yet.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -8,7 +8,7 @@
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use weirhinge_config::{AgentSettings, ConfigDocument, HashKey};
+use weirhinge_config::{AgentSettings, ConfigDocument, HashKey, Keys};
 use weirhinge_observe::{BoundAddresses, Health, HealthSource, Metrics, start_admin};
 use weirhinge_platform::{ConfigFollower, ConfigFreshness, FollowerLog, Following};
 use weirhinge_routing::HolderHint;
@@ -94,7 +94,7 @@
     ready: impl FnOnce(BoundAddresses),
     stop: impl Future<Output = ()>,
 ) -> eyre::Result<()> {
-    let key = HashKey::from_file(&settings.keys_file)?;
+    let key = Keys::from_file(&settings.keys_file)?.flow_hash;
     let mut declared = Metrics::new();
     let metrics = AgentMetrics::declare(&mut declared);
     let shared = Arc::new(SharedState::default());
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -8,7 +8,7 @@
 use eyre::{WrapErr, eyre};
 use slog::{Logger, info};
 use tokio::sync::{oneshot, watch};
-use weirhinge_config::{BalancerSettings, ConfigDocument, HashKey};
+use weirhinge_config::{BalancerSettings, ConfigDocument, Keys};
 use weirhinge_control::{ControlOptions, start_control};
 use weirhinge_observe::{BoundAddresses, Health, HealthSource, Metrics, start_admin};
 use weirhinge_platform::{ConfigFollower, ConfigFreshness, FollowerLog, Following};
@@ -52,7 +52,7 @@
     ready: impl FnOnce(BoundAddresses),
     stop: impl Future<Output = ()>,
 ) -> eyre::Result<()> {
-    let key = HashKey::from_file(&settings.keys_file)?;
+    let Keys { flow_hash: key, control: control_keys } = Keys::from_file(&settings.keys_file)?;
     let mut declared = Metrics::new();
     let metrics = BalancerMetrics::declare(&mut declared);
     let empty = RoutingTable::build(&ConfigDocument::default(), &key);
@@ -81,6 +81,7 @@
         listen: settings.control,
         zone: settings.zone.clone(),
         platform: settings.platform,
+        keys: control_keys,
         peers: settings.peers.clone(),
         founds: settings.found_group,
     };
--- a/crates/config/src/keys.rs
+++ b/crates/config/src/keys.rs
@@ -21,14 +21,43 @@
     }
 }
 
+/// Length of a control key, in bytes.
+const CONTROL_KEY_BYTES: usize = 32;
+/// Most control keys: the one to send with, and one more to accept while keys
+/// are changed.
+const MAXIMUM_CONTROL_KEYS: usize = 2;
+
+/// Keys by which balancers know each other's frames: frames are sent with the
+/// first and accepted with any.
+#[derive(Clone, Default, PartialEq, Eq)]
+pub struct ControlKeys(pub Vec<[u8; CONTROL_KEY_BYTES]>);
+
+/// Never prints a key itself, so that logs and errors cannot leak it.
+impl fmt::Debug for ControlKeys {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "ControlKeys({} hidden)", self.0.len())
+    }
+}
+
+/// Everything in a keys file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Keys {
+    /// Key of the flow hash.
+    pub flow_hash: HashKey,
+    /// Keys of control frames; none leaves them unprotected.
+    pub control: ControlKeys,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct KeysFile {
     flow_hash: String,
+    #[serde(default)]
+    control: Vec<String>,
 }
 
-impl HashKey {
-    /// Reads the key from a keys file.
+impl Keys {
+    /// Reads a keys file.
     ///
     /// # Errors
     /// Names the file and the field; never quotes the value.
@@ -37,7 +66,7 @@
         Self::from_toml(path, &text)
     }
 
-    /// Reads the key from the text of a keys file.
+    /// Reads the text of a keys file.
     ///
     /// # Errors
     /// Names the file and the field; never quotes the value.
@@ -45,17 +74,38 @@
         // The parser's own message would quote the line with the secret.
         let keys: KeysFile = toml::from_str(text).map_err(|_| ConfigError::Syntax {
             file: file.to_owned(),
-            message: "expected one field, flow_hash = \"32 hexadecimal digits\"".to_owned(),
-        })?;
-        let bytes = decode_hexadecimal(&keys.flow_hash).ok_or_else(|| {
-            ConfigError::field(file, "flow_hash", "a hidden value", "32 hexadecimal digits")
+            message: "expected flow_hash = \"32 hexadecimal digits\" and, if wanted, \
+                      control = [\"64 hexadecimal digits\", ...]"
+                .to_owned(),
         })?;
-        Ok(Self(bytes))
+        let hidden = |field: &str, expected: &str| {
+            ConfigError::field(file, field, "a hidden value", expected)
+        };
+        let flow_hash = decode_hexadecimal(&keys.flow_hash)
+            .ok_or_else(|| hidden("flow_hash", "32 hexadecimal digits"))?;
+        if keys.control.len() > MAXIMUM_CONTROL_KEYS {
+            return Err(hidden("control", "at most two keys"));
+        }
+        let control = keys
+            .control
+            .iter()
+            .map(|key| decode_hexadecimal(key))
+            .collect::<Option<Vec<_>>>()
+            .ok_or_else(|| hidden("control", "keys of 64 hexadecimal digits"))?;
+        Ok(Self { flow_hash: HashKey(flow_hash), control: ControlKeys(control) })
     }
 }
 
-fn decode_hexadecimal(text: &str) -> Option<[u8; HASH_KEY_BYTES]> {
-    let value = u128::from_str_radix(text, 16).ok()?;
-    let digits_only = text.bytes().all(|byte| byte.is_ascii_hexdigit());
-    (text.len() == 2 * HASH_KEY_BYTES && digits_only).then(|| value.to_be_bytes())
+fn decode_hexadecimal<const LENGTH: usize>(text: &str) -> Option<[u8; LENGTH]> {
+    let digits = text.as_bytes();
+    if digits.len() != 2 * LENGTH {
+        return None;
+    }
+    let mut bytes = [0; LENGTH];
+    for (byte, pair) in bytes.iter_mut().zip(digits.chunks_exact(2)) {
+        let high = char::from(pair[0]).to_digit(16)?;
+        let low = char::from(pair[1]).to_digit(16)?;
+        *byte = (high * 16 + low) as u8;
+    }
+    Some(bytes)
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,7 +15,7 @@
 pub use document::{
     ConfigDocument, Service, ServiceId, Target, TargetId, TargetState, TransportProtocol,
 };
-pub use keys::HashKey;
+pub use keys::{ControlKeys, HashKey, Keys};
 pub use machines::{Machine, MachineList, MachineState};
 pub use parse::ConfigError;
 pub use settings::{AgentSettings, BalancerSettings};
--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -3,7 +3,7 @@
 use insta::assert_snapshot;
 use proptest::prelude::*;
 use weirhinge_config::settings::RawSettings;
-use weirhinge_config::{ConfigDocument, HashKey};
+use weirhinge_config::{ConfigDocument, Keys};
 
 const DOCUMENT: &str = r#"
 revision = 3
@@ -89,12 +89,19 @@
         format!("flow_hash = {secret}"),
         format!("other = \"{secret}\""),
     ] {
-        let error = HashKey::from_toml("keys.toml", &text).expect_err("refused").to_string();
+        let error = Keys::from_toml("keys.toml", &text).expect_err("refused").to_string();
         assert!(!error.contains("00112233"), "{error}");
         assert!(error.contains("keys.toml") && error.contains("flow_hash"), "{error}");
     }
-    let key = HashKey::from_toml("keys.toml", &format!("flow_hash = \"{}\"", "0f".repeat(16)));
-    assert_eq!(format!("{:?}", key.expect("sound")), "HashKey(hidden)");
+    let flow_hash = format!("flow_hash = \"{}\"\n", "0f".repeat(16));
+    let bad = format!("{flow_hash}control = [\"{secret}\"]");
+    let error = Keys::from_toml("keys.toml", &bad).expect_err("refused").to_string();
+    assert!(error.contains("field control") && !error.contains("00112233"), "{error}");
+    let sound = format!("{flow_hash}control = [\"{}\", \"{}\"]", "1a".repeat(32), "2B".repeat(32));
+    let keys = Keys::from_toml("keys.toml", &sound).expect("sound");
+    assert_eq!(keys.control.0, [[0x1a; 32], [0x2b; 32]]);
+    let shown = format!("{keys:?}");
+    assert!(shown.contains("HashKey(hidden)") && shown.contains("2 hidden"), "{shown}");
 }
 
 #[test]
@@ -135,6 +142,6 @@
     fn arbitrary_text_never_panics(text in ".{0,200}") {
         let _ = ConfigDocument::from_toml("x", &text);
         let _ = ConfigDocument::from_json("x", text.as_bytes());
-        let _ = HashKey::from_toml("x", &text);
+        let _ = Keys::from_toml("x", &text);
     }
 }
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -7,10 +7,10 @@
 
 use eyre::WrapErr;
 use serde::{Deserialize, Serialize};
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
-use weirhinge_config::{ConfigDocument, MachineList};
+use weirhinge_config::{ConfigDocument, ControlKeys, MachineList};
 use weirhinge_consensus::{Node, NodeOptions, Output, ReplicaId, Role, Snapshot};
 use weirhinge_platform::{Fetched, MACHINES_PATH, fetch};
 
@@ -18,6 +18,7 @@
 use crate::machine::{ConfigCommand, ConfigMachine, Outcome};
 use crate::membership::Peers;
 use crate::network::{Senders, accept_frames};
+use crate::seal::ReplayGuard;
 
 /// Time between two ticks of a replica.
 const TICK: Duration = Duration::from_millis(20);
@@ -61,6 +62,8 @@
     pub zone: String,
     /// TCP address of the platform, for the machine list.
     pub platform: SocketAddr,
+    /// Keys of frames. Without keys the control address must be loopback.
+    pub keys: ControlKeys,
     /// Control addresses known beforehand.
     pub peers: Vec<SocketAddr>,
     /// Whether this balancer founds a group if it finds none. Given to one
@@ -164,6 +167,8 @@
     listed: Vec<SocketAddr>,
     own: Sender,
     senders: Senders,
+    frames_sent: u64,
+    replays: ReplayGuard,
     started: Instant,
     waiting: Vec<Waiting>,
     own_writes: HashMap<u64, OwnWrite>,
@@ -184,17 +189,22 @@
     base: watch::Receiver<Arc<ConfigDocument>>,
     log: Logger,
 ) -> eyre::Result<ControlHandle> {
+    if options.keys.0.is_empty() && !options.listen.ip().is_loopback() {
+        let address = options.listen;
+        return Err(eyre::eyre!("bind control address {address}: needs control keys off loopback"));
+    }
     let listener = TcpListener::bind(options.listen)
         .await
         .wrap_err_with(|| format!("bind control address {}", options.listen))?;
     let address = listener.local_addr().wrap_err("read the control address")?;
     let id = ReplicaId(random()?);
     let (frames, new_frames) = mpsc::channel(FRAME_QUEUE);
-    tokio::spawn(accept_frames(listener, frames, log.clone()));
+    tokio::spawn(accept_frames(listener, options.keys.clone(), frames, log.clone()));
     let (writes, new_writes) = mpsc::channel(FRAME_QUEUE);
     let (document, followed) = watch::channel(Arc::new(ConfigDocument::default()));
     let status = Arc::new(Mutex::new(ControlStatus::default()));
     let own = Sender { id: id.0, zone: options.zone.clone(), control: address.into() };
+    let keys = options.keys.clone();
     let driver = Driver {
         options,
         log,
@@ -204,7 +214,9 @@
         peers: Peers::default(),
         listed: Vec::new(),
         own,
-        senders: Senders::default(),
+        senders: Senders::new(keys),
+        frames_sent: 0,
+        replays: ReplayGuard::default(),
         started: Instant::now(),
         waiting: Vec::new(),
         own_writes: HashMap::new(),
@@ -252,8 +264,15 @@
         }
     }
 
-    fn frame(&self, body: FrameBody) -> Frame {
-        Frame { version: CONTROL_VERSION, group: self.group, sender: self.own.clone(), body }
+    fn frame(&mut self, body: FrameBody) -> Frame {
+        self.frames_sent += 1;
+        Frame {
+            version: CONTROL_VERSION,
+            number: self.frames_sent,
+            group: self.group,
+            sender: self.own.clone(),
+            body,
+        }
     }
 
     fn say_hello(&mut self) {
@@ -348,7 +367,10 @@
     }
 
     fn handle_frame(&mut self, frame: Frame) {
-        let Frame { group, sender, body, .. } = frame;
+        let Frame { number, group, sender, body, .. } = frame;
+        if let Err(error) = self.replays.check(sender.id, number) {
+            return debug!(self.log, "control: Frame dropped."; "reason" => %error);
+        }
         let from = sender.address();
         if self.node.is_none() && group != 0 {
             self.join_group(group);
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Debug, Encode, Decode)]
 pub(crate) struct Frame {
     pub(crate) version: u8,
+    /// Numbers the sender's frames upwards.
+    pub(crate) number: u64,
     /// The group that the sender belongs to; 0 if none.
     pub(crate) group: u64,
     pub(crate) sender: Sender,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod machine;
 mod membership;
 mod network;
+mod seal;
 
 pub use driver::{ControlHandle, ControlOptions, ControlStatus, WriteError, start_control};
 pub use machine::{ConfigChange, ConfigCommand, ConfigMachine, Outcome};
--- a/crates/control/src/network.rs
+++ b/crates/control/src/network.rs
@@ -4,12 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use slog::{Logger, debug};
+use slog::{Logger, warn};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use weirhinge_config::ControlKeys;
 
 use crate::frame::{CONTROL_VERSION, Frame};
+use crate::seal;
 
 /// Largest frame accepted, in bytes: a snapshot of a large document.
 const MAXIMUM_FRAME: usize = 64 << 20;
@@ -21,30 +23,45 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Accepts connections and hands every sound frame to `frames`.
-pub(crate) async fn accept_frames(listener: TcpListener, frames: mpsc::Sender<Frame>, log: Logger) {
+pub(crate) async fn accept_frames(
+    listener: TcpListener,
+    keys: ControlKeys,
+    frames: mpsc::Sender<Frame>,
+    log: Logger,
+) {
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             continue;
         };
         let frames = frames.clone();
+        let keys = keys.clone();
         let log = log.clone();
         tokio::spawn(async move {
-            if let Err(error) = read_frames(stream, &frames).await {
-                debug!(log, "control: Connection ended."; "peer" => %peer, "reason" => %error);
+            if let Err(error) = read_frames(stream, &keys, &frames).await {
+                warn!(log, "control: Connection ended."; "peer" => %peer, "reason" => %error);
             }
         });
     }
 }
 
-async fn read_frames(mut stream: TcpStream, frames: &mpsc::Sender<Frame>) -> std::io::Result<()> {
+async fn read_frames(
+    mut stream: TcpStream,
+    keys: &ControlKeys,
+    frames: &mpsc::Sender<Frame>,
+) -> std::io::Result<()> {
     loop {
-        let length = stream.read_u32().await? as usize;
+        let length = match stream.read_u32().await {
+            Ok(length) => length as usize,
+            // The peer has closed an idle connection, or died.
+            Err(_) => return Ok(()),
+        };
         if length > MAXIMUM_FRAME {
             return Err(std::io::Error::other(format!("frame of {length} bytes")));
         }
         let mut bytes = vec![0; length];
         stream.read_exact(&mut bytes).await?;
-        let frame: Frame = musli::storage::from_slice(&bytes).map_err(std::io::Error::other)?;
+        let bytes = seal::open(keys, &bytes).map_err(std::io::Error::other)?;
+        let frame: Frame = musli::storage::from_slice(bytes).map_err(std::io::Error::other)?;
         if frame.version != CONTROL_VERSION {
             return Err(std::io::Error::other("another protocol version"));
         }
@@ -56,16 +73,21 @@
 
 /// Sends frames to any number of peers; a frame that cannot be sent is lost,
 /// as the protocol above expects.
-#[derive(Default)]
 pub(crate) struct Senders {
+    keys: ControlKeys,
     queues: HashMap<SocketAddr, mpsc::Sender<Vec<u8>>>,
 }
 
 impl Senders {
+    pub(crate) fn new(keys: ControlKeys) -> Self {
+        Self { keys, queues: HashMap::new() }
+    }
+
     pub(crate) fn send(&mut self, to: SocketAddr, frame: &Frame) {
         let Ok(bytes) = musli::storage::to_vec(frame) else {
             return;
         };
+        let bytes = seal::seal(&self.keys, &bytes);
         let queue = self.queues.entry(to).or_insert_with(|| start_sender(to));
         match queue.try_send(bytes) {
             Ok(()) | Err(mpsc::error::TrySendError::Full(_)) => {}
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -442,8 +442,10 @@
 
 /// Name of the keys file in the fleet's work folder.
 pub(crate) const KEYS_FILE: &str = "keys.toml";
-/// The rehearsal's flow hash key; not a secret, as no real caller exists.
-const KEYS: &str = "flow_hash = \"000102030405060708090a0b0c0d0e0f\"\n";
+/// The rehearsal's keys; no secrets, as no real caller or balancer exists.
+const KEYS: &str = r#"flow_hash = "000102030405060708090a0b0c0d0e0f"
+control = ["000102030405060708090a0b0c0d0e0f000102030405060708090a0b0c0d0e0f"]
+"#;
 
 /// Makes a folder with the keys file in it.
 pub(crate) fn make_work_folder() -> eyre::Result<PathBuf> {
--- a/crates/weirhinge/src/cli/check.rs
+++ b/crates/weirhinge/src/cli/check.rs
@@ -3,7 +3,7 @@
 use pico_args::Arguments;
 use weirhinge_config::parse::{self, ConfigError};
 use weirhinge_config::settings::RawSettings;
-use weirhinge_config::{ConfigDocument, HashKey};
+use weirhinge_config::{ConfigDocument, Keys};
 
 use super::CliFailure;
 use super::daemon::refuse_rest;
@@ -51,7 +51,7 @@
         FileKind::Document => {
             ConfigDocument::from_toml(file, &text).map(|document| summary(&document))
         }
-        FileKind::Keys => HashKey::from_toml(file, &text).map(|_| "valid keys file".to_owned()),
+        FileKind::Keys => Keys::from_toml(file, &text).map(|_| "valid keys file".to_owned()),
         FileKind::AgentSettings => parse::from_toml::<RawSettings>(file, &text)?
             .into_agent(file)
             .map(|settings| format!("valid agent settings for {}", settings.target)),
