Let reported load lag, and throw bytes at the control frames

Cause: the stand-in's load endpoint could mislead but not lag, and no test threw arbitrary bytes at the decoder of control frames.

--- a/crates/control/tests/seal.rs
+++ b/crates/control/tests/seal.rs
@@ -53,3 +53,42 @@
     assert_eq!(guard.check(7, 4), Err(SealError::Replayed));
     assert_eq!(guard.check(8, 1), Ok(()));
 }
+
+proptest::proptest! {
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(proptest::num::u8::ANY, 0..400)) {
+        let _ = open(&keys(&[1]), &bytes);
+        if let Ok(frame) = open(&keys(&[]), &bytes) {
+            let _ = musli::storage::from_slice::<crate::frame::Frame>(frame);
+        }
+        let _ = musli::storage::from_slice::<crate::frame::Frame>(&bytes);
+    }
+}
+
+/// What is encoded by way of `serde` inside `musli` comes back as it was.
+#[test]
+fn a_frame_survives_its_codec() {
+    use crate::frame::{CONTROL_VERSION, Frame, FrameBody, Sender};
+    use crate::machine::{ConfigChange, ConfigCommand};
+
+    let command = ConfigCommand {
+        key: "key".to_owned(),
+        expected: Some(7),
+        change: ConfigChange::Replace(weirhinge_config::ConfigDocument::default()),
+    };
+    let address: std::net::SocketAddr = ([127, 0, 0, 1], 7_000).into();
+    let frame = Frame {
+        version: CONTROL_VERSION,
+        number: 3,
+        group: 9,
+        sender: Sender { id: 5, zone: "austin".to_owned(), control: address.into() },
+        body: FrameBody::Write { ticket: 2, command: command.clone() },
+    };
+    let bytes = musli::storage::to_vec(&frame).expect("encoded");
+    let decoded: Frame = musli::storage::from_slice(&bytes).expect("decoded");
+    assert_eq!((decoded.number, decoded.group, decoded.sender), (3, 9, frame.sender));
+    match decoded.body {
+        FrameBody::Write { ticket: 2, command: found } => assert_eq!(found, command),
+        other => panic!("expected the write, found {other:?}"),
+    }
+}
--- a/crates/rehearsal/src/standin/back_end.rs
+++ b/crates/rehearsal/src/standin/back_end.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -36,6 +36,8 @@
 const QUEUE_PER_SLOT: u32 = 8;
 /// Length of the fixed part of a PROXY protocol version 2 header.
 const PROXY_FIXED_LENGTH: usize = 16;
+/// Age that a reported load may reach.
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 /// How long a cold back end works slower.
 const COLD_START: Duration = Duration::from_secs(3);
 /// How much slower a completely cold back end works.
@@ -72,6 +74,8 @@
     waiting: AtomicU32,
     connections: AtomicU32,
     misleading: AtomicBool,
+    /// Slots in use as the load endpoint reports them: always a little old.
+    reported: AtomicU32,
     random: Mutex<ChaCha8Rng>,
     started: Instant,
 }
@@ -98,11 +102,13 @@
             waiting: AtomicU32::new(0),
             connections: AtomicU32::new(0),
             misleading: AtomicBool::new(false),
+            reported: AtomicU32::new(0),
             random: Mutex::new(random),
             started: Instant::now(),
         });
         let (refusing, refused) = watch::channel(false);
         tokio::spawn(accept(listener, address, state.clone(), refused));
+        tokio::spawn(refresh_report(Arc::downgrade(&state)));
         Ok(Self { address, state, refusing })
     }
 
@@ -278,7 +284,17 @@
         if self.misleading.load(Ordering::Relaxed) {
             return 0;
         }
-        self.in_use.load(Ordering::Relaxed)
+        self.reported.load(Ordering::Relaxed)
+    }
+}
+
+/// Brings the reported load up to date now and then, as lagging reports do.
+async fn refresh_report(state: Weak<State>) {
+    while let Some(state) = state.upgrade() {
+        let in_use = state.in_use.load(Ordering::Relaxed);
+        state.reported.store(in_use, Ordering::Relaxed);
+        drop(state);
+        tokio::time::sleep(REPORT_INTERVAL).await;
     }
 }
 
