Let the UDP test's agents bind any free port

Cause: the test chose ports, freed them and let agents bind them a moment later; another process could take one between. Change: link proxies stand for the agents' addresses, as in fleets.

--- a/crates/rehearsal/tests/udp.rs
+++ b/crates/rehearsal/tests/udp.rs
@@ -9,6 +9,7 @@
 };
 use weirhinge_packet::{FlowKey, Protocol, Transport, build_udp_packet, decode_packet};
 use weirhinge_rehearsal::processes::{Process, Program};
+use weirhinge_rehearsal::standin::link::{LinkProxy, Network, ZoneMap};
 use weirhinge_rehearsal::standin::platform::Platform;
 
 const SERVICE: &str = "203.0.113.50:5300";
@@ -31,10 +32,11 @@
     address
 }
 
-/// A port that is free now; the agent binds it a moment later.
-fn free_address() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("bound");
-    socket.local_addr().expect("address")
+/// A network that carries every packet, with a little delay.
+fn network() -> Network {
+    let settings = toml::from_str("client_delay_ms = 0.1\nzone_delay_ms = 0.1\nfabric_lag_ms = 0")
+        .expect("sound");
+    Network::start(settings, 1).expect("network")
 }
 
 fn document(agents: &[SocketAddr], back_ends: &[SocketAddr]) -> ConfigDocument {
@@ -115,7 +117,10 @@
     std::fs::write(&keys, "flow_hash = \"000102030405060708090a0b0c0d0e0f\"\n").expect("written");
     let keys = keys.display().to_string();
     let platform = Platform::start().await.expect("platform");
-    let agents = [free_address(), free_address(), free_address()];
+    let (network, zones) = (network(), ZoneMap::default());
+    // Proxies stand for the agents' addresses, so that agents may bind any port.
+    let proxies = [(); 3].map(|()| LinkProxy::bind().expect("bound"));
+    let agents = proxies.each_ref().map(LinkProxy::address);
     let back_ends = [start_echo(0), start_echo(1), start_echo(2)];
     let first = document(&agents, &back_ends);
     platform.publish(first.clone());
@@ -123,19 +128,17 @@
     socket.set_read_timeout(Some(Duration::from_millis(250))).expect("time-out");
     let fabric = socket.local_addr().expect("address");
     let mut processes = Vec::new();
-    for (number, agent) in agents.iter().enumerate() {
-        let extra = [
-            "--target",
-            &number.to_string(),
-            "--listen",
-            &agent.to_string(),
-            "--fabric",
-            &fabric.to_string(),
-        ]
-        .map(str::to_owned);
-        processes.push(start("agent", &extra, &platform, &keys).await);
+    for (number, proxy) in proxies.iter().enumerate() {
+        let extra =
+            ["--target", &number.to_string(), "--fabric", &fabric.to_string()].map(str::to_owned);
+        let agent = start("agent", &extra, &platform, &keys).await;
+        let data = agent.addresses.data;
+        zones.set(data, "one");
+        proxy.forward_to(data, "one".to_owned(), zones.clone(), network.clone()).expect("proxy");
+        processes.push(agent);
     }
     let balancer = start("balancer", &[], &platform, &keys).await;
+    zones.set(balancer.addresses.data, "one");
     // Agents take flows once everybody knows them.
     tokio::time::sleep(Duration::from_millis(4_500)).await;
     let caller = Caller { socket, balancer: balancer.addresses.data };
