Wait for the last flows while the whole fleet still runs

Cause: in one run of the tests an agent did not end within 60 s of its planned stop. All processes were stopped at once; a caller's last reset was lost, and the next one, which a host sends without timestamps, needs a balancer and its bucket's owner, both gone after some seconds. Not seen by a trace: the logs of that run were not kept; it follows from the order of the stops, and no other flow was open. Change: a rehearsal waits until no agent holds a flow before it stops anything, at most for two keep-alive probes. In a real fleet: stop agents before balancers.

--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -1,13 +1,16 @@
 //! Carries out one rehearsal from start to verdict.
 
 use std::io::{IsTerminal, Write};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use eyre::WrapErr;
+use serde::Deserialize;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
+use weirhinge_platform::{Fetched, fetch};
 
 use crate::faults::run_schedule;
 use crate::fleet::{Fleet, FleetOptions};
@@ -26,6 +29,12 @@
 const WIND_DOWN: Duration = Duration::from_secs(40);
 /// Longest that a process may take for its planned stop.
 const STOP_LIMIT: Duration = Duration::from_secs(60);
+/// Longest wait for the last flows; more than two keep-alive probes of an agent.
+const LAST_FLOWS_LIMIT: Duration = Duration::from_secs(150);
+/// Time between two looks at an agent's flows.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest wait for an agent's answer.
+const LOOK_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two progress lines.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -63,6 +72,9 @@
     ended.await.wrap_err("wait for the last answers")?;
     progress.abort();
     let counters = scrape_all(&fleet.admin_addresses()).await;
+    if options.stop_deadline_seconds.is_none() {
+        wait_for_last_flows(&fleet).await;
+    }
     stop_fleet(&mut fleet).await?;
     let verdict = judge(&history.lock(), &services, counters);
     Ok(verdict)
@@ -104,6 +116,32 @@
     callers
 }
 
+/// Waits until no agent holds a flow, while every process still runs. A caller's
+/// last reset may have been lost: the agent's next packet brings another, which
+/// needs balancers and the bucket's owner to find its way.
+async fn wait_for_last_flows(fleet: &Fleet) {
+    let deadline = Instant::now() + LAST_FLOWS_LIMIT;
+    for agent in fleet.agent_admins() {
+        while Instant::now() < deadline && flows_at(agent).await > 0 {
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+}
+
+/// Flows that an agent holds; none if it does not run any more.
+async fn flows_at(agent: SocketAddr) -> u64 {
+    let health = fetch(agent, "/health", None, LOOK_TIMEOUT).await;
+    let Ok(Fetched::Body { bytes, .. }) = health else {
+        return 0;
+    };
+    serde_json::from_slice::<HeldFlows>(&bytes).map_or(0, |health| health.flows)
+}
+
+#[derive(Deserialize)]
+struct HeldFlows {
+    flows: u64,
+}
+
 /// Stops every process that still runs, as planned; none may fail.
 async fn stop_fleet(fleet: &mut Fleet) -> eyre::Result<()> {
     let processes = fleet
