Hash a packet only where no hint names its holder

Cause: re-reading the change: the routing decision hashed every packet for a bucket number that nothing reads since it left the envelope, also where the holder hint decides alone; and the kit carried its own join_all. Change: the unread field is gone, and with it the hash of hinted packets; join_all is the one of futures-util, which was in the lock file already.

--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use futures_util::future::join_all;
 use serde::Deserialize;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
@@ -161,25 +162,6 @@
     Ok(())
 }
 
-async fn join_all<F: Future>(futures: Vec<F>) -> Vec<F::Output> {
-    let mut pinned: Vec<_> = futures.into_iter().map(Box::pin).collect();
-    let mut outputs: Vec<Option<F::Output>> = pinned.iter().map(|_| None).collect();
-    std::future::poll_fn(|context| {
-        let mut pending = false;
-        for (future, output) in pinned.iter_mut().zip(&mut outputs) {
-            if output.is_none() {
-                match future.as_mut().poll(context) {
-                    std::task::Poll::Ready(value) => *output = Some(value),
-                    std::task::Poll::Pending => pending = true,
-                }
-            }
-        }
-        if pending { std::task::Poll::Pending } else { std::task::Poll::Ready(()) }
-    })
-    .await;
-    outputs.into_iter().flatten().collect()
-}
-
 /// Shows a live line on a terminal; prints nothing elsewhere.
 async fn show_progress(history: History, seconds: u64) {
     if !std::io::stderr().is_terminal() {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -44,8 +44,6 @@
 pub struct Route {
     /// The service that the packet is for.
     pub service: ServiceId,
-    /// The flow's bucket in the service's table; 0 if the table is empty.
-    pub bucket: u32,
     /// The target that the packet goes to.
     pub target: TargetId,
     /// The agent beside that target.
@@ -179,22 +177,19 @@
     /// When no service has the destination, or the service has no target for it.
     pub fn route(&self, packet: &PacketView<'_>) -> Result<Route, RouteError> {
         let service = self.service_for(packet).ok_or(RouteError::UnknownService)?;
-        let bucket = self.bucket(service, packet);
-        if let Some(route) = self.hinted(service, packet, bucket) {
+        // Most packets carry a hint; the hash is for the others alone.
+        if let Some(route) = self.hinted(service, packet) {
             return Ok(route);
         }
+        if service.buckets.is_empty() {
+            return Err(RouteError::NoTarget);
+        }
+        let bucket = service.buckets.bucket(self.hasher.hash(&packet.key));
         let target = service.buckets.owner(bucket).ok_or(RouteError::NoTarget)?;
         let agent = self.target(target).ok_or(RouteError::NoTarget)?.agent;
         let standby = self.standby(service, packet, bucket);
         let basis = RouteBasis::Owner;
-        Ok(Route { service: service.id, bucket, target, agent, basis, standby })
-    }
-
-    fn bucket(&self, service: &ServiceRoute, packet: &PacketView<'_>) -> u32 {
-        if service.buckets.is_empty() {
-            return 0;
-        }
-        service.buckets.bucket(self.hasher.hash(&packet.key))
+        Ok(Route { service: service.id, target, agent, basis, standby })
     }
 
     fn standby(
@@ -211,12 +206,7 @@
     }
 
     /// A hint counts only if it names a target of the packet's own service.
-    fn hinted(
-        &self,
-        service: &ServiceRoute,
-        packet: &PacketView<'_>,
-        bucket: u32,
-    ) -> Option<Route> {
+    fn hinted(&self, service: &ServiceRoute, packet: &PacketView<'_>) -> Option<Route> {
         let segment = packet.tcp()?;
         if segment.opens_flow() {
             return None;
@@ -225,7 +215,6 @@
         let holder = self.target(target)?;
         (holder.service == service.id).then_some(Route {
             service: service.id,
-            bucket,
             target,
             agent: holder.agent,
             basis: RouteBasis::Hint,
