--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -9,8 +9,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use weirhinge_config::{AgentSettings, ConfigDocument, HashKey, Keys};
+use weirhinge_document_source::{ConfigFollower, ConfigFreshness, FollowerLog, Following};
 use weirhinge_observe::{BoundAddresses, Health, HealthSource, Metrics, start_admin};
-use weirhinge_platform::{ConfigFollower, ConfigFreshness, FollowerLog, Following};
 use weirhinge_routing::HolderHint;
 use weirhinge_wire::decode;
 
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -10,8 +10,8 @@
 use tokio::sync::{oneshot, watch};
 use weirhinge_config::{BalancerSettings, ConfigDocument, Keys};
 use weirhinge_control::{ControlOptions, start_control};
+use weirhinge_document_source::{ConfigFollower, ConfigFreshness, FollowerLog, Following};
 use weirhinge_observe::{BoundAddresses, Health, HealthSource, Metrics, start_admin};
-use weirhinge_platform::{ConfigFollower, ConfigFreshness, FollowerLog, Following};
 use weirhinge_routing::RoutingTable;
 
 use crate::api::start_api;
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, watch};
 use weirhinge_config::{ConfigDocument, ControlKeys, MachineList};
 use weirhinge_consensus::{Node, NodeOptions, Output, ReplicaId, Role, Snapshot};
-use weirhinge_platform::{Fetched, MACHINES_PATH, fetch};
+use weirhinge_document_source::{Fetched, MACHINES_PATH, fetch};
 
 use crate::frame::{CONTROL_VERSION, Frame, FrameBody, Sender};
 use crate::handle::{ControlHandle, ControlStatus, PendingWrite, status_of};
--- a/crates/platform/tests/watch.rs
+++ b/crates/document-source/tests/watch.rs
@@ -1,6 +1,6 @@
 //! A stale or invalid platform never reverts what is in force.
 
-use weirhinge_platform::{ConfigWatch, SourceKind, WatchOutcome};
+use weirhinge_document_source::{ConfigWatch, SourceKind, WatchOutcome};
 
 fn document(revision: u64, service_of_target: u32) -> Vec<u8> {
     let service = |id: u32, last: u32| {
--- /dev/null
+++ b/crates/fleet/src/message.rs
@@ -0,0 +1,149 @@
+//! Messages between daemons about what they know.
+
+use musli::{Decode, Encode};
+
+/// First byte of every datagram between daemons.
+const PROTOCOL_VERSION: u8 = 1;
+
+/// Why a datagram from a peer was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum MessageError {
+    /// The datagram is of another protocol version or not ours at all.
+    #[error("unknown protocol version")]
+    UnknownVersion,
+    /// The datagram's body cannot be decoded.
+    #[error("malformed message")]
+    Malformed,
+    /// The message cannot be encoded.
+    #[error("message cannot be encoded")]
+    Encoding,
+}
+
+/// What a daemon does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum PeerRole {
+    /// Takes packets from clients and chooses targets.
+    Balancer,
+    /// Stands beside one target.
+    Agent,
+}
+
+/// What an agent says about the target beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct TargetClaim {
+    /// The service that the target belongs to.
+    pub service: String,
+    /// Whether the target was seen at work lately.
+    pub alive: bool,
+    /// Requests that wait for an answer of the target.
+    pub waiting: u32,
+    /// Whether the agent is about to stop.
+    pub leaving: bool,
+}
+
+/// A daemon's summary of what it knows, sent often.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Digest {
+    /// IPv4 address of the sender, as a number.
+    pub sender: u32,
+    /// What the sender does.
+    pub role: PeerRole,
+    /// The store revision that the sender knows all changes up to.
+    pub revision: u64,
+    /// Milliseconds since the store confirmed that revision; none if never.
+    pub age_ms: Option<u64>,
+    /// Whether the sender reads the store for its peers.
+    pub reading: bool,
+    /// Whether the sender asks for a digest in return.
+    pub reply: bool,
+    /// Addresses of some balancers that the sender heard from lately.
+    pub balancers: Vec<u32>,
+    /// About the target beside the sender, if it is an agent.
+    pub target: Option<TargetClaim>,
+}
+
+/// Asks a peer, over a stream, for all changes after a revision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct FetchRequest {
+    /// The revision that the asker knows all changes up to.
+    pub after: u64,
+}
+
+/// A datagram between daemons.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum PeerMessage<'a> {
+    /// What the sender knows.
+    Digest(Digest),
+    /// A client's packet on its way to a target.
+    Forward {
+        /// Hash of the service's name; the agent checks it.
+        service: u64,
+        /// Whether the sender only guesses that this target holds the flow.
+        search: bool,
+        /// The packet as the client wrote it.
+        #[musli(bytes)]
+        packet: &'a [u8],
+    },
+    /// A packet that the target did not take, on its way back.
+    Returned {
+        /// Why the target did not take it.
+        reason: ReturnReason,
+        /// Requests that wait for an answer of the target.
+        waiting: u32,
+        /// The packet as the client wrote it.
+        #[musli(bytes)]
+        packet: &'a [u8],
+    },
+    /// The target answered an opening packet, or holds a flow that the balancer
+    /// searched for.
+    Holds {
+        /// The client's address and port.
+        client: (u32, u16),
+        /// The address and port that the client connected to.
+        service: (u32, u16),
+        /// Whether the target sent more than an answer to an opening packet.
+        confirmed: bool,
+        /// Requests that wait for an answer of the target.
+        waiting: u32,
+    },
+}
+
+/// Why a packet came back from a target's machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum ReturnReason {
+    /// The target itself sent it back.
+    Bounced,
+    /// The agent stands beside a target of another service.
+    OtherService,
+    /// The agent is about to stop and takes no new flows.
+    Leaving,
+}
+
+/// Encodes a message into `buffer`, behind the protocol version.
+///
+/// # Errors
+/// [`MessageError::Encoding`].
+pub fn encode<M>(message: &M, buffer: &mut Vec<u8>) -> Result<(), MessageError>
+where
+    M: ?Sized + Encode<musli::mode::Binary>,
+{
+    buffer.clear();
+    buffer.push(PROTOCOL_VERSION);
+    musli::storage::encode(&mut *buffer, message).map_err(|_| MessageError::Encoding)
+}
+
+/// Decodes a message.
+///
+/// # Errors
+/// [`MessageError::UnknownVersion`] or [`MessageError::Malformed`].
+pub fn decode<'a, M>(datagram: &'a [u8]) -> Result<M, MessageError>
+where
+    M: Decode<'a, musli::mode::Binary, musli::alloc::Global>,
+{
+    match datagram.split_first() {
+        Some((&PROTOCOL_VERSION, body)) => {
+            musli::storage::from_slice(body).map_err(|_| MessageError::Malformed)
+        }
+        _ => Err(MessageError::UnknownVersion),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/model.rs
@@ -0,0 +1,92 @@
+//! Configuration and targets in the product's own terms.
+
+use std::hash::Hasher;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use musli::{Decode, Encode};
+use siphasher::sip::SipHasher13;
+
+/// Identifies a service by a hash of its name; all daemons compute the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[musli(packed)]
+pub struct ServiceId(pub u64);
+
+impl ServiceId {
+    /// The identifier of the service with this name.
+    pub fn of(name: &str) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(name.as_bytes());
+        Self(hasher.finish())
+    }
+}
+
+/// One service's part of a route's new flows.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct RoutePart {
+    /// The service's name.
+    pub service: String,
+    /// Weight relative to the route's other parts.
+    pub weight: u32,
+}
+
+/// Where new flows to one address go.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Route {
+    /// IPv4 address that clients connect to, as a number.
+    pub address: u32,
+    /// Port that clients connect to.
+    pub port: u16,
+    /// The services that share the route's new flows.
+    pub parts: Vec<RoutePart>,
+}
+
+impl Route {
+    /// The address and port that clients connect to.
+    pub fn endpoint(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from_bits(self.address), self.port)
+    }
+}
+
+/// A whole configuration, as the operator wrote it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Configuration {
+    /// The operator's version; grows in uneven steps.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// Milliseconds after which a resting flow may be forgotten.
+    pub idle_timeout_ms: u64,
+}
+
+/// Whether a target takes new flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum TargetState {
+    /// Takes new flows.
+    Ready,
+    /// Keeps its flows, must get no new one.
+    Draining,
+}
+
+/// One incarnation of a target, as recorded in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct TargetRecord {
+    /// The service that the target belongs to.
+    pub service: String,
+    /// IPv4 address of the target's machine, as a number.
+    pub address: u32,
+    /// Zone of the target's machine.
+    pub zone: String,
+    /// Requests that the target works on at once.
+    pub slots: u32,
+    /// Whether the target takes new flows.
+    pub state: TargetState,
+    /// Milliseconds for which the target stays slow after its start.
+    pub warm_up_ms: u32,
+}
+
+impl TargetRecord {
+    /// The address of the target's machine, where its agent runs too.
+    pub fn machine(&self) -> Ipv4Addr {
+        Ipv4Addr::from_bits(self.address)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/peers.rs
@@ -0,0 +1,130 @@
+//! Which other daemons exist, learned from seeds and from each other.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use crate::Millis;
+use crate::message::{Digest, PeerRole};
+
+/// A peer that was silent for this long is taken for gone.
+pub const PEER_LIFETIME_MS: Millis = 6_000;
+/// Most peers remembered of each role; the rest are reached through others.
+const MAXIMUM_PEERS: usize = 512;
+/// Most addresses that one digest names.
+const MAXIMUM_NAMED: usize = 12;
+
+/// What is known of one peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Peer {
+    role: PeerRole,
+    heard_at: Option<Millis>,
+    named_at: Millis,
+    reading_at: Option<Millis>,
+}
+
+/// The peers of this daemon.
+#[derive(Clone, Debug)]
+pub struct PeerTable {
+    own_address: Ipv4Addr,
+    seeds: Vec<Ipv4Addr>,
+    peers: BTreeMap<Ipv4Addr, Peer>,
+}
+
+impl PeerTable {
+    /// A table that knows the seeds alone.
+    pub fn new(own_address: Ipv4Addr, seeds: impl IntoIterator<Item = Ipv4Addr>) -> Self {
+        let seeds = seeds.into_iter().filter(|seed| *seed != own_address).collect();
+        Self { own_address, seeds, peers: BTreeMap::new() }
+    }
+
+    /// Records a digest. Returns whether its sender is new here.
+    pub fn heard(&mut self, digest: &Digest, now: Millis) -> bool {
+        let sender = Ipv4Addr::from_bits(digest.sender);
+        for named in digest.balancers.iter().take(MAXIMUM_NAMED) {
+            self.named(Ipv4Addr::from_bits(*named), now);
+        }
+        if sender == self.own_address || self.is_full_for(sender) {
+            return false;
+        }
+        let known = self.peers.get(&sender);
+        let is_new = known.is_none_or(|peer| peer.heard_at.is_none());
+        let reading_at = if digest.reading { Some(now) } else { None };
+        let peer = Peer { role: digest.role, heard_at: Some(now), named_at: now, reading_at };
+        self.peers.insert(sender, peer);
+        is_new
+    }
+
+    /// Forgets a peer that says it stops.
+    pub fn left(&mut self, address: Ipv4Addr) {
+        self.peers.remove(&address);
+    }
+
+    /// Drops peers that were silent too long.
+    pub fn expire(&mut self, now: Millis) {
+        self.peers.retain(|_, peer| {
+            let latest = peer.heard_at.unwrap_or(peer.named_at);
+            now.saturating_sub(latest) < PEER_LIFETIME_MS
+        });
+    }
+
+    /// Balancers that were heard from, or of, lately, in order of address.
+    pub fn balancers(&self) -> impl Iterator<Item = Ipv4Addr> {
+        self.with_role(PeerRole::Balancer)
+    }
+
+    /// Agents that were heard from lately, in order of address.
+    pub fn agents(&self) -> impl Iterator<Item = Ipv4Addr> {
+        self.with_role(PeerRole::Agent)
+    }
+
+    /// Seeds that were not heard from lately.
+    pub fn silent_seeds(&self) -> impl Iterator<Item = Ipv4Addr> {
+        let is_silent =
+            |seed: &Ipv4Addr| self.peers.get(seed).is_none_or(|peer| peer.heard_at.is_none());
+        self.seeds.iter().copied().filter(is_silent)
+    }
+
+    /// Balancers to name in a digest, beginning at a place that the caller draws
+    /// at random so that all of them come round.
+    pub fn named_in_digest(&self, start: usize) -> Vec<u32> {
+        let heard: Vec<Ipv4Addr> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.role == PeerRole::Balancer && peer.heard_at.is_some())
+            .map(|(address, _)| *address)
+            .collect();
+        let count = heard.len().min(MAXIMUM_NAMED);
+        (0..count).map(|offset| heard[(start + offset) % heard.len()].to_bits()).collect()
+    }
+
+    /// How many living balancers have a lower address than this daemon.
+    pub fn rank(&self) -> usize {
+        self.balancers().filter(|address| *address < self.own_address).count()
+    }
+
+    /// Whether a balancer with a lower address said within `window` that it reads
+    /// the store.
+    pub fn lower_reader(&self, now: Millis, window: Millis) -> bool {
+        self.peers
+            .range(..self.own_address)
+            .any(|(_, peer)| peer.reading_at.is_some_and(|at| now.saturating_sub(at) < window))
+    }
+
+    fn with_role(&self, role: PeerRole) -> impl Iterator<Item = Ipv4Addr> {
+        let peers = self.peers.iter().filter(move |(_, peer)| peer.role == role);
+        peers.map(|(address, _)| *address)
+    }
+
+    fn named(&mut self, address: Ipv4Addr, now: Millis) {
+        if address == self.own_address || self.is_full_for(address) {
+            return;
+        }
+        let peer =
+            Peer { role: PeerRole::Balancer, heard_at: None, named_at: now, reading_at: None };
+        self.peers.entry(address).or_insert(peer);
+    }
+
+    fn is_full_for(&self, address: Ipv4Addr) -> bool {
+        self.peers.len() >= MAXIMUM_PEERS && !self.peers.contains_key(&address)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/reader.rs
@@ -0,0 +1,52 @@
+//! Which daemons read the store for the others.
+//!
+//! Every call to the store is paid for, so as few balancers as possible read
+//! it; the others follow their peers. Nobody is appointed: a balancer begins to
+//! read when what it knows is no longer fresh, later the more balancers stand
+//! before it, and stops when one that stands before it reads as well. Two
+//! readers at once cost calls and nothing else.
+
+use crate::Millis;
+
+/// Longest wait of one watch; an answer without changes confirms what is known.
+pub const WATCH_WAIT_MS: Millis = 1_000;
+/// Knowledge older than this is worth a call of one's own. Above the wait of a
+/// watch, so that a working reader is never doubled.
+const FRESH_MS: Millis = 1_350;
+/// Time that each balancer leaves to the one before it.
+const RANK_STEP_MS: Millis = 120;
+/// Longest such time, so that everyone reads well within the bound of a change.
+const LONGEST_RANK_WAIT_MS: Millis = 480;
+/// How long a reader's word that it reads counts.
+pub const READER_WORD_MS: Millis = 1_300;
+/// How long a daemon that knows nothing waits for peers before it reads.
+const FIRST_WAIT_MS: Millis = 40;
+
+/// What a balancer knows when it decides whether to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReaderInputs {
+    /// Milliseconds since this process started.
+    pub uptime_ms: Millis,
+    /// Milliseconds since the store confirmed the replica; none if never.
+    pub age_ms: Option<Millis>,
+    /// Living balancers with a lower address.
+    pub rank: usize,
+    /// Whether this balancer reads now.
+    pub reading: bool,
+    /// Whether a balancer with a lower address said lately that it reads.
+    pub lower_reader: bool,
+}
+
+/// Whether to make the next call to the store.
+pub fn should_read(inputs: &ReaderInputs) -> bool {
+    let patience = FRESH_MS + rank_wait(inputs.rank);
+    match inputs.age_ms {
+        None => inputs.uptime_ms >= FIRST_WAIT_MS,
+        Some(age) if age > patience => true,
+        Some(_) => inputs.reading && !inputs.lower_reader,
+    }
+}
+
+fn rank_wait(rank: usize) -> Millis {
+    (rank as Millis).saturating_mul(RANK_STEP_MS).min(LONGEST_RANK_WAIT_MS)
+}
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -6,5 +6,5 @@
 mod metrics;
 
 pub use admin::{AdminServer, BoundAddresses, Health, HealthSource, start_admin};
-pub use logging::{LogFormat, LogOptions, build_logger};
-pub use metrics::{Counter, Gauge, Metrics, ReasonCounters};
+pub use logging::{LogFormat, LogOptions, LogOutput, build_logger};
+pub use metrics::{Counter, Gauge, Histogram, Metrics, ReasonCounters};
--- a/crates/observe/src/logging.rs
+++ b/crates/observe/src/logging.rs
@@ -34,9 +34,30 @@
     }
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogOutput {
+    /// Standard error, the default.
+    #[default]
+    StandardError,
+    /// Standard output.
+    StandardOutput,
+}
+
+impl LogOutput {
+    fn writer(self) -> Box<dyn std::io::Write + Send> {
+        match self {
+            LogOutput::StandardError => Box::new(std::io::stderr()),
+            LogOutput::StandardOutput => Box::new(std::io::stdout()),
+        }
+    }
+}
+
 /// How to log.
 #[derive(Clone, Copy, Debug)]
 pub struct LogOptions {
+    /// Where the lines go; lines for a person's eye always go to standard error.
+    pub output: LogOutput,
     /// Format of the lines.
     pub format: LogFormat,
     /// Least severe level that is written.
@@ -45,11 +66,11 @@
 
 impl Default for LogOptions {
     fn default() -> Self {
-        Self { format: LogFormat::Terminal, level: Level::Info }
+        Self { output: LogOutput::default(), format: LogFormat::Terminal, level: Level::Info }
     }
 }
 
-/// Builds a logger that writes to standard error.
+/// Builds a logger.
 pub fn build_logger(options: LogOptions) -> Logger {
     match options.format {
         LogFormat::Terminal => {
@@ -58,7 +79,7 @@
             asynchronous(drain, options.level)
         }
         LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            let drain = slog_json::Json::default(options.output.writer()).fuse();
             asynchronous(drain, options.level)
         }
     }
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -7,8 +7,17 @@
 pub use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 pub use prometheus_client::metrics::gauge::Gauge;
+pub use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+/// Upper bound of a latency histogram's first bucket, in seconds.
+const FIRST_BUCKET_SECONDS: f64 = 0.000_01;
+/// Factor between the bounds of neighbouring buckets.
+const BUCKET_FACTOR: f64 = 4.0;
+/// Number of buckets: up to about 10 seconds.
+const BUCKETS: u16 = 11;
+
 /// Collects metrics while a daemon starts; frozen into an [`Arc`] when it runs.
 #[derive(Debug)]
 pub struct Metrics {
@@ -56,6 +65,14 @@
         gauge
     }
 
+    /// Declares a latency histogram in seconds.
+    pub fn histogram(&mut self, name: &str, help: &str) -> Histogram {
+        let buckets = exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKETS);
+        let histogram = Histogram::new(buckets);
+        self.registry.register(name, help, histogram.clone());
+        histogram
+    }
+
     /// Declares a counter that is split by reason.
     pub fn reasons(&mut self, name: &str, help: &str) -> ReasonCounters {
         let family = Family::<ReasonLabels, Counter>::default();
--- a/crates/rehearsal/src/agreement.rs
+++ b/crates/rehearsal/src/agreement.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
 use weirhinge_config::TargetState;
-use weirhinge_platform::{Fetched, fetch};
+use weirhinge_document_source::{Fetched, fetch};
 
 use crate::fleet::{Fleet, FleetOptions};
 use crate::history::History;
--- a/crates/rehearsal/src/operator.rs
+++ b/crates/rehearsal/src/operator.rs
@@ -6,7 +6,7 @@
 use eyre::WrapErr;
 use http::{Request, StatusCode};
 use weirhinge_config::ConfigDocument;
-use weirhinge_platform::{CONFIGURATION_PATH, send};
+use weirhinge_document_source::{CONFIGURATION_PATH, send};
 
 /// Longest that a change may take to be accepted.
 const WRITE_PATIENCE: Duration = Duration::from_secs(20);
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
-use weirhinge_platform::{Fetched, fetch};
+use weirhinge_document_source::{Fetched, fetch};
 
 use crate::faults::run_schedule;
 use crate::fleet::{Fleet, FleetOptions};
--- a/crates/rehearsal/src/scale/followers.rs
+++ b/crates/rehearsal/src/scale/followers.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use weirhinge_platform::{Following, WatchEvent, WatchOutcome, run_watch};
+use weirhinge_document_source::{Following, WatchEvent, WatchOutcome, run_watch};
 
 use super::{ProcessUsage, document_of_size};
 use crate::standin::platform::Platform;
--- a/crates/rehearsal/src/scrape.rs
+++ b/crates/rehearsal/src/scrape.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use weirhinge_platform::{Fetched, fetch};
+use weirhinge_document_source::{Fetched, fetch};
 
 /// Longest wait for one daemon's answer.
 const SCRAPE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/rehearsal/src/standin/platform.rs
+++ b/crates/rehearsal/src/standin/platform.rs
@@ -104,8 +104,8 @@
 
     fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         match request.uri().path() {
-            weirhinge_platform::CONFIGURATION_PATH => self.answer_configuration(request),
-            weirhinge_platform::MACHINES_PATH => {
+            weirhinge_document_source::CONFIGURATION_PATH => self.answer_configuration(request),
+            weirhinge_document_source::MACHINES_PATH => {
                 json(serde_json::to_vec(&self.lock().machines).unwrap_or_default(), None)
             }
             _ => status(StatusCode::NOT_FOUND),
--- a/crates/rehearsal/tests/agreement.rs
+++ b/crates/rehearsal/tests/agreement.rs
@@ -7,7 +7,7 @@
 
 use http::{Method, Request, StatusCode};
 use serde_json::Value;
-use weirhinge_platform::{Answer, Fetched, fetch, send};
+use weirhinge_document_source::{Answer, Fetched, fetch, send};
 use weirhinge_rehearsal::fleet::{Fleet, FleetOptions};
 use weirhinge_rehearsal::history::History;
 use weirhinge_rehearsal::scenario::Scenario;
--- /dev/null
+++ b/crates/relay/src/agent.rs
@@ -0,0 +1,314 @@
+//! The agent daemon, beside one target.
+
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use slog::{Logger, info};
+use tokio::net::UdpSocket;
+use weirhinge_fleet::{
+    Millis, PeerMessage, PeerRole, ReturnReason, ServiceId, TargetClaim, decode,
+};
+use weirhinge_observe::Metrics;
+use weirhinge_steering::{Agent, DeliveryDecision, HoldsNotice, OutputDecision, PacketHead};
+
+use crate::clock::Clock;
+use crate::events::DecisionLog;
+use crate::fleet_node::FleetNode;
+use crate::link::PeerLink;
+use crate::metrics::{AgentMetrics, FleetMetrics};
+use crate::platform::Platform;
+use crate::process::Signals;
+use crate::settings::{AgentSettings, RawSettings};
+use crate::status::{Status, serve_status};
+
+/// Room for one datagram.
+const DATAGRAM_ROOM: usize = 2_048;
+/// Datagrams taken in one turn before other tasks get theirs.
+const DATAGRAMS_A_TURN: usize = 64;
+/// How often digests go out and old state is dropped.
+const TICK: Duration = Duration::from_millis(500);
+/// How often digests go out soon after the start.
+const EAGER_TICK: Duration = Duration::from_millis(100);
+/// How long after the start that is.
+const EAGER_MS: Millis = 2_000;
+/// A planned stop goes on for at least this long, so that balancers hear of it.
+const SHORTEST_STOP_MS: Millis = 200;
+/// Left of the stop limit for ending.
+const STOP_MARGIN_MS: Millis = 700;
+/// How often a stopping agent looks whether requests still wait.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+struct Daemon<P> {
+    platform: P,
+    clock: Clock,
+    node: Rc<RefCell<FleetNode>>,
+    core: RefCell<Agent>,
+    /// Receives what the target sends.
+    output: UdpSocket,
+    /// Connected to the target, so that a target that is gone is noticed.
+    target: UdpSocket,
+    target_gone: Cell<bool>,
+    link: Rc<PeerLink>,
+    client_port: u16,
+    service: String,
+    leaving: Cell<bool>,
+    metrics: AgentMetrics,
+    decisions: DecisionLog,
+    log: Logger,
+}
+
+/// Runs an agent until it is told to stop.
+///
+/// # Errors
+/// When an address cannot be bound.
+pub async fn run<P: Platform>(
+    platform: P,
+    settings: AgentSettings,
+    settings_file: String,
+    log: Logger,
+    mut signals: Signals,
+) -> eyre::Result<()> {
+    let clock = Clock::start();
+    let common = settings.common.clone();
+    let mut metrics = Metrics::new();
+    let agent_metrics = AgentMetrics::declare(&mut metrics);
+    let fleet_metrics = FleetMetrics::declare(&mut metrics);
+    let metrics = metrics.freeze();
+    let node = FleetNode::new(common.address, PeerRole::Agent, &common.seeds, log.clone());
+    let node = Rc::new(RefCell::new(node));
+    let output = bind(settings.target_output, "the target's output").await?;
+    let target = bind(SocketAddrV4::new(common.address, 0), "the target's input").await?;
+    target
+        .connect(settings.target)
+        .await
+        .wrap_err_with(|| format!("connect to the target at {}", settings.target))?;
+    let link =
+        PeerLink::start(&common, Rc::clone(&node), clock, fleet_metrics, log.clone()).await?;
+    let status = Status::always(Rc::clone(&node));
+    serve_status(&platform, &common, status.clone(), metrics).await?;
+    let daemon = Rc::new(Daemon {
+        platform,
+        clock,
+        node,
+        core: RefCell::new(Agent::new(ServiceId::of(&settings.service))),
+        output,
+        target,
+        target_gone: Cell::new(false),
+        link,
+        client_port: common.packets.port(),
+        service: settings.service.clone(),
+        leaving: Cell::new(false),
+        metrics: agent_metrics,
+        decisions: DecisionLog::new(log.clone()),
+        log: log.clone(),
+    });
+    tokio::task::spawn_local(Rc::clone(&daemon).take_peer_messages());
+    tokio::task::spawn_local(Rc::clone(&daemon).take_output());
+    tokio::task::spawn_local(Rc::clone(&daemon).tick());
+    let recheck = {
+        let file = settings_file.clone();
+        let settings = settings.clone();
+        move || RawSettings::from_file(&file)?.into_agent(&file).map(|new| new == settings)
+    };
+    tokio::task::spawn_local(crate::reload::watch(signals.clone(), log.clone(), recheck));
+    info!(log, "agent: started"; "event" => "start", "name" => &common.name,
+        "zone" => &common.zone, "service" => &settings.service,
+        "target" => settings.target.to_string());
+    signals.stopped().await;
+    status.stop();
+    info!(log, "agent: stopping"; "event" => "stop", "waiting" => daemon.core.borrow().waiting());
+    daemon.leave_when_idle(common.stop_limit_ms).await;
+    info!(log, "agent: stopped"; "event" => "stopped",
+        "waiting" => daemon.core.borrow().waiting());
+    Ok(())
+}
+
+async fn bind(address: SocketAddrV4, what: &str) -> eyre::Result<UdpSocket> {
+    UdpSocket::bind(address).await.wrap_err_with(|| format!("bind {what} at {address}"))
+}
+
+impl<P: Platform> Daemon<P> {
+    async fn take_peer_messages(self: Rc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_ROOM];
+        loop {
+            let socket = self.link.socket();
+            // An error here is one of an earlier send; receiving goes on.
+            let _ = socket.readable().await;
+            for _ in 0..DATAGRAMS_A_TURN {
+                match socket.try_recv_from(&mut buffer) {
+                    Ok((length, SocketAddr::V4(sender))) => {
+                        self.peer_message(&buffer[..length], *sender.ip());
+                    }
+                    Ok(_) => {}
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
+                    Err(_) => {}
+                }
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn peer_message(&self, datagram: &[u8], sender: Ipv4Addr) {
+        match decode(datagram) {
+            Ok(PeerMessage::Digest(digest)) => self.link.on_digest(&digest, sender),
+            Ok(PeerMessage::Forward { service, search, packet }) => {
+                self.deliver(packet, sender, ServiceId(service), search);
+            }
+            Ok(_) => self.link.refuse_unexpected(),
+            Err(error) => self.link.refuse(error),
+        }
+    }
+
+    fn deliver(&self, packet: &[u8], balancer: Ipv4Addr, service: ServiceId, search: bool) {
+        let now = self.clock.now();
+        let head = match self.platform.decode(packet) {
+            Ok(head) => head,
+            Err(malformed) => return self.metrics.dropped.increment(malformed.label()),
+        };
+        let decision = self.core.borrow_mut().delivery(&head, balancer, service, search, now);
+        match decision {
+            DeliveryDecision::Deliver { echo } => {
+                let mut packet = packet.to_vec();
+                self.platform.write_echo(&mut packet, echo);
+                self.hand_to_target(&packet);
+            }
+            DeliveryDecision::Return(reason) => {
+                self.return_packet(&head, packet, balancer, reason, now);
+            }
+        }
+    }
+
+    fn hand_to_target(&self, packet: &[u8]) {
+        match self.target.try_send(packet) {
+            Ok(_) => {
+                self.metrics.delivered.inc();
+                if self.target_gone.replace(false) {
+                    info!(self.log, "agent: target regained"; "event" => "target_regained");
+                }
+            }
+            Err(error) => {
+                self.metrics.dropped.increment("target_gone");
+                if !self.target_gone.replace(true) {
+                    info!(self.log, "agent: target lost"; "event" => "target_lost",
+                        "reason" => error.to_string());
+                }
+            }
+        }
+    }
+
+    fn return_packet(
+        &self,
+        head: &PacketHead,
+        packet: &[u8],
+        balancer: Ipv4Addr,
+        reason: ReturnReason,
+        now: Millis,
+    ) {
+        let label = match reason {
+            ReturnReason::Bounced => "bounced",
+            ReturnReason::OtherService => "other_service",
+            ReturnReason::Leaving => "leaving",
+        };
+        self.metrics.returned.increment(label);
+        self.decisions.returned(&head.client_flow(), label, head.is_opening(), now);
+        let waiting = self.core.borrow().waiting();
+        self.link.send(balancer, &PeerMessage::Returned { reason, waiting, packet });
+    }
+
+    async fn take_output(self: Rc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_ROOM];
+        loop {
+            let _ = self.output.readable().await;
+            for _ in 0..DATAGRAMS_A_TURN {
+                match self.output.try_recv_from(&mut buffer) {
+                    Ok((length, _)) => self.target_packet(&mut buffer[..length]),
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
+                    Err(_) => {}
+                }
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn target_packet(&self, packet: &mut [u8]) {
+        let now = self.clock.now();
+        let head = match self.platform.decode(packet) {
+            Ok(head) => head,
+            Err(malformed) => return self.metrics.dropped.increment(malformed.label()),
+        };
+        let decision = self.core.borrow_mut().output(&head, now);
+        match decision {
+            OutputDecision::ToClient { notice } => {
+                let client = SocketAddrV4::new(*head.destination.ip(), self.client_port);
+                // Like any datagram, it may be lost; the target sends it again.
+                let _ = self.output.try_send_to(packet, client.into());
+                self.metrics.to_clients.inc();
+                if let Some(notice) = notice {
+                    self.send_notice(&notice, now);
+                }
+            }
+            OutputDecision::Return { balancer } => {
+                self.platform.restore_bounced(packet);
+                self.return_packet(&head, packet, balancer, ReturnReason::Bounced, now);
+            }
+            OutputDecision::Drop(_) => self.metrics.dropped.increment("unknown_delivery"),
+        }
+    }
+
+    fn send_notice(&self, notice: &HoldsNotice, now: Millis) {
+        let waiting = self.core.borrow().waiting();
+        self.decisions.answered(&notice.flow, notice.confirmed, waiting, now);
+        let flow = notice.flow;
+        let message = PeerMessage::Holds {
+            client: (flow.client.ip().to_bits(), flow.client.port()),
+            service: (flow.service.ip().to_bits(), flow.service.port()),
+            confirmed: notice.confirmed,
+            waiting,
+        };
+        self.link.send(notice.balancer, &message);
+    }
+
+    async fn tick(self: Rc<Self>) {
+        loop {
+            let now = self.clock.now();
+            self.core.borrow_mut().expire(now);
+            self.renew_claim();
+            self.link.tick();
+            let tick = if now < EAGER_MS { EAGER_TICK } else { TICK };
+            tokio::time::sleep(tick).await;
+        }
+    }
+
+    fn renew_claim(&self) {
+        let core = self.core.borrow();
+        self.metrics.waiting.set(i64::from(core.waiting()));
+        self.metrics.flows.set(core.flow_count() as i64);
+        self.node.borrow_mut().claim = Some(TargetClaim {
+            service: self.service.clone(),
+            alive: !self.target_gone.get(),
+            waiting: core.waiting(),
+            leaving: self.leaving.get(),
+        });
+    }
+
+    /// Takes no new flows, and ends at a moment when no request waits.
+    async fn leave_when_idle(&self, stop_limit_ms: Millis) {
+        self.leaving.set(true);
+        self.core.borrow_mut().leave();
+        self.renew_claim();
+        self.link.tick();
+        let began = self.clock.now();
+        let longest = stop_limit_ms.saturating_sub(STOP_MARGIN_MS);
+        loop {
+            let elapsed = self.clock.now().saturating_sub(began);
+            let idle = self.core.borrow().waiting() == 0;
+            if elapsed >= longest || (elapsed >= SHORTEST_STOP_MS && idle) {
+                return;
+            }
+            tokio::time::sleep(STOP_POLL).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/balancer.rs
@@ -0,0 +1,295 @@
+//! The balancer daemon.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eyre::WrapErr;
+use slog::{Logger, info};
+use tokio::net::UdpSocket;
+use weirhinge_fleet::{Millis, PeerMessage, PeerRole, decode};
+use weirhinge_observe::Metrics;
+use weirhinge_steering::{Balancer, Decision, FlowKey, ForwardReason, PacketHead, SelectionInputs};
+
+use crate::clock::Clock;
+use crate::events::{Basis, DecisionLog, Forwarded};
+use crate::fleet_node::FleetNode;
+use crate::link::PeerLink;
+use crate::metrics::{BalancerMetrics, FleetMetrics, StoreMetrics};
+use crate::platform::Platform;
+use crate::process::Signals;
+use crate::settings::{BalancerSettings, RawSettings};
+use crate::status::{Status, serve_status};
+use crate::store::StoreReader;
+
+/// Room for one datagram.
+const DATAGRAM_ROOM: usize = 2_048;
+/// Datagrams taken in one turn before other tasks get theirs.
+const DATAGRAMS_A_TURN: usize = 64;
+/// How often digests go out and old state is dropped.
+const TICK: Duration = Duration::from_millis(500);
+/// Routers ask twice a second and stop sending after two misses.
+const ROUTERS_LEAVE_MS: Millis = 1_300;
+/// Silence after which routers are believed to have stopped sending.
+const QUIET_MS: Millis = 250;
+/// Left of the stop limit for ending.
+const STOP_MARGIN_MS: Millis = 700;
+/// How often a stopping balancer looks whether packets still come.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+struct Daemon<P> {
+    platform: P,
+    clock: Clock,
+    node: Rc<RefCell<FleetNode>>,
+    core: RefCell<Balancer>,
+    packets: UdpSocket,
+    link: Rc<PeerLink>,
+    client_port: u16,
+    metrics: BalancerMetrics,
+    decisions: DecisionLog,
+    last_packet_at: RefCell<Millis>,
+}
+
+/// Runs a balancer until it is told to stop.
+///
+/// # Errors
+/// When an address cannot be bound.
+pub async fn run<P: Platform>(
+    platform: P,
+    settings: BalancerSettings,
+    settings_file: String,
+    log: Logger,
+    mut signals: Signals,
+) -> eyre::Result<()> {
+    let clock = Clock::start();
+    let common = settings.common.clone();
+    let mut metrics = Metrics::new();
+    let balancer_metrics = BalancerMetrics::declare(&mut metrics);
+    let fleet_metrics = FleetMetrics::declare(&mut metrics);
+    let store_metrics = StoreMetrics::declare(&mut metrics);
+    let metrics = metrics.freeze();
+    let node = FleetNode::new(common.address, PeerRole::Balancer, &common.seeds, log.clone());
+    let node = Rc::new(RefCell::new(node));
+    let packets = UdpSocket::bind(common.packets)
+        .await
+        .wrap_err_with(|| format!("bind packets at {}", common.packets))?;
+    let link =
+        PeerLink::start(&common, Rc::clone(&node), clock, fleet_metrics, log.clone()).await?;
+    let status = Status::new(Rc::clone(&node));
+    serve_status(&platform, &common, status.clone(), metrics).await?;
+    let daemon = Rc::new(Daemon {
+        platform: platform.clone(),
+        clock,
+        node: Rc::clone(&node),
+        core: RefCell::new(Balancer::new()),
+        packets,
+        link: Rc::clone(&link),
+        client_port: common.packets.port(),
+        metrics: balancer_metrics,
+        decisions: DecisionLog::new(log.clone()),
+        last_packet_at: RefCell::new(0),
+    });
+    let reader = StoreReader::new(platform, common.store, node, clock, store_metrics, log.clone());
+    let news = Rc::clone(&link);
+    tokio::task::spawn_local(reader.run(move || news.spread_news()));
+    tokio::task::spawn_local(Rc::clone(&daemon).take_client_packets());
+    tokio::task::spawn_local(Rc::clone(&daemon).take_peer_messages());
+    tokio::task::spawn_local(Rc::clone(&daemon).tick());
+    let recheck = {
+        let file = settings_file.clone();
+        move || RawSettings::from_file(&file)?.into_balancer(&file).map(|new| new == settings)
+    };
+    tokio::task::spawn_local(crate::reload::watch(signals.clone(), log.clone(), recheck));
+    info!(log, "balancer: started"; "event" => "start", "name" => &common.name,
+        "zone" => &common.zone, "address" => common.address.to_string());
+    signals.stopped().await;
+    status.stop();
+    info!(log, "balancer: stopping"; "event" => "stop", "flows" => daemon.flow_count());
+    daemon.serve_until_routers_left(common.stop_limit_ms).await;
+    info!(log, "balancer: stopped"; "event" => "stopped", "flows" => daemon.flow_count());
+    Ok(())
+}
+
+impl<P: Platform> Daemon<P> {
+    fn flow_count(&self) -> usize {
+        self.core.borrow().flow_count()
+    }
+
+    async fn take_client_packets(self: Rc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_ROOM];
+        loop {
+            // An error here is one of an earlier send; receiving goes on.
+            let _ = self.packets.readable().await;
+            for _ in 0..DATAGRAMS_A_TURN {
+                match self.packets.try_recv_from(&mut buffer) {
+                    Ok((length, _)) => self.client_packet(&mut buffer[..length]),
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
+                    Err(_) => {}
+                }
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn client_packet(&self, packet: &mut [u8]) {
+        let began = Instant::now();
+        let now = self.clock.now();
+        *self.last_packet_at.borrow_mut() = now;
+        let head = match self.platform.decode(packet) {
+            Ok(head) => head,
+            Err(malformed) => return self.metrics.dropped.increment(malformed.label()),
+        };
+        let decision = {
+            let node = self.node.borrow();
+            let fresh = node.is_fresh(now);
+            self.core.borrow_mut().client_packet(node.view(), &head, fresh, now)
+        };
+        self.metrics.decision_seconds.observe(began.elapsed().as_secs_f64());
+        self.carry_out(decision, &head, packet, now);
+    }
+
+    async fn take_peer_messages(self: Rc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_ROOM];
+        loop {
+            let socket = self.link.socket();
+            let _ = socket.readable().await;
+            for _ in 0..DATAGRAMS_A_TURN {
+                match socket.try_recv_from(&mut buffer) {
+                    Ok((length, SocketAddr::V4(sender))) => {
+                        self.peer_message(&mut buffer[..length], *sender.ip());
+                    }
+                    Ok(_) => {}
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
+                    Err(_) => {}
+                }
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn peer_message(&self, datagram: &mut [u8], sender: Ipv4Addr) {
+        let now = self.clock.now();
+        let message: PeerMessage<'_> = match decode(datagram) {
+            Ok(message) => message,
+            Err(error) => return self.link.refuse(error),
+        };
+        match message {
+            PeerMessage::Digest(digest) => {
+                if let Some(claim) = &digest.target {
+                    self.core.borrow_mut().claimed(sender, claim, now);
+                }
+                self.link.on_digest(&digest, sender);
+            }
+            PeerMessage::Returned { reason, waiting, packet } => {
+                let Ok(head) = self.platform.decode(packet) else { return };
+                let decision = {
+                    let node = self.node.borrow();
+                    let fresh = node.is_fresh(now);
+                    let mut core = self.core.borrow_mut();
+                    core.heard(sender, waiting, now);
+                    core.returned_packet(node.view(), &head, sender, reason, fresh, now)
+                };
+                let mut packet = packet.to_vec();
+                self.carry_out(decision, &head, &mut packet, now);
+            }
+            PeerMessage::Holds { client, service, confirmed, waiting } => {
+                let flow = FlowKey { client: endpoint(client), service: endpoint(service) };
+                let waited = self.core.borrow_mut().holds(flow, sender, confirmed, waiting, now);
+                if let Some(waited) = waited {
+                    self.metrics.opening_seconds.observe(waited as f64 / 1_000.0);
+                }
+            }
+            PeerMessage::Forward { .. } => self.link.refuse_unexpected(),
+        }
+    }
+
+    fn carry_out(&self, decision: Decision, head: &PacketHead, packet: &mut [u8], now: Millis) {
+        let flow = head.client_flow();
+        match decision {
+            Decision::Forward { agent, service, search, reason, inputs } => {
+                self.metrics.forwarded.increment(reason.label());
+                self.log_forwarded(&flow, agent, reason, inputs.as_ref(), packet, now);
+                let message = PeerMessage::Forward { service: service.0, search, packet };
+                self.link.send(agent, &message);
+            }
+            Decision::Reset { sequence, reason } => {
+                self.metrics.resets.increment(reason.label());
+                self.decisions.reset(&flow, reason.label(), self.basis(now), now);
+                let reset = self.platform.build_reset(&flow, sequence);
+                let client = SocketAddrV4::new(*flow.client.ip(), self.client_port);
+                // Like any datagram, a reset may be lost; the client asks again.
+                let _ = self.packets.try_send_to(&reset, client.into());
+            }
+            Decision::Drop(reason) => {
+                self.metrics.dropped.increment(reason.label());
+                self.decisions.dropped(&flow, reason, self.basis(now), now);
+            }
+        }
+    }
+
+    fn log_forwarded(
+        &self,
+        flow: &FlowKey,
+        agent: Ipv4Addr,
+        reason: ForwardReason,
+        inputs: Option<&SelectionInputs>,
+        packet: &[u8],
+        now: Millis,
+    ) {
+        let forwarded = Forwarded { flow, agent, reason: reason.label(), inputs };
+        match reason {
+            ForwardReason::Held => {}
+            ForwardReason::Search => self.decisions.search(&forwarded, self.basis(now), now),
+            _ => self.decisions.opening(&forwarded, self.basis(now), now),
+        }
+        if let Some(id) = self.platform.request_id(packet) {
+            self.decisions.request(id, &forwarded, now);
+        }
+    }
+
+    fn basis(&self, now: Millis) -> Basis {
+        let node = self.node.borrow();
+        Basis {
+            configuration: node.view().label(),
+            revision: node.revision(),
+            age_ms: node.age(now),
+        }
+    }
+
+    async fn tick(self: Rc<Self>) {
+        loop {
+            let now = self.clock.now();
+            self.link.tick();
+            {
+                let mut node = self.node.borrow_mut();
+                let mut core = self.core.borrow_mut();
+                if let Some(regained_at) = node.take_regained() {
+                    core.store_regained(regained_at);
+                }
+                core.expire(node.view(), now);
+                self.metrics.flows.set(core.flow_count() as i64);
+            }
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    /// Serves on until routers have noticed that this balancer is not ready.
+    async fn serve_until_routers_left(&self, stop_limit_ms: Millis) {
+        let began = self.clock.now();
+        let longest = stop_limit_ms.saturating_sub(STOP_MARGIN_MS);
+        loop {
+            let now = self.clock.now();
+            let elapsed = now.saturating_sub(began);
+            let quiet = now.saturating_sub(*self.last_packet_at.borrow()) >= QUIET_MS;
+            if elapsed >= longest || (elapsed >= ROUTERS_LEAVE_MS && quiet) {
+                return;
+            }
+            tokio::time::sleep(STOP_POLL).await;
+        }
+    }
+}
+
+fn endpoint((address, port): (u32, u16)) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from_bits(address), port)
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,27 @@
+//! Runs the daemons for targets that end flows themselves: a balancer and an
+//! agent, each on one thread, around the decisions of `weirhinge-steering` and
+//! the knowledge of `weirhinge-fleet`.
+//!
+//! How the outside speaks is behind the typed seam [`Platform`].
+
+mod agent;
+mod balancer;
+mod clock;
+mod events;
+mod fleet_node;
+mod http;
+mod link;
+mod metrics;
+mod peer_stream;
+mod platform;
+mod process;
+mod reload;
+mod settings;
+mod status;
+mod store;
+
+pub use agent::run as run_agent;
+pub use balancer::run as run_balancer;
+pub use platform::{ListPage, Platform, RejectedItem, WatchPage};
+pub use process::run_process;
+pub use settings::{AgentSettings, BalancerSettings, CommonSettings, RawSettings};
--- /dev/null
+++ b/crates/relay/src/link.rs
@@ -0,0 +1,186 @@
+//! The socket between daemons, and the exchange of knowledge over it.
+
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+
+use eyre::WrapErr;
+use slog::{Logger, warn};
+use tokio::net::UdpSocket;
+use weirhinge_fleet::{Digest, MessageError, PeerMessage, encode};
+
+use crate::clock::Clock;
+use crate::fleet_node::FleetNode;
+use crate::metrics::FleetMetrics;
+use crate::peer_stream;
+use crate::settings::CommonSettings;
+
+/// Most fetches under way at once.
+const MAXIMUM_FETCHES: u32 = 2;
+
+/// This daemon's end of the conversation with its peers.
+pub struct PeerLink {
+    socket: UdpSocket,
+    port: u16,
+    node: Rc<RefCell<FleetNode>>,
+    clock: Clock,
+    metrics: FleetMetrics,
+    log: Logger,
+    buffer: RefCell<Vec<u8>>,
+    fetches: Cell<u32>,
+}
+
+impl PeerLink {
+    /// Opens the socket and begins to answer fetches.
+    ///
+    /// # Errors
+    /// When the port cannot be bound.
+    pub async fn start(
+        settings: &CommonSettings,
+        node: Rc<RefCell<FleetNode>>,
+        clock: Clock,
+        metrics: FleetMetrics,
+        log: Logger,
+    ) -> eyre::Result<Rc<Self>> {
+        let address = SocketAddrV4::new(settings.address, settings.peer_port);
+        let socket = UdpSocket::bind(address)
+            .await
+            .wrap_err_with(|| format!("bind for peers at {address}"))?;
+        let known = Rc::clone(&node);
+        peer_stream::serve(settings.address, settings.peer_port, move |request| {
+            known.borrow().update_after(request.after, clock.now())
+        })
+        .await
+        .wrap_err_with(|| format!("listen for peers at {address}"))?;
+        Ok(Rc::new(Self {
+            socket,
+            port: settings.peer_port,
+            node,
+            clock,
+            metrics,
+            log,
+            buffer: RefCell::new(Vec::new()),
+            fetches: Cell::new(0),
+        }))
+    }
+
+    /// The socket, to receive from.
+    pub fn socket(&self) -> &UdpSocket {
+        &self.socket
+    }
+
+    /// Sends a message; like any datagram it may be lost.
+    pub fn send(&self, peer: Ipv4Addr, message: &PeerMessage<'_>) {
+        let mut buffer = self.buffer.borrow_mut();
+        if encode(message, &mut buffer).is_err() {
+            return self.metrics.refused.increment("not_encoded");
+        }
+        let address = SocketAddrV4::new(peer, self.port);
+        if self.socket.try_send_to(&buffer, address.into()).is_err() {
+            self.metrics.refused.increment("not_sent");
+        }
+    }
+
+    /// Counts a datagram that cannot be decoded.
+    pub fn refuse(&self, error: MessageError) {
+        self.metrics.refused.increment(match error {
+            MessageError::UnknownVersion => "unknown_version",
+            MessageError::Malformed => "malformed",
+            MessageError::Encoding => "not_encoded",
+        });
+    }
+
+    /// Counts a message that this role does not take.
+    pub fn refuse_unexpected(&self) {
+        self.metrics.refused.increment("unexpected");
+    }
+
+    /// Takes in a digest and does what it calls for.
+    pub fn on_digest(self: &Rc<Self>, digest: &Digest, sender: Ipv4Addr) {
+        if digest.sender != sender.to_bits() {
+            return self.metrics.refused.increment("wrong_sender");
+        }
+        let now = self.clock.now();
+        let reaction = self.node.borrow_mut().on_digest(digest, now);
+        if reaction.reply {
+            self.send_digest(sender, false);
+        }
+        if reaction.fetch {
+            self.fetch(sender);
+        }
+        if reaction.spread {
+            self.spread_news();
+        }
+    }
+
+    /// Tells some peers what this daemon knows.
+    pub fn spread_news(&self) {
+        let receivers = self.node.borrow().news_receivers();
+        for receiver in receivers {
+            self.send_digest(receiver, false);
+        }
+    }
+
+    /// Keeps in touch with peers; to be called regularly.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        let receivers = {
+            let mut node = self.node.borrow_mut();
+            node.check_freshness(now);
+            node.tick_receivers(now)
+        };
+        let ask = self.node.borrow().revision() == 0;
+        for receiver in receivers {
+            self.send_digest(receiver, ask);
+        }
+        self.update_gauges();
+    }
+
+    fn send_digest(&self, peer: Ipv4Addr, reply: bool) {
+        let digest = self.node.borrow().digest(reply, self.clock.now());
+        self.send(peer, &PeerMessage::Digest(digest));
+    }
+
+    fn fetch(self: &Rc<Self>, peer: Ipv4Addr) {
+        if self.fetches.get() >= MAXIMUM_FETCHES {
+            return;
+        }
+        self.fetches.set(self.fetches.get() + 1);
+        let link = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            link.fetch_from(peer).await;
+            link.fetches.set(link.fetches.get() - 1);
+        });
+    }
+
+    async fn fetch_from(&self, peer: Ipv4Addr) {
+        let began = self.clock.now();
+        let after = self.node.borrow().revision();
+        let result = peer_stream::fetch(SocketAddrV4::new(peer, self.port), after).await;
+        let now = self.clock.now();
+        self.metrics.fetch_seconds.observe((now - began) as f64 / 1_000.0);
+        match result {
+            Ok(update) => {
+                self.metrics.fetches.increment("done");
+                let changed = self.node.borrow_mut().apply(update, "peer", now);
+                if changed {
+                    self.spread_news();
+                }
+            }
+            Err(error) => {
+                self.metrics.fetches.increment("failed");
+                warn!(self.log, "fleet: fetch failed"; "event" => "fetch_failed",
+                    "peer" => peer.to_string(), "reason" => error.to_string());
+            }
+        }
+    }
+
+    fn update_gauges(&self) {
+        let node = self.node.borrow();
+        let age = node.age(self.clock.now());
+        let version = node.view().label().map_or(0, |label| label.version);
+        self.metrics.revision.set(node.revision() as i64);
+        self.metrics.configuration.set(version as i64);
+        self.metrics.age_ms.set(age.map_or(-1, |age| age as i64));
+    }
+}
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,125 @@
+//! Counters, gauges and histograms of the relay's daemons.
+
+use weirhinge_observe::{Counter, Gauge, Histogram, Metrics, ReasonCounters};
+
+/// What a balancer counts.
+#[derive(Clone)]
+pub struct BalancerMetrics {
+    /// Packets forwarded, by reason.
+    pub forwarded: ReasonCounters,
+    /// Flows reset, by reason.
+    pub resets: ReasonCounters,
+    /// Packets dropped, by reason.
+    pub dropped: ReasonCounters,
+    /// Flows remembered.
+    pub flows: Gauge,
+    /// Seconds from an opening packet's forwarding to the agent's word that its
+    /// target answered.
+    pub opening_seconds: Histogram,
+    /// Seconds of one decision.
+    pub decision_seconds: Histogram,
+}
+
+impl BalancerMetrics {
+    /// Declares the metrics.
+    pub fn declare(metrics: &mut Metrics) -> Self {
+        Self {
+            forwarded: metrics.reasons("packets_forwarded", "Packets forwarded"),
+            resets: metrics.reasons("resets", "Flows reset"),
+            dropped: metrics.reasons("packets_dropped", "Packets dropped"),
+            flows: metrics.gauge("flows", "Flows remembered"),
+            opening_seconds: metrics.histogram(
+                "opening_seconds",
+                "Seconds from forwarding an opening packet to the target's answer",
+            ),
+            decision_seconds: metrics.histogram("decision_seconds", "Seconds of one decision"),
+        }
+    }
+}
+
+/// What an agent counts.
+#[derive(Clone)]
+pub struct AgentMetrics {
+    /// Packets handed to the target.
+    pub delivered: Counter,
+    /// Packets sent back to balancers, by reason.
+    pub returned: ReasonCounters,
+    /// Packets of the target sent to clients.
+    pub to_clients: Counter,
+    /// Packets dropped, by reason.
+    pub dropped: ReasonCounters,
+    /// Requests that wait for an answer of the target.
+    pub waiting: Gauge,
+    /// Flows followed.
+    pub flows: Gauge,
+}
+
+impl AgentMetrics {
+    /// Declares the metrics.
+    pub fn declare(metrics: &mut Metrics) -> Self {
+        Self {
+            delivered: metrics.counter("packets_delivered", "Packets handed to the target"),
+            returned: metrics.reasons("packets_returned", "Packets sent back to balancers"),
+            to_clients: metrics.counter("packets_to_clients", "Packets sent to clients"),
+            dropped: metrics.reasons("packets_dropped", "Packets dropped"),
+            waiting: metrics.gauge("requests_waiting", "Requests waiting for the target"),
+            flows: metrics.gauge("flows", "Flows followed"),
+        }
+    }
+}
+
+/// What both roles count about what they know.
+#[derive(Clone)]
+pub struct FleetMetrics {
+    /// Store revision known.
+    pub revision: Gauge,
+    /// Version of the configuration in force.
+    pub configuration: Gauge,
+    /// Milliseconds since the store confirmed what is known; -1 if never.
+    pub age_ms: Gauge,
+    /// Fetches from peers, by outcome.
+    pub fetches: ReasonCounters,
+    /// Seconds of one fetch from a peer.
+    pub fetch_seconds: Histogram,
+    /// Datagrams of peers refused, by reason.
+    pub refused: ReasonCounters,
+}
+
+impl FleetMetrics {
+    /// Declares the metrics.
+    pub fn declare(metrics: &mut Metrics) -> Self {
+        Self {
+            revision: metrics.gauge("store_revision", "Store revision known"),
+            configuration: metrics.gauge("configuration_version", "Configuration in force"),
+            age_ms: metrics.gauge("store_age_ms", "Milliseconds since the store's confirmation"),
+            fetches: metrics.reasons("peer_fetches", "Fetches from peers"),
+            fetch_seconds: metrics.histogram("peer_fetch_seconds", "Seconds of one fetch"),
+            refused: metrics.reasons("peer_messages_refused", "Datagrams of peers refused"),
+        }
+    }
+}
+
+/// What the reader of the store counts.
+#[derive(Clone)]
+pub struct StoreMetrics {
+    /// Calls made.
+    pub calls: Counter,
+    /// Calls that failed.
+    pub failures: Counter,
+    /// Items that could not be used.
+    pub rejected_items: Counter,
+    /// Seconds of one call, the wait of a watch included.
+    pub call_seconds: Histogram,
+}
+
+impl StoreMetrics {
+    /// Declares the metrics.
+    pub fn declare(metrics: &mut Metrics) -> Self {
+        Self {
+            calls: metrics.counter("store_calls", "Calls to the store"),
+            failures: metrics.counter("store_failures", "Failed calls to the store"),
+            rejected_items: metrics.counter("store_items_refused", "Unusable items of the store"),
+            call_seconds: metrics.histogram("store_call_seconds", "Seconds of one store call"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/platform.rs
@@ -0,0 +1,89 @@
+//! The seam towards the platform: how packets are laid out, and how the store is
+//! asked and answers. An implementation translates and decides nothing.
+
+use weirhinge_fleet::{Millis, VersionedConfiguration, VersionedTarget};
+use weirhinge_steering::{FlowKey, MalformedPacket, PacketHead};
+
+/// An item of the store that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{key}: field {field}: found {found}, expected {expected}")]
+pub struct RejectedItem {
+    /// The item's key, or the call for an answer that cannot be used at all.
+    pub key: String,
+    /// Path of the field.
+    pub field: String,
+    /// The value found, shortened.
+    pub found: String,
+    /// What would have been accepted.
+    pub expected: String,
+}
+
+/// One page of a listing of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListPage {
+    /// The store's revision when it answered.
+    pub at: u64,
+    /// The key after which the next page begins; none on the last page.
+    pub next_after: Option<String>,
+    /// The configuration, if it is on this page.
+    pub configuration: Option<VersionedConfiguration>,
+    /// The targets on this page.
+    pub targets: Vec<VersionedTarget>,
+    /// Items that cannot be used; each is left out whole.
+    pub rejected: Vec<RejectedItem>,
+}
+
+/// What changed in the store after a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WatchPage {
+    /// The revision to continue from.
+    pub at: u64,
+    /// The configuration, if it changed.
+    pub configuration: Option<VersionedConfiguration>,
+    /// Targets that changed, in the store's order.
+    pub targets: Vec<VersionedTarget>,
+    /// Items that cannot be used; each is left out whole.
+    pub rejected: Vec<RejectedItem>,
+}
+
+/// How the platform speaks.
+pub trait Platform: Clone + 'static {
+    /// Reads a packet's head.
+    ///
+    /// # Errors
+    /// Says what is wrong with the bytes.
+    fn decode(&self, packet: &[u8]) -> Result<PacketHead, MalformedPacket>;
+
+    /// Writes the label that comes back if a target bounces the packet.
+    fn write_echo(&self, packet: &mut [u8], echo: u32);
+
+    /// Makes a bounced packet what its sender wrote.
+    fn restore_bounced(&self, packet: &mut [u8]);
+
+    /// Builds a reset from a flow's service to its client.
+    fn build_reset(&self, flow: &FlowKey, sequence: u32) -> Vec<u8>;
+
+    /// The identifier of the request that begins in this packet, if one does.
+    fn request_id<'a>(&self, packet: &'a [u8]) -> Option<&'a str>;
+
+    /// Path and query that list the store's items after a key.
+    fn list_path(&self, after: Option<&str>) -> String;
+
+    /// Path and query that wait for changes after a revision.
+    fn watch_path(&self, after: u64, wait_ms: Millis) -> String;
+
+    /// Reads a listing.
+    ///
+    /// # Errors
+    /// When the answer as a whole cannot be used.
+    fn read_list(&self, body: &[u8]) -> Result<ListPage, RejectedItem>;
+
+    /// Reads an answer to a watch.
+    ///
+    /// # Errors
+    /// When the answer as a whole cannot be used.
+    fn read_watch(&self, body: &[u8]) -> Result<WatchPage, RejectedItem>;
+
+    /// Path at which the platform asks whether a daemon is ready.
+    fn readiness_path(&self) -> &'static str;
+}
--- /dev/null
+++ b/crates/relay/src/settings.rs
@@ -0,0 +1,182 @@
+//! Settings of the relay's daemons: a TOML file.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use serde::Deserialize;
+use weirhinge_config::parse::{self, ConfigError};
+
+/// Longest planned stop when the settings state none, in milliseconds.
+const DEFAULT_STOP_LIMIT_MS: u64 = 5_000;
+
+/// The fields of a settings file. Unknown fields are refused.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawSettings {
+    /// See [`CommonSettings::name`].
+    pub name: Option<String>,
+    /// See [`CommonSettings::zone`].
+    pub zone: Option<String>,
+    /// See [`CommonSettings::address`].
+    pub address: Option<String>,
+    /// See [`CommonSettings::packets`].
+    pub packets: Option<String>,
+    /// See [`CommonSettings::readiness`].
+    pub readiness: Option<String>,
+    /// See [`CommonSettings::metrics`].
+    pub metrics: Option<String>,
+    /// See [`CommonSettings::peer_port`].
+    pub peer_port: Option<u16>,
+    /// See [`CommonSettings::seeds`].
+    pub seeds: Option<Vec<String>>,
+    /// See [`CommonSettings::store`].
+    pub store: Option<String>,
+    /// See [`CommonSettings::stop_limit_ms`], in seconds.
+    pub stop_limit_s: Option<f64>,
+    /// See [`AgentSettings::target`].
+    pub target: Option<String>,
+    /// See [`AgentSettings::target_output`].
+    pub target_output: Option<String>,
+    /// See [`AgentSettings::service`].
+    pub service: Option<String>,
+}
+
+/// Settings that both roles have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CommonSettings {
+    /// Name shown in logs.
+    pub name: String,
+    /// Zone that the process runs in.
+    pub zone: String,
+    /// Address of the machine.
+    pub address: Ipv4Addr,
+    /// UDP address of clients' packets. Clients listen on the same port.
+    pub packets: SocketAddrV4,
+    /// TCP address at which readiness is asked for.
+    pub readiness: SocketAddrV4,
+    /// TCP address of metrics; none if they are not served.
+    pub metrics: Option<SocketAddrV4>,
+    /// UDP and TCP port that daemons talk to each other on, alike on all machines.
+    pub peer_port: u16,
+    /// Machines where balancers may be found; some may be down or gone.
+    pub seeds: Vec<Ipv4Addr>,
+    /// TCP address of the platform's store.
+    pub store: SocketAddr,
+    /// Milliseconds that a planned stop may take.
+    pub stop_limit_ms: u64,
+}
+
+/// Settings of a balancer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BalancerSettings {
+    /// What both roles have.
+    pub common: CommonSettings,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// What both roles have.
+    pub common: CommonSettings,
+    /// UDP address at which the target takes packets.
+    pub target: SocketAddrV4,
+    /// UDP address to which the target sends its packets.
+    pub target_output: SocketAddrV4,
+    /// Name of the target's service.
+    pub service: String,
+}
+
+impl RawSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    /// Names the file, the line and the field.
+    pub fn from_file(path: &str) -> Result<Self, ConfigError> {
+        parse::from_toml(path, &parse::read_file(path)?)
+    }
+
+    /// Checks the settings of a balancer.
+    ///
+    /// # Errors
+    /// Names the file, the field, what was found and what was expected.
+    pub fn into_balancer(self, file: &str) -> Result<BalancerSettings, ConfigError> {
+        Ok(BalancerSettings { common: self.common(file)? })
+    }
+
+    /// Checks the settings of an agent.
+    ///
+    /// # Errors
+    /// Names the file, the field, what was found and what was expected.
+    pub fn into_agent(self, file: &str) -> Result<AgentSettings, ConfigError> {
+        Ok(AgentSettings {
+            common: self.common(file)?,
+            target: endpoint(file, "target", self.target.as_deref())?,
+            target_output: endpoint(file, "target_output", self.target_output.as_deref())?,
+            service: text(file, "service", self.service.as_deref())?,
+        })
+    }
+
+    fn common(&self, file: &str) -> Result<CommonSettings, ConfigError> {
+        let address = text(file, "address", self.address.as_deref())?;
+        let address = address
+            .parse()
+            .map_err(|_| ConfigError::field(file, "address", &address, "an IPv4 address"))?;
+        let metrics = match self.metrics.as_deref() {
+            None | Some("") => None,
+            metrics => Some(endpoint(file, "metrics", metrics)?),
+        };
+        Ok(CommonSettings {
+            name: text(file, "name", self.name.as_deref())?,
+            zone: text(file, "zone", self.zone.as_deref())?,
+            address,
+            packets: endpoint(file, "packets", self.packets.as_deref())?,
+            readiness: endpoint(file, "readiness", self.readiness.as_deref())?,
+            metrics,
+            peer_port: self.checked_peer_port(file)?,
+            seeds: self.checked_seeds(file)?,
+            store: endpoint(file, "store", self.store.as_deref())?.into(),
+            stop_limit_ms: self.checked_stop_limit(file)?,
+        })
+    }
+
+    fn checked_peer_port(&self, file: &str) -> Result<u16, ConfigError> {
+        match self.peer_port {
+            Some(port) if port > 0 => Ok(port),
+            Some(port) => Err(ConfigError::field(file, "peer_port", port, "1 to 65535")),
+            None => Err(ConfigError::field(file, "peer_port", "nothing", "1 to 65535")),
+        }
+    }
+
+    fn checked_seeds(&self, file: &str) -> Result<Vec<Ipv4Addr>, ConfigError> {
+        let seeds = self.seeds.iter().flatten().enumerate();
+        seeds
+            .map(|(place, seed)| {
+                let field = format!("seeds[{place}]");
+                endpoint(file, &field, Some(seed)).map(|seed| *seed.ip())
+            })
+            .collect()
+    }
+
+    fn checked_stop_limit(&self, file: &str) -> Result<u64, ConfigError> {
+        let Some(seconds) = self.stop_limit_s else { return Ok(DEFAULT_STOP_LIMIT_MS) };
+        if !(seconds.is_finite() && (0.0..=3_600.0).contains(&seconds)) {
+            return Err(ConfigError::field(file, "stop_limit_s", seconds, "0 to 3600 seconds"));
+        }
+        // In range by the check above.
+        Ok((seconds * 1_000.0) as u64)
+    }
+}
+
+fn text(file: &str, field: &str, value: Option<&str>) -> Result<String, ConfigError> {
+    match value {
+        Some(value) if !value.trim().is_empty() => Ok(value.to_owned()),
+        Some(value) => Err(ConfigError::field(file, field, format!("{value:?}"), "some text")),
+        None => Err(ConfigError::field(file, field, "nothing", "some text")),
+    }
+}
+
+fn endpoint(file: &str, field: &str, value: Option<&str>) -> Result<SocketAddrV4, ConfigError> {
+    let value = text(file, field, value)?;
+    value.parse().map_err(|_| {
+        ConfigError::field(file, field, format!("{value:?}"), "an IPv4 address and port")
+    })
+}
--- /dev/null
+++ b/crates/relay/src/store.rs
@@ -0,0 +1,295 @@
+//! Reads the platform's store: a listing, then watches.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use slog::{Logger, info, warn};
+use tokio::net::TcpStream;
+use weirhinge_fleet::{Millis, Update, VersionedConfiguration, VersionedTarget, reader};
+
+use crate::clock::Clock;
+use crate::fleet_node::FleetNode;
+use crate::metrics::StoreMetrics;
+use crate::platform::{Platform, RejectedItem};
+
+/// Largest answer accepted, in bytes.
+const MAXIMUM_ANSWER: usize = 4 << 20;
+/// Longest wait for a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(600);
+/// Longest wait for an answer that comes at once.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_200);
+/// How much longer than asked a watch may take.
+const WATCH_SLACK: Duration = Duration::from_millis(500);
+/// Shortest time from one watch to the next, so that changes in quick succession
+/// share a call.
+const WATCH_SPACING_MS: Millis = 250;
+/// How often a balancer that does not read looks whether it should.
+const IDLE_POLL: Duration = Duration::from_millis(40);
+/// First and longest wait after a failed call.
+const FIRST_BACKOFF: Duration = Duration::from_millis(60);
+const LONGEST_BACKOFF: Duration = Duration::from_millis(900);
+/// Most pages of one listing.
+const MAXIMUM_PAGES: usize = 200;
+
+/// Why a call failed; names the step and the peer.
+#[derive(Debug, thiserror::Error)]
+enum StoreError {
+    #[error("{step} store {peer}: {reason}")]
+    Step { step: &'static str, peer: SocketAddr, reason: String },
+    #[error("store {peer}: status {status}")]
+    Status { peer: SocketAddr, status: u16 },
+    #[error("store {peer}: history before the revision is gone")]
+    HistoryGone { peer: SocketAddr },
+    #[error("store {peer}: {rejected}")]
+    Unusable { peer: SocketAddr, rejected: Box<RejectedItem> },
+}
+
+/// Reads the store whenever this balancer should.
+pub struct StoreReader<P> {
+    platform: P,
+    address: SocketAddr,
+    node: Rc<RefCell<FleetNode>>,
+    clock: Clock,
+    metrics: StoreMetrics,
+    log: Logger,
+    connection: Option<SendRequest<Empty<Bytes>>>,
+    needs_list: bool,
+    is_lost: bool,
+}
+
+impl<P: Platform> StoreReader<P> {
+    /// A reader that is not connected yet.
+    pub fn new(
+        platform: P,
+        address: SocketAddr,
+        node: Rc<RefCell<FleetNode>>,
+        clock: Clock,
+        metrics: StoreMetrics,
+        log: Logger,
+    ) -> Self {
+        Self {
+            platform,
+            address,
+            node,
+            clock,
+            metrics,
+            log,
+            connection: None,
+            needs_list: true,
+            is_lost: false,
+        }
+    }
+
+    /// Reads for as long as the process lives; calls `news` after each answer.
+    pub async fn run(mut self, news: impl Fn()) {
+        let mut backoff = FIRST_BACKOFF;
+        loop {
+            let now = self.clock.now();
+            if !self.node.borrow().should_read(now) {
+                self.set_reading(false);
+                tokio::time::sleep(IDLE_POLL).await;
+                continue;
+            }
+            match self.read_once().await {
+                Ok(()) => {
+                    backoff = FIRST_BACKOFF;
+                    self.regained();
+                    self.set_reading(true);
+                    news();
+                    self.space_watches(now).await;
+                }
+                Err(error) => {
+                    self.lost(&error);
+                    self.set_reading(false);
+                    if !matches!(error, StoreError::HistoryGone { .. }) {
+                        tokio::time::sleep(jittered(backoff)).await;
+                        backoff = (backoff * 2).min(LONGEST_BACKOFF);
+                    }
+                }
+            }
+        }
+    }
+
+    fn set_reading(&self, reading: bool) {
+        self.node.borrow_mut().reading = reading;
+    }
+
+    async fn space_watches(&self, began: Millis) {
+        let elapsed = self.clock.now().saturating_sub(began);
+        let rest = WATCH_SPACING_MS.saturating_sub(elapsed);
+        tokio::time::sleep(Duration::from_millis(rest)).await;
+    }
+
+    async fn read_once(&mut self) -> Result<(), StoreError> {
+        let revision = self.node.borrow().revision();
+        // What peers passed on is as good as a listing of one's own.
+        if revision == 0 || (self.needs_list && self.is_lost) {
+            return self.list().await;
+        }
+        let result = self.watch(revision).await;
+        if let Err(StoreError::HistoryGone { .. }) = result {
+            info!(self.log, "store: history gone, listing anew"; "event" => "store_history_gone",
+                "revision" => revision);
+            self.needs_list = true;
+            return self.list().await;
+        }
+        result
+    }
+
+    async fn list(&mut self) -> Result<(), StoreError> {
+        let asked_at = self.clock.now();
+        let mut listed = Listed::default();
+        let mut after: Option<String> = None;
+        for _ in 0..MAXIMUM_PAGES {
+            let path = self.platform.list_path(after.as_deref());
+            let body = self.call(&path, ANSWER_LIMIT).await?;
+            let page = self.platform.read_list(&body);
+            let page = page.map_err(|rejected| self.unusable(rejected))?;
+            self.log_rejected(&page.rejected);
+            listed.at.get_or_insert(page.at);
+            listed.configuration = listed.configuration.or(page.configuration);
+            listed.targets.extend(page.targets);
+            after = page.next_after;
+            if after.is_none() {
+                break;
+            }
+        }
+        self.needs_list = false;
+        let through = listed.at.unwrap_or(0);
+        self.apply(Update {
+            after: 0,
+            through,
+            complete: true,
+            age_ms: self.clock.now().saturating_sub(asked_at),
+            configuration: listed.configuration,
+            targets: listed.targets,
+        });
+        Ok(())
+    }
+
+    async fn watch(&mut self, after: u64) -> Result<(), StoreError> {
+        let path = self.platform.watch_path(after, reader::WATCH_WAIT_MS);
+        let limit = Duration::from_millis(reader::WATCH_WAIT_MS) + WATCH_SLACK;
+        let body = self.call(&path, limit).await?;
+        let page = self.platform.read_watch(&body);
+        let page = page.map_err(|rejected| self.unusable(rejected))?;
+        self.log_rejected(&page.rejected);
+        self.apply(Update {
+            after,
+            through: page.at.max(after),
+            complete: false,
+            age_ms: 0,
+            configuration: page.configuration,
+            targets: page.targets,
+        });
+        Ok(())
+    }
+
+    fn apply(&self, update: Update) {
+        let now = self.clock.now();
+        self.node.borrow_mut().apply(update, "store", now);
+    }
+
+    async fn call(&mut self, path: &str, limit: Duration) -> Result<Bytes, StoreError> {
+        self.metrics.calls.inc();
+        let began = self.clock.now();
+        let result = tokio::time::timeout(limit, self.exchange(path)).await;
+        self.metrics.call_seconds.observe((self.clock.now() - began) as f64 / 1_000.0);
+        let result = result.unwrap_or_else(|_| Err(self.step("wait for", "no answer in time")));
+        // After a failure the connection may still bring an old answer, or none.
+        if !matches!(result, Ok(_) | Err(StoreError::HistoryGone { .. })) {
+            self.connection = None;
+        }
+        result
+    }
+
+    async fn exchange(&mut self, path: &str) -> Result<Bytes, StoreError> {
+        let mut sender = match self.connection.take().filter(|sender| !sender.is_closed()) {
+            Some(sender) => sender,
+            None => self.connect().await?,
+        };
+        let request = Request::get(path)
+            .header(header::HOST, self.address.to_string())
+            .body(Empty::new())
+            .map_err(|error| self.step("ask", error))?;
+        let response =
+            sender.send_request(request).await.map_err(|error| self.step("ask", error))?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAXIMUM_ANSWER).collect().await;
+        let body = body.map_err(|error| self.step("read from", error))?.to_bytes();
+        self.connection = Some(sender);
+        match status {
+            StatusCode::OK => Ok(body),
+            StatusCode::GONE => Err(StoreError::HistoryGone { peer: self.address }),
+            status => Err(StoreError::Status { peer: self.address, status: status.as_u16() }),
+        }
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, StoreError> {
+        let stream = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(self.address)).await;
+        let stream = stream
+            .map_err(|_| self.step("connect to", "no answer in time"))?
+            .map_err(|error| self.step("connect to", error))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| self.step("open", error))?;
+        tokio::task::spawn_local(async move {
+            // The sender reports what went wrong.
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    fn step(&self, step: &'static str, reason: impl ToString) -> StoreError {
+        StoreError::Step { step, peer: self.address, reason: reason.to_string() }
+    }
+
+    fn unusable(&self, rejected: RejectedItem) -> StoreError {
+        StoreError::Unusable { peer: self.address, rejected: Box::new(rejected) }
+    }
+
+    fn log_rejected(&self, rejected: &[RejectedItem]) {
+        for item in rejected {
+            self.metrics.rejected_items.inc();
+            warn!(self.log, "store: item refused"; "event" => "item_refused", "key" => &item.key,
+                "field" => &item.field, "found" => &item.found, "expected" => &item.expected);
+        }
+    }
+
+    fn lost(&mut self, error: &StoreError) {
+        self.metrics.failures.inc();
+        if !self.is_lost {
+            self.is_lost = true;
+            let age_ms = self.node.borrow().age(self.clock.now());
+            warn!(self.log, "store: lost"; "event" => "store_lost", "reason" => error.to_string(),
+                "age_ms" => age_ms);
+        }
+    }
+
+    fn regained(&mut self) {
+        if self.is_lost {
+            self.is_lost = false;
+            let revision = self.node.borrow().revision();
+            info!(self.log, "store: regained"; "event" => "store_regained",
+                "revision" => revision);
+        }
+    }
+}
+
+#[derive(Default)]
+struct Listed {
+    at: Option<u64>,
+    configuration: Option<VersionedConfiguration>,
+    targets: Vec<VersionedTarget>,
+}
+
+fn jittered(wait: Duration) -> Duration {
+    wait.mul_f64(rand::random_range(0.7..1.3))
+}
--- /dev/null
+++ b/crates/steering/src/agent_status.rs
@@ -0,0 +1,114 @@
+//! What a balancer knows of each agent from the agent itself.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::{Millis, ServiceId, TargetClaim};
+
+/// An agent that leaves an opening packet unanswered for this long is passed
+/// over. Far above a journey between zones and a handshake.
+const UNANSWERED_MS: Millis = 150;
+/// How often a passed-over agent is tried again.
+const RETRY_MS: Millis = 700;
+/// How long an agent's word about its target counts.
+const CLAIM_LIFETIME_MS: Millis = 2_500;
+/// How long after the last sign of life an agent is forgotten.
+const STATUS_LIFETIME_MS: Millis = 60_000;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct AgentStatus {
+    heard_at: Millis,
+    /// Requests waiting at the target when the agent last spoke.
+    waiting: u32,
+    /// Opening packets sent since then.
+    sent_since: u32,
+    /// When the oldest opening packet without an answer was sent.
+    unanswered_since: Option<Millis>,
+    last_tried: Millis,
+    leaving: bool,
+    claim: Option<(ServiceId, Millis)>,
+}
+
+/// The agents that this balancer has dealt with.
+#[derive(Clone, Debug, Default)]
+pub struct AgentStatuses {
+    statuses: HashMap<Ipv4Addr, AgentStatus>,
+}
+
+impl AgentStatuses {
+    /// Records that an opening packet went to an agent.
+    pub fn sent_opening(&mut self, agent: Ipv4Addr, now: Millis) {
+        let status = self.statuses.entry(agent).or_default();
+        status.sent_since += 1;
+        status.last_tried = now;
+        status.unanswered_since.get_or_insert(now);
+    }
+
+    /// Records a sign of life with the number of requests waiting at the target.
+    pub fn heard(&mut self, agent: Ipv4Addr, waiting: u32, now: Millis) {
+        let status = self.statuses.entry(agent).or_default();
+        status.heard_at = now;
+        status.waiting = waiting;
+        status.sent_since = 0;
+        status.unanswered_since = None;
+    }
+
+    /// Records an agent's word about its target. Unlike an answer to a packet it
+    /// does not show that the target works.
+    pub fn claimed(&mut self, agent: Ipv4Addr, claim: &TargetClaim, now: Millis) {
+        let status = self.statuses.entry(agent).or_default();
+        status.heard_at = now;
+        status.waiting = claim.waiting;
+        status.sent_since = 0;
+        status.leaving = claim.leaving;
+        let usable = claim.alive && !claim.leaving;
+        status.claim = usable.then(|| (ServiceId::of(&claim.service), now));
+    }
+
+    /// Records that an agent refused new flows because it stops.
+    pub fn is_stopping(&mut self, agent: Ipv4Addr) {
+        self.statuses.entry(agent).or_default().leaving = true;
+    }
+
+    /// Whether new flows should pass the agent over: it is about to stop or left
+    /// opening packets unanswered. Lets one packet through now and then.
+    pub fn is_suspect(&self, agent: Ipv4Addr, now: Millis) -> bool {
+        let Some(status) = self.statuses.get(&agent) else { return false };
+        let waits_long =
+            status.unanswered_since.is_some_and(|since| now.saturating_sub(since) >= UNANSWERED_MS);
+        let rested = now.saturating_sub(status.last_tried) >= RETRY_MS;
+        status.leaving || (waits_long && !rested)
+    }
+
+    /// Requests believed to wait at the agent's target.
+    pub fn load(&self, agent: Ipv4Addr) -> u32 {
+        self.statuses.get(&agent).map_or(0, |status| status.waiting + status.sent_since)
+    }
+
+    /// Milliseconds since the agent was last heard.
+    pub fn age(&self, agent: Ipv4Addr, now: Millis) -> Option<Millis> {
+        let status = self.statuses.get(&agent).filter(|status| status.heard_at > 0)?;
+        Some(now.saturating_sub(status.heard_at))
+    }
+
+    /// Agents that lately said that a target of this service works beside them.
+    pub fn claimants(&self, service: ServiceId, now: Millis) -> Vec<Ipv4Addr> {
+        let is_fresh = |status: &AgentStatus| {
+            status.claim.is_some_and(|(claimed, at)| {
+                claimed == service && now.saturating_sub(at) < CLAIM_LIFETIME_MS
+            })
+        };
+        let fresh = self.statuses.iter().filter(|(_, status)| is_fresh(status));
+        let mut agents: Vec<Ipv4Addr> = fresh.map(|(agent, _)| *agent).collect();
+        agents.sort();
+        agents
+    }
+
+    /// Forgets agents that were silent for long.
+    pub fn expire(&mut self, now: Millis) {
+        self.statuses.retain(|_, status| {
+            let latest = status.heard_at.max(status.last_tried);
+            now.saturating_sub(latest) < STATUS_LIFETIME_MS
+        });
+    }
+}
--- /dev/null
+++ b/crates/steering/src/flow_table.rs
@@ -0,0 +1,105 @@
+//! A bounded table of the flows that a balancer has seen.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::Millis;
+
+use crate::packet::FlowKey;
+
+/// What a balancer knows about a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlowStage {
+    /// An opening packet went to the target; no answer was reported yet.
+    Opening,
+    /// The flow is not known here; its packets look for the target that holds it.
+    Searching,
+    /// The target holds the flow or answered its opening packet.
+    Held,
+}
+
+/// One flow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FlowEntry {
+    /// The agent that the latest packet went to.
+    pub agent: Ipv4Addr,
+    /// What is known.
+    pub stage: FlowStage,
+    /// When the latest packet of the client came.
+    pub used_at: Millis,
+    /// When the current agent was first tried.
+    pub tried_at: Millis,
+    /// Agents whose targets did not take the flow's packets. Empty for nearly all
+    /// flows, and then without an allocation.
+    pub tried: Vec<Ipv4Addr>,
+    /// When a search first found that no target held the flow.
+    pub unheld_since: Option<Millis>,
+}
+
+impl FlowEntry {
+    /// An entry for a flow whose packet goes to `agent` for the first time.
+    pub fn new(agent: Ipv4Addr, stage: FlowStage, now: Millis) -> Self {
+        Self { agent, stage, used_at: now, tried_at: now, tried: Vec::new(), unheld_since: None }
+    }
+
+    /// Notes that an agent's target did not take the flow.
+    pub fn note_tried(&mut self, agent: Ipv4Addr) {
+        if !self.tried.contains(&agent) {
+            self.tried.push(agent);
+        }
+    }
+}
+
+/// The table. A full one forgets the flow that it would have to search for with
+/// the least harm: any, as a search finds the holder again.
+#[derive(Clone, Debug)]
+pub struct FlowTable {
+    flows: HashMap<FlowKey, FlowEntry>,
+    capacity: usize,
+}
+
+impl FlowTable {
+    /// A table of at most `capacity` flows.
+    pub fn new(capacity: usize) -> Self {
+        Self { flows: HashMap::new(), capacity: capacity.max(1) }
+    }
+
+    /// The entry of a flow.
+    pub fn get_mut(&mut self, key: &FlowKey) -> Option<&mut FlowEntry> {
+        self.flows.get_mut(key)
+    }
+
+    /// Agents whose targets did not take a flow's packets.
+    pub fn tried(&self, key: &FlowKey) -> &[Ipv4Addr] {
+        self.flows.get(key).map_or(&[], |entry| &entry.tried)
+    }
+
+    /// Adds or replaces a flow's entry.
+    pub fn insert(&mut self, key: FlowKey, entry: FlowEntry) {
+        if self.flows.len() >= self.capacity && !self.flows.contains_key(&key) {
+            let victim = self.flows.keys().next().copied();
+            victim.and_then(|victim| self.flows.remove(&victim));
+        }
+        self.flows.insert(key, entry);
+    }
+
+    /// Forgets a flow.
+    pub fn remove(&mut self, key: &FlowKey) {
+        self.flows.remove(key);
+    }
+
+    /// Forgets the flows that rested for longer than `idle_ms`.
+    pub fn expire(&mut self, now: Millis, idle_ms: Millis) {
+        self.flows.retain(|_, entry| now.saturating_sub(entry.used_at) <= idle_ms);
+    }
+
+    /// Number of flows.
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether no flow is known.
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/steering/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decides where each packet goes when the targets end the flows themselves.
+//!
+//! Pure logic: packets, messages and times are passed in, decisions come out.
+//! The target is the truth about its flows: it sends back what it does not hold.
+//! A [`Balancer`] picks a target for an opening packet, remembers it, and walks
+//! through the other targets when a packet comes back; an [`Agent`] stands beside
+//! one target, checks that a packet is meant for it, and tells balancers what its
+//! target holds. Nothing here outlives the process, and nothing needs to.
+
+mod agent;
+mod agent_status;
+mod balancer;
+mod flow_table;
+mod packet;
+mod selection;
+mod view;
+
+pub use agent::{Agent, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop};
+pub use agent_status::AgentStatuses;
+pub use balancer::{
+    Balancer, Decision, DropReason, ForwardReason, ResetReason, Selection, SelectionInputs,
+};
+pub use flow_table::{FlowEntry, FlowStage, FlowTable};
+pub use packet::{Flags, FlowKey, MalformedPacket, PacketHead};
+pub use view::{Candidate, FleetView, RouteChoice, Standing, VersionLabel};
--- /dev/null
+++ b/crates/steering/src/selection.rs
@@ -0,0 +1,52 @@
+//! Orders the targets of a service for one flow.
+
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::Millis;
+
+use crate::agent_status::AgentStatuses;
+use crate::view::Candidate;
+
+/// How many targets, in the flow's own order, are compared by load.
+const COMPARED: usize = 2;
+/// Load of a target that is slow from its start, in percent of its load when warm.
+const COLD_LOAD_PERCENT: u64 = 160;
+
+/// Mixes a flow's hash with a target into a rank (the finaliser of SplitMix64):
+/// rendezvous hashing, so that a change of targets moves only its own share.
+fn rank(flow_hash: u64, agent: Ipv4Addr) -> u64 {
+    let mut value = flow_hash ^ u64::from(agent.to_bits()).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// The candidates in the flow's own order, the same on every balancer.
+pub fn rendezvous_order<'a>(
+    flow_hash: u64,
+    candidates: impl Iterator<Item = &'a Candidate>,
+) -> Vec<Candidate> {
+    let mut order: Vec<Candidate> = candidates.copied().collect();
+    order.sort_by_key(|candidate| std::cmp::Reverse(rank(flow_hash, candidate.agent)));
+    order
+}
+
+/// The less loaded of the first few candidates in the flow's order. Comparing
+/// two by load evens out almost as well as comparing all of them (the power of
+/// two choices) and keeps the flow near the front of its order, where a balancer
+/// that does not know the flow looks first.
+pub fn least_loaded(
+    order: &[Candidate],
+    statuses: &AgentStatuses,
+    now: Millis,
+) -> Option<Candidate> {
+    let compared = order.iter().take(COMPARED);
+    compared.min_by_key(|candidate| load_permille(candidate, statuses, now)).copied()
+}
+
+/// Believed load in thousandths of the target's slots.
+pub fn load_permille(candidate: &Candidate, statuses: &AgentStatuses, now: Millis) -> u64 {
+    let waiting = u64::from(statuses.load(candidate.agent));
+    let load = waiting * 1_000 / u64::from(candidate.slots);
+    if now < candidate.cold_until { (load + 1) * COLD_LOAD_PERCENT / 100 } else { load }
+}
--- /dev/null
+++ b/crates/steering/src/view.rs
@@ -0,0 +1,157 @@
+//! Routes and targets in the form that decisions are made from.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use weirhinge_fleet::{Millis, Replica, ServiceId, TargetEntry, TargetRecord, TargetState};
+
+/// A configuration's version and the store revision that wrote it, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct VersionLabel {
+    /// The operator's version.
+    pub version: u64,
+    /// The store's revision.
+    pub revision: u64,
+}
+
+/// Where a route sends its new flows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RouteChoice {
+    parts: Vec<(ServiceId, u32)>,
+}
+
+impl RouteChoice {
+    /// The service for a flow with this hash; each part gets its weight's share
+    /// of all hashes. None if no part has a weight.
+    pub fn pick(&self, flow_hash: u64) -> Option<ServiceId> {
+        let total: u64 = self.parts.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        // The high half of the hash: the low bits choose the target.
+        let mut place = (flow_hash >> 32).checked_rem(total)?;
+        for (service, weight) in &self.parts {
+            match place.checked_sub(u64::from(*weight)) {
+                None => return Some(*service),
+                Some(rest) => place = rest,
+            }
+        }
+        None
+    }
+
+    /// All services of the route.
+    pub fn services(&self) -> impl Iterator<Item = ServiceId> {
+        self.parts.iter().map(|(service, _)| *service)
+    }
+}
+
+/// What the store says about a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Takes new flows.
+    Ready,
+    /// Its record left the store at this time without a word of leaving.
+    Vanished(Millis),
+    /// Takes no new flows but keeps its open ones.
+    Leaving,
+}
+
+/// One target of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The target's machine, where its agent listens.
+    pub agent: Ipv4Addr,
+    /// What the store says about it.
+    pub standing: Standing,
+    /// Requests that it works on at once, at least 1.
+    pub slots: u32,
+    /// Until when it is slow from its start.
+    pub cold_until: Millis,
+}
+
+/// Everything that routing decisions need, compiled from a replica.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    routes: HashMap<SocketAddrV4, RouteChoice>,
+    services: HashMap<ServiceId, Vec<Candidate>>,
+    label: Option<VersionLabel>,
+    idle_timeout_ms: Option<Millis>,
+}
+
+impl FleetView {
+    /// Compiles what a replica knows.
+    pub fn compile(replica: &Replica) -> Self {
+        let mut view = Self { services: compile_services(replica), ..Self::default() };
+        let Some(versioned) = replica.configuration() else { return view };
+        let configuration = &versioned.configuration;
+        let label = VersionLabel { version: configuration.version, revision: versioned.revision };
+        view.label = Some(label);
+        view.idle_timeout_ms = Some(configuration.idle_timeout_ms);
+        for route in &configuration.routes {
+            let parts = route.parts.iter();
+            let parts = parts.map(|part| (ServiceId::of(&part.service), part.weight)).collect();
+            view.routes.insert(route.endpoint(), RouteChoice { parts });
+        }
+        view
+    }
+
+    /// The configuration that the view was made from; none before the first.
+    pub fn label(&self) -> Option<VersionLabel> {
+        self.label
+    }
+
+    /// Milliseconds after which a resting flow may be forgotten.
+    pub fn idle_timeout_ms(&self) -> Option<Millis> {
+        self.idle_timeout_ms
+    }
+
+    /// The route of an address and port.
+    pub fn route(&self, endpoint: SocketAddrV4) -> Option<&RouteChoice> {
+        self.routes.get(&endpoint)
+    }
+
+    /// The known targets of a service.
+    pub fn candidates(&self, service: ServiceId) -> &[Candidate] {
+        self.services.get(&service).map_or(&[], Vec::as_slice)
+    }
+
+    /// How many targets take new flows, over all services.
+    pub fn ready_targets(&self) -> usize {
+        let all = self.services.values().flatten();
+        all.filter(|candidate| candidate.standing == Standing::Ready).count()
+    }
+}
+
+/// Targets by service; of several records of one machine the newest counts, as
+/// an address that was used again belongs to its new user alone.
+fn compile_services(replica: &Replica) -> HashMap<ServiceId, Vec<Candidate>> {
+    let mut newest: HashMap<Ipv4Addr, (&TargetEntry, &TargetRecord)> = HashMap::new();
+    for entry in replica.targets() {
+        let Some(record) = &entry.target.record else { continue };
+        let rank = |entry: &TargetEntry| (entry.target.present, entry.target.revision);
+        let known = newest.get(&record.machine());
+        if known.is_none_or(|(known, _)| rank(known) < rank(entry)) {
+            newest.insert(record.machine(), (entry, record));
+        }
+    }
+    let mut services: HashMap<ServiceId, Vec<Candidate>> = HashMap::new();
+    for (entry, record) in newest.into_values() {
+        let candidate = candidate(entry, record);
+        services.entry(ServiceId::of(&record.service)).or_default().push(candidate);
+    }
+    for candidates in services.values_mut() {
+        candidates.sort_by_key(|candidate| candidate.agent);
+    }
+    services
+}
+
+fn candidate(entry: &TargetEntry, record: &TargetRecord) -> Candidate {
+    let standing = match (record.state, entry.target.present) {
+        (TargetState::Draining, _) => Standing::Leaving,
+        (TargetState::Ready, true) => Standing::Ready,
+        (TargetState::Ready, false) => Standing::Vanished(entry.learned_at),
+    };
+    Candidate {
+        agent: record.machine(),
+        standing,
+        slots: record.slots.max(1),
+        cold_until: entry.learned_at + Millis::from(record.warm_up_ms),
+    }
+}
--- a/crates/weirhinge/src/cli/client.rs
+++ b/crates/weirhinge/src/cli/client.rs
@@ -9,7 +9,7 @@
 use http::{Request, StatusCode};
 use pico_args::Arguments;
 use weirhinge_config::{ConfigDocument, Target, TargetState, parse};
-use weirhinge_platform::{Answer, CONFIGURATION_PATH, send};
+use weirhinge_document_source::{Answer, CONFIGURATION_PATH, send};
 
 use super::CliFailure;
 use super::daemon::{option, refuse_rest};
--- a/crates/weirhinge/src/cli/mod.rs
+++ b/crates/weirhinge/src/cli/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod daemon;
 mod failure;
+mod relay;
 
 use pico_args::Arguments;
 
@@ -20,6 +21,7 @@
 COMMANDS:
   balancer   Run a balancer: takes packets from the fabric, chooses agents
   agent      Run an agent beside one back end: holds its flows
+  relay      Run on a platform whose targets end flows themselves
   check      Check a settings file or a configuration document
   get        Print the configuration that balancers have agreed on
   status     Print a balancer's view of the group
@@ -50,6 +52,7 @@
     match command.as_deref() {
         Some("balancer") => balancer::run(arguments),
         Some("agent") => agent::run(arguments),
+        Some("relay") => relay::run(arguments),
         Some("check") => check::run(arguments),
         Some(command @ ("get" | "status" | "apply" | "drain" | "activate")) => {
             client::run(command, arguments)
--- /dev/null
+++ b/crates/weirhinge/src/cli/relay.rs
@@ -0,0 +1,70 @@
+//! `weirhinge relay balancer` and `weirhinge relay agent`.
+
+use pico_args::Arguments;
+use slog::Level;
+use weirhinge_observe::{LogFormat, LogOptions, LogOutput, build_logger};
+use weirhinge_platform::{SETTINGS_VARIABLE, UsersPlatform};
+use weirhinge_relay::{RawSettings, run_agent, run_balancer, run_process};
+
+use super::CliFailure;
+use super::daemon::{option, refuse_rest};
+
+const USAGE: &str = "\
+weirhinge relay: run on a platform whose targets end flows themselves
+
+USAGE:
+  weirhinge relay balancer [OPTIONS]
+  weirhinge relay agent [OPTIONS]
+
+OPTIONS:
+  --settings FILE     Settings file (TOML)  [default: the path in WEIRHINGE_NODE_FILE]
+  --log-level LEVEL   critical, error, warning, info, debug or trace  [default: info]
+  -h, --help          Show this help
+
+Log lines go to standard output, one JSON object a line. SIGTERM stops in a
+planned way; SIGHUP checks the settings file again.
+";
+
+/// Runs the command.
+pub fn run(mut arguments: Arguments) -> Result<(), CliFailure> {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{USAGE}");
+        return Ok(());
+    }
+    let role = arguments.subcommand().map_err(CliFailure::usage)?;
+    let file: Option<String> = option(&mut arguments, "--settings")?;
+    let level = read_level(&mut arguments)?;
+    refuse_rest(arguments)?;
+    let file = file.or_else(|| std::env::var(SETTINGS_VARIABLE).ok()).ok_or_else(|| {
+        CliFailure::usage(format!("--settings: not given, and {SETTINGS_VARIABLE} is not set"))
+    })?;
+    let raw = RawSettings::from_file(&file).map_err(CliFailure::usage)?;
+    let log = || {
+        build_logger(LogOptions {
+            output: LogOutput::StandardOutput,
+            format: LogFormat::Json,
+            level,
+        })
+    };
+    match role.as_deref() {
+        Some("balancer") => {
+            let settings = raw.into_balancer(&file).map_err(CliFailure::usage)?;
+            run_process(|signals| run_balancer(UsersPlatform, settings, file, log(), signals))
+        }
+        Some("agent") => {
+            let settings = raw.into_agent(&file).map_err(CliFailure::usage)?;
+            run_process(|signals| run_agent(UsersPlatform, settings, file, log(), signals))
+        }
+        _ => return Err(CliFailure::usage(format!("role: expected balancer or agent\n\n{USAGE}"))),
+    }
+    .map_err(CliFailure::Runtime)
+}
+
+fn read_level(arguments: &mut Arguments) -> Result<Level, CliFailure> {
+    let Some(text) = option::<String>(arguments, "--log-level")? else { return Ok(Level::Info) };
+    text.parse().map_err(|()| {
+        CliFailure::usage(format!(
+            "--log-level {text:?}: expected critical, error, warning, info, debug or trace"
+        ))
+    })
+}
