Search on without the client, reset what nobody holds, admit by room

Change: a balancer keeps one packet of a searching flow and goes on with the search by itself; a flow that every target sent back twice is reset. Agents count requests in hand exactly, a busy one sends opening packets back, and after three busy ones the packet waits at the least loaded, newest first. A balancer that no agent answers says that it is not ready.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -80,6 +80,9 @@
         service: u64,
         /// Whether the sender only guesses that this target holds the flow.
         search: bool,
+        /// Whether an opening packet may wait at the agent until the target has
+        /// room; otherwise it comes back at once from a busy target.
+        may_wait: bool,
         /// The packet as the client wrote it.
         #[musli(bytes)]
         packet: &'a [u8],
@@ -94,6 +97,11 @@
         #[musli(bytes)]
         packet: &'a [u8],
     },
+    /// An opening packet waits at the agent until the target has room.
+    Waits {
+        /// Requests that wait for an answer of the target.
+        waiting: u32,
+    },
     /// The target answered an opening packet, or holds a flow that the balancer
     /// searched for.
     Holds {
@@ -117,6 +125,9 @@
     OtherService,
     /// The agent is about to stop and takes no new flows.
     Leaving,
+    /// The target has no room now, or had none for as long as the opening packet
+    /// could wait.
+    Busy,
 }
 
 /// Encodes a message into `buffer`, behind the protocol version.
--- a/crates/fleet/src/reader.rs
+++ b/crates/fleet/src/reader.rs
@@ -20,7 +20,7 @@
 /// How long a reader's word that it reads counts.
 pub const READER_WORD_MS: Millis = 1_300;
 /// How long a daemon that knows nothing waits for peers before it reads.
-const FIRST_WAIT_MS: Millis = 40;
+const FIRST_WAIT_MS: Millis = 12;
 
 /// What a balancer knows when it decides whether to read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -12,7 +12,9 @@
     Millis, PeerMessage, PeerRole, ReturnReason, ServiceId, TargetClaim, decode,
 };
 use weirhinge_observe::Metrics;
-use weirhinge_steering::{Agent, DeliveryDecision, HoldsNotice, OutputDecision, PacketHead};
+use weirhinge_steering::{
+    Agent, Arrival, DeliveryDecision, HoldsNotice, OutputDecision, PacketHead, WaitOutcome,
+};
 
 use crate::clock::Clock;
 use crate::events::DecisionLog;
@@ -28,6 +30,8 @@
 const DATAGRAM_ROOM: usize = 2_048;
 /// Datagrams taken in one turn before other tasks get theirs.
 const DATAGRAMS_A_TURN: usize = 64;
+/// How often waiting opening packets are looked at.
+const OPENINGS_POLL: Duration = Duration::from_millis(60);
 /// How often digests go out and old state is dropped.
 const TICK: Duration = Duration::from_millis(500);
 /// How often digests go out soon after the start.
@@ -52,6 +56,7 @@
     target: UdpSocket,
     target_gone: Cell<bool>,
     link: Rc<PeerLink>,
+    address: Ipv4Addr,
     client_port: u16,
     service: String,
     leaving: Cell<bool>,
@@ -98,6 +103,7 @@
         target,
         target_gone: Cell::new(false),
         link,
+        address: common.address,
         client_port: common.packets.port(),
         service: settings.service.clone(),
         leaving: Cell::new(false),
@@ -107,6 +113,7 @@
     });
     tokio::task::spawn_local(Rc::clone(&daemon).take_peer_messages());
     tokio::task::spawn_local(Rc::clone(&daemon).take_output());
+    tokio::task::spawn_local(Rc::clone(&daemon).watch_openings());
     tokio::task::spawn_local(Rc::clone(&daemon).tick());
     let recheck = {
         let file = settings_file.clone();
@@ -154,33 +161,67 @@
     fn peer_message(&self, datagram: &[u8], sender: Ipv4Addr) {
         match decode(datagram) {
             Ok(PeerMessage::Digest(digest)) => self.link.on_digest(&digest, sender),
-            Ok(PeerMessage::Forward { service, search, packet }) => {
-                self.deliver(packet, sender, ServiceId(service), search);
+            Ok(PeerMessage::Forward { service, search, may_wait, packet }) => {
+                match self.platform.decode(packet) {
+                    Ok(head) => self.deliver(&Arrival {
+                        head: &head,
+                        packet,
+                        balancer: sender,
+                        service: ServiceId(service),
+                        search,
+                        may_wait,
+                    }),
+                    Err(malformed) => self.metrics.dropped.increment(malformed.label()),
+                }
             }
             Ok(_) => self.link.refuse_unexpected(),
             Err(error) => self.link.refuse(error),
         }
     }
 
-    fn deliver(&self, packet: &[u8], balancer: Ipv4Addr, service: ServiceId, search: bool) {
+    fn deliver(&self, arrival: &Arrival<'_>) {
         let now = self.clock.now();
-        let head = match self.platform.decode(packet) {
-            Ok(head) => head,
-            Err(malformed) => return self.metrics.dropped.increment(malformed.label()),
-        };
-        let decision = self.core.borrow_mut().delivery(&head, balancer, service, search, now);
+        let decision = self.core.borrow_mut().delivery(arrival, now);
         match decision {
-            DeliveryDecision::Deliver { echo } => {
-                let mut packet = packet.to_vec();
-                self.platform.write_echo(&mut packet, echo);
-                self.hand_to_target(&packet);
-            }
+            DeliveryDecision::Deliver { echo } => self.hand_labelled(arrival.packet, echo),
             DeliveryDecision::Return(reason) => {
-                self.return_packet(&head, packet, balancer, reason, now);
+                self.return_packet(arrival.head, arrival.packet, arrival.balancer, reason, now);
             }
+            DeliveryDecision::Wait => {
+                let waiting = self.core.borrow().waiting();
+                self.metrics.openings_waited.inc();
+                self.decisions.waits(&arrival.head.client_flow(), waiting, now);
+                self.link.send(arrival.balancer, &PeerMessage::Waits { waiting });
+            }
+            DeliveryDecision::WaitsAlready => {}
         }
     }
 
+    /// Lets opening packets that wait go on as far as there is room.
+    fn settle_openings(&self) {
+        let now = self.clock.now();
+        loop {
+            let outcome = self.core.borrow_mut().next_outcome(now);
+            match outcome {
+                None => return,
+                Some(WaitOutcome::Deliver(opening, echo)) => {
+                    self.hand_labelled(&opening.packet, echo);
+                }
+                Some(WaitOutcome::Return(opening)) => {
+                    let reason = ReturnReason::Busy;
+                    let balancer = opening.balancer;
+                    self.return_packet(&opening.head, &opening.packet, balancer, reason, now);
+                }
+            }
+        }
+    }
+
+    fn hand_labelled(&self, packet: &[u8], echo: u32) {
+        let mut packet = packet.to_vec();
+        self.platform.write_echo(&mut packet, echo);
+        self.hand_to_target(&packet);
+    }
+
     fn hand_to_target(&self, packet: &[u8]) {
         match self.target.try_send(packet) {
             Ok(_) => {
@@ -211,6 +252,7 @@
             ReturnReason::Bounced => "bounced",
             ReturnReason::OtherService => "other_service",
             ReturnReason::Leaving => "leaving",
+            ReturnReason::Busy => "busy",
         };
         self.metrics.returned.increment(label);
         self.decisions.returned(&head.client_flow(), label, head.is_opening(), now);
@@ -229,6 +271,7 @@
                     Err(_) => {}
                 }
             }
+            self.settle_openings();
             tokio::task::yield_now().await;
         }
     }
@@ -271,10 +314,19 @@
         self.link.send(notice.balancer, &message);
     }
 
+    /// Ends waits that no output of the target ends.
+    async fn watch_openings(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(OPENINGS_POLL).await;
+            self.settle_openings();
+        }
+    }
+
     async fn tick(self: Rc<Self>) {
         loop {
             let now = self.clock.now();
             self.core.borrow_mut().expire(now);
+            self.learn_slots();
             self.renew_claim();
             self.link.tick();
             let tick = if now < EAGER_MS { EAGER_TICK } else { TICK };
@@ -282,6 +334,16 @@
         }
     }
 
+    /// Takes the target's size from its record.
+    fn learn_slots(&self) {
+        let node = self.node.borrow();
+        let candidates = node.view().candidates(ServiceId::of(&self.service)).iter();
+        let own = candidates.copied().find(|candidate| candidate.agent == self.address);
+        if let Some(own) = own {
+            self.core.borrow_mut().set_slots(own.slots);
+        }
+    }
+
     fn renew_claim(&self) {
         let core = self.core.borrow();
         self.metrics.waiting.set(i64::from(core.waiting()));
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -10,7 +10,9 @@
 use tokio::net::UdpSocket;
 use weirhinge_fleet::{Millis, PeerMessage, PeerRole, decode};
 use weirhinge_observe::Metrics;
-use weirhinge_steering::{Balancer, Decision, FlowKey, ForwardReason, PacketHead, SelectionInputs};
+use weirhinge_steering::{
+    Balancer, Decision, DropReason, FlowKey, ForwardReason, PacketHead, SelectionInputs,
+};
 
 use crate::clock::Clock;
 use crate::events::{Basis, DecisionLog, Forwarded};
@@ -29,6 +31,10 @@
 const DATAGRAMS_A_TURN: usize = 64;
 /// How often digests go out and old state is dropped.
 const TICK: Duration = Duration::from_millis(500);
+/// How often waiting searches are looked at.
+const SEARCH_POLL: Duration = Duration::from_millis(50);
+/// How often the reach of agents is looked at.
+const ISOLATION_POLL: Duration = Duration::from_millis(100);
 /// Routers ask twice a second and stop sending after two misses.
 const ROUTERS_LEAVE_MS: Millis = 1_300;
 /// Silence after which routers are believed to have stopped sending.
@@ -91,11 +97,16 @@
         last_packet_at: RefCell::new(0),
     });
     let reader = StoreReader::new(platform, common.store, node, clock, store_metrics, log.clone());
-    let news = Rc::clone(&link);
-    tokio::task::spawn_local(reader.run(move || news.spread_news()));
+    let news = Rc::clone(&daemon);
+    tokio::task::spawn_local(reader.run(move || {
+        news.link.spread_news();
+        news.note_regained();
+    }));
     tokio::task::spawn_local(Rc::clone(&daemon).take_client_packets());
     tokio::task::spawn_local(Rc::clone(&daemon).take_peer_messages());
+    tokio::task::spawn_local(Rc::clone(&daemon).continue_searches());
     tokio::task::spawn_local(Rc::clone(&daemon).tick());
+    tokio::task::spawn_local(Rc::clone(&daemon).watch_isolation(status.clone(), log.clone()));
     let recheck = {
         let file = settings_file.clone();
         move || RawSettings::from_file(&file)?.into_balancer(&file).map(|new| new == settings)
@@ -123,7 +134,7 @@
             let _ = self.packets.readable().await;
             for _ in 0..DATAGRAMS_A_TURN {
                 match self.packets.try_recv_from(&mut buffer) {
-                    Ok((length, _)) => self.client_packet(&mut buffer[..length]),
+                    Ok((length, _)) => self.client_packet(&buffer[..length]),
                     Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
                     Err(_) => {}
                 }
@@ -132,7 +143,7 @@
         }
     }
 
-    fn client_packet(&self, packet: &mut [u8]) {
+    fn client_packet(&self, packet: &[u8]) {
         let began = Instant::now();
         let now = self.clock.now();
         *self.last_packet_at.borrow_mut() = now;
@@ -143,7 +154,7 @@
         let decision = {
             let node = self.node.borrow();
             let fresh = node.is_fresh(now);
-            self.core.borrow_mut().client_packet(node.view(), &head, fresh, now)
+            self.core.borrow_mut().client_packet(node.view(), &head, packet, fresh, now)
         };
         self.metrics.decision_seconds.observe(began.elapsed().as_secs_f64());
         self.carry_out(decision, &head, packet, now);
@@ -157,7 +168,7 @@
             for _ in 0..DATAGRAMS_A_TURN {
                 match socket.try_recv_from(&mut buffer) {
                     Ok((length, SocketAddr::V4(sender))) => {
-                        self.peer_message(&mut buffer[..length], *sender.ip());
+                        self.peer_message(&buffer[..length], *sender.ip());
                     }
                     Ok(_) => {}
                     Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
@@ -168,7 +179,7 @@
         }
     }
 
-    fn peer_message(&self, datagram: &mut [u8], sender: Ipv4Addr) {
+    fn peer_message(&self, datagram: &[u8], sender: Ipv4Addr) {
         let now = self.clock.now();
         let message: PeerMessage<'_> = match decode(datagram) {
             Ok(message) => message,
@@ -180,6 +191,7 @@
                     self.core.borrow_mut().claimed(sender, claim, now);
                 }
                 self.link.on_digest(&digest, sender);
+                self.note_regained();
             }
             PeerMessage::Returned { reason, waiting, packet } => {
                 let Ok(head) = self.platform.decode(packet) else { return };
@@ -188,10 +200,9 @@
                     let fresh = node.is_fresh(now);
                     let mut core = self.core.borrow_mut();
                     core.heard(sender, waiting, now);
-                    core.returned_packet(node.view(), &head, sender, reason, fresh, now)
+                    core.returned_packet(node.view(), &head, packet, sender, reason, fresh, now)
                 };
-                let mut packet = packet.to_vec();
-                self.carry_out(decision, &head, &mut packet, now);
+                self.carry_out(decision, &head, packet, now);
             }
             PeerMessage::Holds { client, service, confirmed, waiting } => {
                 let flow = FlowKey { client: endpoint(client), service: endpoint(service) };
@@ -200,17 +211,21 @@
                     self.metrics.opening_seconds.observe(waited as f64 / 1_000.0);
                 }
             }
+            PeerMessage::Waits { waiting } => {
+                self.core.borrow_mut().heard(sender, waiting, now);
+            }
             PeerMessage::Forward { .. } => self.link.refuse_unexpected(),
         }
     }
 
-    fn carry_out(&self, decision: Decision, head: &PacketHead, packet: &mut [u8], now: Millis) {
+    fn carry_out(&self, decision: Decision, head: &PacketHead, packet: &[u8], now: Millis) {
         let flow = head.client_flow();
         match decision {
-            Decision::Forward { agent, service, search, reason, inputs } => {
+            Decision::Forward { agent, service, search, may_wait, reason, inputs } => {
                 self.metrics.forwarded.increment(reason.label());
                 self.log_forwarded(&flow, agent, reason, inputs.as_ref(), packet, now);
-                let message = PeerMessage::Forward { service: service.0, search, packet };
+                let service = service.0;
+                let message = PeerMessage::Forward { service, search, may_wait, packet };
                 self.link.send(agent, &message);
             }
             Decision::Reset { sequence, reason } => {
@@ -221,6 +236,7 @@
                 // Like any datagram, a reset may be lost; the client asks again.
                 let _ = self.packets.try_send_to(&reset, client.into());
             }
+            Decision::Drop(DropReason::SearchEnded) => {}
             Decision::Drop(reason) => {
                 self.metrics.dropped.increment(reason.label());
                 self.decisions.dropped(&flow, reason, self.basis(now), now);
@@ -257,16 +273,54 @@
         }
     }
 
+    /// After the store's word was lost, living targets may lack records: their
+    /// agents are asked.
+    fn note_regained(&self) {
+        let regained = self.node.borrow_mut().take_regained();
+        if let Some(regained_at) = regained {
+            self.core.borrow_mut().store_regained(regained_at);
+            self.link.ask_agents();
+        }
+    }
+
+    /// Is not ready while cut off from all agents, so that routers use others.
+    async fn watch_isolation(self: Rc<Self>, status: Status, log: Logger) {
+        loop {
+            tokio::time::sleep(ISOLATION_POLL).await;
+            let isolated = self.core.borrow().is_isolated(self.clock.now());
+            if status.set_isolated(isolated) {
+                info!(log, "balancer: reach of agents changed"; "event" => "isolation",
+                    "isolated" => isolated);
+            }
+        }
+    }
+
+    /// Goes on with searches that a silent target holds up.
+    async fn continue_searches(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SEARCH_POLL).await;
+            let now = self.clock.now();
+            let due = self.core.borrow_mut().due_searches(now);
+            for (head, packet) in due {
+                let decision = {
+                    let node = self.node.borrow();
+                    let fresh = node.is_fresh(now);
+                    let mut core = self.core.borrow_mut();
+                    core.search_again(node.view(), &head, &packet, fresh, now)
+                };
+                self.carry_out(decision, &head, &packet, now);
+            }
+        }
+    }
+
     async fn tick(self: Rc<Self>) {
         loop {
             let now = self.clock.now();
             self.link.tick();
+            self.note_regained();
             {
-                let mut node = self.node.borrow_mut();
+                let node = self.node.borrow();
                 let mut core = self.core.borrow_mut();
-                if let Some(regained_at) = node.take_regained() {
-                    core.store_regained(regained_at);
-                }
                 core.expire(node.view(), now);
                 self.metrics.flows.set(core.flow_count() as i64);
             }
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -150,6 +150,14 @@
         }
     }
 
+    /// An opening packet waits for room at the target.
+    pub fn waits(&self, flow: &FlowKey, waiting: u32, now: Millis) {
+        if self.returns.allows("waits", &self.log, now) {
+            info!(self.log, "agent: opening waits for room"; "event" => "opening_waits",
+                "flow" => flow_text(flow), "waiting" => waiting);
+        }
+    }
+
     /// The target answered an opening packet, or was found to hold a flow.
     pub fn answered(&self, flow: &FlowKey, confirmed: bool, waiting: u32, now: Millis) {
         if self.openings.allows("answered", &self.log, now) {
--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node.rs
@@ -18,6 +18,8 @@
 const NEWS_MS: Millis = 300;
 /// Peers that get news at once.
 const FAN_OUT: usize = 6;
+/// Agents asked when the store's word became fresh.
+const AGENTS_ASKED: usize = 64;
 /// Balancers that an agent keeps in touch with.
 const AGENT_CONTACTS: usize = 8;
 /// Time after the start in which seeds are asked at every tick.
@@ -168,6 +170,11 @@
         choose(&balancers, FAN_OUT)
     }
 
+    /// Agents of known targets, to be asked what stands beside them.
+    pub fn agents_to_ask(&self) -> Vec<Ipv4Addr> {
+        choose(&self.view.agents(), AGENTS_ASKED)
+    }
+
     /// Peers that get this daemon's digest at a tick.
     pub fn tick_receivers(&mut self, now: Millis) -> Vec<Ipv4Addr> {
         self.peers.expire(now);
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -121,6 +121,14 @@
         }
     }
 
+    /// Asks the agents of known targets what stands beside them.
+    pub fn ask_agents(&self) {
+        let agents = self.node.borrow().agents_to_ask();
+        for agent in agents {
+            self.send_digest(agent, true);
+        }
+    }
+
     /// Keeps in touch with peers; to be called regularly.
     pub fn tick(&self) {
         let now = self.clock.now();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -44,6 +44,8 @@
     pub delivered: Counter,
     /// Packets sent back to balancers, by reason.
     pub returned: ReasonCounters,
+    /// Opening packets that waited for room.
+    pub openings_waited: Counter,
     /// Packets of the target sent to clients.
     pub to_clients: Counter,
     /// Packets dropped, by reason.
@@ -60,6 +62,8 @@
         Self {
             delivered: metrics.counter("packets_delivered", "Packets handed to the target"),
             returned: metrics.reasons("packets_returned", "Packets sent back to balancers"),
+            openings_waited: metrics
+                .counter("openings_waited", "Opening packets that waited for room"),
             to_clients: metrics.counter("packets_to_clients", "Packets sent to clients"),
             dropped: metrics.reasons("packets_dropped", "Packets dropped"),
             waiting: metrics.gauge("requests_waiting", "Requests waiting for the target"),
--- a/crates/relay/src/status.rs
+++ b/crates/relay/src/status.rs
@@ -21,12 +21,13 @@
     node: Rc<RefCell<FleetNode>>,
     needs_configuration: bool,
     stopping: Rc<Cell<bool>>,
+    isolated: Rc<Cell<bool>>,
 }
 
 impl Status {
     /// A daemon that is ready once it knows a configuration.
     pub fn new(node: Rc<RefCell<FleetNode>>) -> Self {
-        Self { node, needs_configuration: true, stopping: Rc::default() }
+        Self { node, needs_configuration: true, stopping: Rc::default(), isolated: Rc::default() }
     }
 
     /// A daemon that is ready as soon as it runs.
@@ -39,9 +40,15 @@
         self.stopping.set(true);
     }
 
+    /// Notes whether this daemon is cut off from the others. Returns whether that
+    /// is new.
+    pub fn set_isolated(&self, isolated: bool) -> bool {
+        self.isolated.replace(isolated) != isolated
+    }
+
     fn is_ready(&self) -> bool {
         let knows = !self.needs_configuration || self.node.borrow().view().label().is_some();
-        knows && !self.stopping.get()
+        knows && !self.stopping.get() && !self.isolated.get()
     }
 }
 
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -32,6 +32,8 @@
 const WATCH_SPACING_MS: Millis = 250;
 /// How often a balancer that does not read looks whether it should.
 const IDLE_POLL: Duration = Duration::from_millis(40);
+/// The same while nothing is known yet.
+const START_POLL: Duration = Duration::from_millis(4);
 /// First and longest wait after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_millis(60);
 const LONGEST_BACKOFF: Duration = Duration::from_millis(900);
@@ -94,7 +96,8 @@
             let now = self.clock.now();
             if !self.node.borrow().should_read(now) {
                 self.set_reading(false);
-                tokio::time::sleep(IDLE_POLL).await;
+                let known = self.node.borrow().revision() > 0;
+                tokio::time::sleep(if known { IDLE_POLL } else { START_POLL }).await;
                 continue;
             }
             match self.read_once().await {
--- a/crates/steering/src/agent.rs
+++ b/crates/steering/src/agent.rs
@@ -1,6 +1,6 @@
 //! An agent's decisions about packets to and from the target beside it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::Ipv4Addr;
 
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId};
@@ -15,6 +15,55 @@
 /// A flow that rested for this long is no longer followed.
 const FLOW_IDLE_MS: Millis = 60_000;
 
+/// Time in which the request of an admitted flow is expected: a client's journey
+/// there and back, and then some.
+const EXPECTED_MS: Millis = 60;
+/// A request without an answer for this long no longer counts: its client gave up
+/// or its answer was not seen.
+const LONGEST_REQUEST_MS: Millis = 3_000;
+/// Most opening packets that wait for room.
+const WAITING_OPENINGS: usize = 128;
+/// Longest wait of an opening packet. The client gives an attempt up after 1.4 s.
+const LONGEST_WAIT_MS: Millis = 800;
+
+/// A client's packet on its way to the target.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival<'a> {
+    /// The packet's head.
+    pub head: &'a PacketHead,
+    /// The packet.
+    pub packet: &'a [u8],
+    /// The balancer that sent it.
+    pub balancer: Ipv4Addr,
+    /// The service that the balancer meant.
+    pub service: ServiceId,
+    /// Whether the balancer only guesses that the target holds the flow.
+    pub search: bool,
+    /// Whether an opening packet may wait until the target has room.
+    pub may_wait: bool,
+}
+
+/// An opening packet that waited for room.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaitedOpening {
+    /// The packet's head.
+    pub head: PacketHead,
+    /// The packet.
+    pub packet: Vec<u8>,
+    /// The balancer that sent it.
+    pub balancer: Ipv4Addr,
+    arrived_at: Millis,
+}
+
+/// What to do with a packet that waited.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WaitOutcome {
+    /// Hand it to the target under this label.
+    Deliver(WaitedOpening, u32),
+    /// Send it back to its balancer.
+    Return(WaitedOpening),
+}
+
 /// What to do with a packet for the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeliveryDecision {
@@ -25,6 +74,10 @@
     },
     /// Send it back to the balancer.
     Return(ReturnReason),
+    /// It waits here until the target has room.
+    Wait,
+    /// A copy of it waits here already.
+    WaitsAlready,
 }
 
 /// Tells a balancer that the target holds a flow.
@@ -71,13 +124,32 @@
 #[derive(Clone, Copy, Debug)]
 struct Flow {
     balancer: Ipv4Addr,
-    /// A request was delivered and nothing was answered yet.
-    waiting: bool,
+    /// When a request was delivered to which nothing was answered yet.
+    waiting_since: Option<Millis>,
+    /// Where the client's data delivered so far ends. Data before it was sent
+    /// again and asks for nothing new.
+    delivered_to: Option<u32>,
+    /// The flow was admitted and its first request is yet to come.
+    expected: bool,
     /// The balancer does not know yet that the target holds the flow.
     report: bool,
     used_at: Millis,
 }
 
+impl Flow {
+    /// Notes the packet's data. Returns whether any of it is new.
+    fn takes_new_data(&mut self, head: &PacketHead) -> bool {
+        let end = head.sequence.wrapping_add(u32::from(head.length));
+        // Sequence numbers wrap: half of the range counts as ahead.
+        let is_ahead = |known: u32| end.wrapping_sub(known) as i32 > 0;
+        let is_new = head.length > 0 && self.delivered_to.is_none_or(is_ahead);
+        if is_new {
+            self.delivered_to = Some(end);
+        }
+        is_new
+    }
+}
+
 /// The state of an agent.
 #[derive(Clone, Debug)]
 pub struct Agent {
@@ -86,6 +158,15 @@
     next_echo: u32,
     flows: HashMap<FlowKey, Flow>,
     waiting: u32,
+    /// Admitted flows whose first request is yet to come.
+    expected: u32,
+    /// Those flows in the order of admission, with the time until which they count.
+    expectations: VecDeque<(Millis, FlowKey)>,
+    /// Opening packets that wait for room, the newest last.
+    openings: VecDeque<WaitedOpening>,
+    /// Requests and expected ones at which a target counts as busy; none if its
+    /// size is not known.
+    room: Option<u32>,
     leaving: bool,
 }
 
@@ -98,6 +179,10 @@
             next_echo: 1,
             flows: HashMap::new(),
             waiting: 0,
+            expected: 0,
+            expectations: VecDeque::new(),
+            openings: VecDeque::new(),
+            room: None,
             leaving: false,
         }
     }
@@ -117,25 +202,93 @@
         self.leaving = true;
     }
 
+    /// Notes how many requests the target works on at once.
+    pub fn set_slots(&mut self, slots: u32) {
+        // A short queue at the target keeps it at work; a longer one only ages.
+        self.room = Some(slots + slots.div_ceil(2));
+    }
+
     /// Decides about a client's packet that a balancer sent.
-    pub fn delivery(
-        &mut self,
-        head: &PacketHead,
-        balancer: Ipv4Addr,
-        service: ServiceId,
-        search: bool,
-        now: Millis,
-    ) -> DeliveryDecision {
-        if head.is_opening() {
-            if service != self.service {
+    pub fn delivery(&mut self, arrival: &Arrival<'_>, now: Millis) -> DeliveryDecision {
+        if arrival.head.is_opening() {
+            if arrival.service != self.service {
                 return DeliveryDecision::Return(ReturnReason::OtherService);
             }
             if self.leaving {
                 return DeliveryDecision::Return(ReturnReason::Leaving);
             }
+            if self.is_busy() && !self.flows.contains_key(&arrival.head.client_flow()) {
+                return self.busy_opening(arrival, now);
+            }
+        }
+        let echo = self.admit(arrival.head, arrival.balancer, arrival.search, now);
+        DeliveryDecision::Deliver { echo }
+    }
+
+    /// The next waiting opening packet that has an outcome. The newest goes first:
+    /// when not all can be in time, some are (adaptive LIFO), and requests on flows
+    /// that are open already never stand behind it.
+    pub fn next_outcome(&mut self, now: Millis) -> Option<WaitOutcome> {
+        self.drop_expectations(now);
+        let oldest = self.openings.front()?;
+        let is_over = now.saturating_sub(oldest.arrived_at) >= LONGEST_WAIT_MS;
+        if is_over || self.leaving {
+            return self.openings.pop_front().map(WaitOutcome::Return);
+        }
+        if self.is_busy() {
+            return None;
+        }
+        let opening = self.openings.pop_back()?;
+        let echo = self.admit(&opening.head, opening.balancer, false, now);
+        Some(WaitOutcome::Deliver(opening, echo))
+    }
+
+    fn busy_opening(&mut self, arrival: &Arrival<'_>, now: Millis) -> DeliveryDecision {
+        if self
+            .openings
+            .iter()
+            .any(|opening| opening.head.client_flow() == arrival.head.client_flow())
+        {
+            return DeliveryDecision::WaitsAlready;
+        }
+        if !arrival.may_wait || self.openings.len() >= WAITING_OPENINGS {
+            return DeliveryDecision::Return(ReturnReason::Busy);
         }
+        self.openings.push_back(WaitedOpening {
+            head: *arrival.head,
+            packet: arrival.packet.to_vec(),
+            balancer: arrival.balancer,
+            arrived_at: now,
+        });
+        DeliveryDecision::Wait
+    }
+
+    fn is_busy(&self) -> bool {
+        self.room.is_some_and(|room| self.waiting + self.expected >= room)
+    }
+
+    fn admit(&mut self, head: &PacketHead, balancer: Ipv4Addr, search: bool, now: Millis) -> u32 {
         self.follow(head, balancer, search, now);
-        DeliveryDecision::Deliver { echo: self.remember(balancer) }
+        self.remember(balancer)
+    }
+
+    fn drop_expectations(&mut self, now: Millis) {
+        while let Some((until, flow)) = self.expectations.front().copied() {
+            if until > now {
+                return;
+            }
+            self.expectations.pop_front();
+            self.fulfil(&flow);
+        }
+    }
+
+    /// A flow's first request came, or is no longer expected.
+    fn fulfil(&mut self, flow: &FlowKey) {
+        if let Some(flow) = self.flows.get_mut(flow)
+            && std::mem::take(&mut flow.expected)
+        {
+            self.expected -= 1;
+        }
     }
 
     /// Decides about a packet that the target sent.
@@ -148,8 +301,8 @@
             return OutputDecision::ToClient { notice: None };
         };
         entry.used_at = now;
-        if head.length > 0 && entry.waiting {
-            entry.waiting = false;
+        let ends = head.flags.fin || head.flags.rst;
+        if (head.length > 0 || ends) && entry.waiting_since.take().is_some() {
             self.waiting -= 1;
         }
         let answers_opening = head.flags.syn && head.flags.ack;
@@ -164,10 +317,14 @@
 
     /// Stops following flows that rested long.
     pub fn expire(&mut self, now: Millis) {
+        self.drop_expectations(now);
         let waiting = &mut self.waiting;
         self.flows.retain(|_, flow| {
             let keep = now.saturating_sub(flow.used_at) < FLOW_IDLE_MS;
-            if !keep && flow.waiting {
+            let waits = flow
+                .waiting_since
+                .take_if(|since| !keep || now.saturating_sub(*since) >= LONGEST_REQUEST_MS);
+            if waits.is_some() {
                 *waiting -= 1;
             }
             keep
@@ -193,25 +350,41 @@
 
     fn follow(&mut self, head: &PacketHead, balancer: Ipv4Addr, search: bool, now: Millis) {
         let flow = head.client_flow();
-        if self.flows.len() >= FLOW_CAPACITY && !self.flows.contains_key(&flow) {
+        let is_new = !self.flows.contains_key(&flow);
+        if is_new && self.flows.len() >= FLOW_CAPACITY {
             return;
         }
-        let fresh = Flow { balancer, waiting: false, report: search, used_at: now };
-        let entry = self.flows.entry(flow).or_insert(fresh);
+        let is_expected = is_new && head.is_opening();
+        let entry = self.flows.entry(flow).or_insert(Flow {
+            balancer,
+            waiting_since: None,
+            delivered_to: None,
+            expected: is_expected,
+            report: search,
+            used_at: now,
+        });
         entry.balancer = balancer;
         entry.used_at = now;
         entry.report |= search;
-        if head.length > 0 && !entry.waiting {
-            entry.waiting = true;
+        if entry.takes_new_data(head) && entry.waiting_since.is_none() {
+            entry.waiting_since = Some(now);
             self.waiting += 1;
         }
+        if is_expected {
+            self.expected += 1;
+            self.expectations.push_back((now + EXPECTED_MS, flow));
+        }
+        if head.length > 0 {
+            self.fulfil(&flow);
+        }
         if head.flags.rst {
             self.forget(&flow);
         }
     }
 
     fn forget(&mut self, flow: &FlowKey) {
-        if self.flows.remove(flow).is_some_and(|flow| flow.waiting) {
+        self.fulfil(flow);
+        if self.flows.remove(flow).is_some_and(|flow| flow.waiting_since.is_some()) {
             self.waiting -= 1;
         }
     }
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -29,10 +29,23 @@
     claim: Option<(ServiceId, Millis)>,
 }
 
+/// Silence of all agents after which this balancer takes itself for cut off.
+/// Each agent speaks at least every half second.
+const ISOLATED_AFTER_MS: Millis = 700;
+/// Opening packets left unanswered, with no answer to any other, that say so too:
+/// then agents are heard but not reached.
+const ISOLATED_OPENINGS: u32 = 8;
+
 /// The agents that this balancer has dealt with.
 #[derive(Clone, Debug, Default)]
 pub struct AgentStatuses {
     statuses: HashMap<Ipv4Addr, AgentStatus>,
+    /// When any agent last spoke.
+    any_heard_at: Option<Millis>,
+    /// When the first of the opening packets below was sent.
+    unanswered_since: Option<Millis>,
+    /// Opening packets sent since any agent last answered a packet.
+    unanswered: u32,
 }
 
 impl AgentStatuses {
@@ -42,6 +55,19 @@
         status.sent_since += 1;
         status.last_tried = now;
         status.unanswered_since.get_or_insert(now);
+        self.unanswered_since.get_or_insert(now);
+        self.unanswered += 1;
+    }
+
+    /// Whether this balancer seems to be cut off from all agents, though it was in
+    /// touch with them before.
+    pub fn is_isolated(&self, now: Millis) -> bool {
+        let is_over = |since: Millis| now.saturating_sub(since) >= ISOLATED_AFTER_MS;
+        let hears_nobody = self.any_heard_at.is_some_and(is_over);
+        let reaches_nobody = self.any_heard_at.is_some()
+            && self.unanswered >= ISOLATED_OPENINGS
+            && self.unanswered_since.is_some_and(is_over);
+        hears_nobody || reaches_nobody
     }
 
     /// Records a sign of life with the number of requests waiting at the target.
@@ -51,6 +77,9 @@
         status.waiting = waiting;
         status.sent_since = 0;
         status.unanswered_since = None;
+        self.any_heard_at = Some(now);
+        self.unanswered = 0;
+        self.unanswered_since = None;
     }
 
     /// Records an agent's word about its target. Unlike an answer to a packet it
@@ -63,6 +92,7 @@
         status.leaving = claim.leaving;
         let usable = claim.alive && !claim.leaving;
         status.claim = usable.then(|| (ServiceId::of(&claim.service), now));
+        self.any_heard_at = Some(now);
     }
 
     /// Records that an agent refused new flows because it stops.
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -7,6 +7,7 @@
 use crate::agent_status::AgentStatuses;
 use crate::flow_table::{FlowEntry, FlowStage, FlowTable};
 use crate::packet::{FlowKey, PacketHead};
+use crate::pending_search::PendingSearches;
 use crate::selection::{least_loaded, load_permille, rendezvous_order};
 use crate::view::{Candidate, FleetView, Standing};
 
@@ -15,18 +16,26 @@
 /// Idle time after which a flow is forgotten when no configuration states one.
 const DEFAULT_IDLE_MS: Millis = 60_000;
 /// A search that got no answer from a target for this long tries the next one.
-const SEARCH_STEP_MS: Millis = 150;
+const SEARCH_STEP_MS: Millis = 120;
 /// Opening packets of one flow come within this span; a later one opens another.
 const OPENING_SPAN_MS: Millis = 2_000;
+/// Busy targets that an opening packet passes before it waits at one.
+const BUSY_RETURNS: u8 = 3;
 /// How long targets without a record may still take flows after the store's
 /// word became fresh again: living ones have renewed their records by then.
 const SETTLE_MS: Millis = 2_500;
 /// How long a target whose record left without a word may take flows when its
 /// service has no other. Below the bound on work for a leaving target.
 const VANISHED_GRACE_MS: Millis = 1_500;
-/// A flow is given up when no target held it twice, at least this far apart, so
-/// that a target that was not known the first time is.
-const GIVE_UP_AFTER_MS: Millis = 350;
+/// A flow is given up when every target sent its packet back twice, at least this
+/// far apart, so that a target that was not known the first time is.
+const GIVE_UP_AFTER_MS: Millis = 100;
+/// How long after the store's word became fresh an agent has had the time to say
+/// what stands beside it.
+const CLAIMS_KNOWN_MS: Millis = 250;
+/// A target that left the store and whose agent was silent for this long does not
+/// hold up the giving up of a flow.
+const SILENT_LEAVER_MS: Millis = 2_500;
 
 /// Why a packet was forwarded where it was.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +48,8 @@
     OpeningMoved,
     /// The previous target sent the opening packet back.
     OpeningReturned,
+    /// All targets compared are busy; the opening packet waits at this one.
+    OpeningWaits,
     /// The flow's target is known.
     Held,
     /// The flow is not known; the packet looks for its target.
@@ -53,6 +64,7 @@
             ForwardReason::OpeningRepeated => "opening_repeated",
             ForwardReason::OpeningMoved => "opening_moved",
             ForwardReason::OpeningReturned => "opening_returned",
+            ForwardReason::OpeningWaits => "opening_waits",
             ForwardReason::Held => "held",
             ForwardReason::Search => "search",
         }
@@ -95,6 +107,8 @@
     BouncedByClient,
     /// No target held the flow this time.
     NobodyHoldsYet,
+    /// The kept copy of a packet is no longer needed.
+    SearchEnded,
 }
 
 impl DropReason {
@@ -105,6 +119,7 @@
             DropReason::NoTargetYet => "no_target_yet",
             DropReason::BouncedByClient => "bounced_by_client",
             DropReason::NobodyHoldsYet => "nobody_holds_yet",
+            DropReason::SearchEnded => "search_ended",
         }
     }
 }
@@ -140,6 +155,8 @@
         service: ServiceId,
         /// Whether the target is only guessed to hold the flow.
         search: bool,
+        /// Whether an opening packet may wait at the agent until there is room.
+        may_wait: bool,
         /// Why this agent.
         reason: ForwardReason,
         /// What was weighed, if a target was chosen by load.
@@ -161,8 +178,11 @@
 pub struct Balancer {
     flows: FlowTable,
     statuses: AgentStatuses,
-    /// Until when targets without a record may take flows.
-    settled_at: Millis,
+    /// Packets that look for their target, to be sent on without waiting for the
+    /// client to send them again.
+    searches: PendingSearches,
+    /// When the store's word last became fresh.
+    regained_at: Millis,
 }
 
 impl Balancer {
@@ -176,7 +196,8 @@
         Self {
             flows: FlowTable::new(capacity),
             statuses: AgentStatuses::default(),
-            settled_at: SETTLE_MS,
+            searches: PendingSearches::default(),
+            regained_at: 0,
         }
     }
 
@@ -187,7 +208,7 @@
 
     /// Notes that the store's word is fresh again after it was not.
     pub fn store_regained(&mut self, now: Millis) {
-        self.settled_at = now + SETTLE_MS;
+        self.regained_at = now;
     }
 
     /// Decides about a client's packet. `fresh` tells whether the store's word is
@@ -196,6 +217,7 @@
         &mut self,
         view: &FleetView,
         head: &PacketHead,
+        packet: &[u8],
         fresh: bool,
         now: Millis,
     ) -> Decision {
@@ -203,10 +225,11 @@
             return Decision::Drop(DropReason::BouncedByClient);
         }
         if head.is_opening() {
-            self.opening_packet(view, head, fresh, now)
-        } else {
-            self.later_packet(view, head, fresh, now)
+            return self.opening_packet(view, head, fresh, now);
         }
+        let decision = self.later_packet(view, head, fresh, now);
+        self.keep_for_search(&decision, head, packet, now);
+        decision
     }
 
     /// Decides about a client's packet that an agent sent back.
@@ -214,6 +237,7 @@
         &mut self,
         view: &FleetView,
         head: &PacketHead,
+        packet: &[u8],
         from: Ipv4Addr,
         reason: ReturnReason,
         fresh: bool,
@@ -230,6 +254,9 @@
                 let service = service_of(view, &flow, agent);
                 return forward(agent, service, false, ForwardReason::Held);
             }
+            Some(entry) if entry.stage == FlowStage::Unheld => {
+                return Decision::Drop(DropReason::NobodyHoldsYet);
+            }
             Some(entry) => {
                 entry.note_tried(from);
                 entry.stage = stage;
@@ -241,10 +268,12 @@
             }
         }
         if head.is_opening() {
-            self.choose_target(view, head, ForwardReason::OpeningReturned, fresh, now)
-        } else {
-            self.search(view, head, fresh, now)
+            let reason = self.next_opening_step(&flow, reason);
+            return self.choose_target(view, head, reason, fresh, now);
         }
+        let decision = self.search(view, head, fresh, now);
+        self.keep_for_search(&decision, head, packet, now);
+        decision
     }
 
     /// Takes in that an agent's target answered a flow. Returns for how many
@@ -267,6 +296,8 @@
             entry.stage = FlowStage::Held;
             entry.tried.clear();
             entry.unheld_since = None;
+            entry.search_met_silence = false;
+            self.searches.remove(&flow);
         }
         was_opening.then(|| now.saturating_sub(entry.tried_at))
     }
@@ -281,6 +312,11 @@
         self.statuses.claimed(agent, claim, now);
     }
 
+    /// Whether this balancer seems to be cut off from all agents.
+    pub fn is_isolated(&self, now: Millis) -> bool {
+        self.statuses.is_isolated(now)
+    }
+
     /// Forgets what is too old.
     pub fn expire(&mut self, view: &FleetView, now: Millis) {
         let idle_ms = view.idle_timeout_ms().unwrap_or(DEFAULT_IDLE_MS);
@@ -297,7 +333,7 @@
     ) -> Decision {
         let flow = head.client_flow();
         let is_copy = |entry: &FlowEntry| {
-            entry.stage != FlowStage::Searching
+            matches!(entry.stage, FlowStage::Opening | FlowStage::Held)
                 && now.saturating_sub(entry.tried_at) < OPENING_SPAN_MS
         };
         let Some(entry) = self.flows.get_mut(&flow).filter(|entry| is_copy(entry)) else {
@@ -327,10 +363,17 @@
             return self.search(view, head, fresh, now);
         };
         entry.used_at = now;
+        if entry.stage == FlowStage::Unheld {
+            return self.search(view, head, fresh, now);
+        }
         let is_stalled = now.saturating_sub(entry.tried_at) >= SEARCH_STEP_MS;
         if entry.stage == FlowStage::Searching && is_stalled {
             let silent = entry.agent;
             entry.note_tried(silent);
+            let may_hold = !self.may_be_gone(view, &flow, silent, now);
+            if let Some(entry) = self.flows.get_mut(&flow) {
+                entry.search_met_silence |= may_hold;
+            }
             return self.search(view, head, fresh, now);
         }
         let agent = entry.agent;
@@ -340,6 +383,22 @@
         forward(agent, service, search, reason)
     }
 
+    /// How an opening packet that came back goes on: past busy targets a few
+    /// times, then it waits at the least loaded one.
+    fn next_opening_step(&mut self, flow: &FlowKey, returned: ReturnReason) -> ForwardReason {
+        let Some(entry) = self.flows.get_mut(flow) else { return ForwardReason::OpeningReturned };
+        if returned != ReturnReason::Busy || entry.has_waited {
+            return ForwardReason::OpeningReturned;
+        }
+        entry.busy_returns += 1;
+        if entry.busy_returns < BUSY_RETURNS {
+            return ForwardReason::OpeningReturned;
+        }
+        entry.has_waited = true;
+        entry.tried.clear();
+        ForwardReason::OpeningWaits
+    }
+
     /// Chooses a target for an opening packet among those not tried yet.
     fn choose_target(
         &mut self,
@@ -378,6 +437,7 @@
             agent: chosen.agent,
             service,
             search: false,
+            may_wait: reason == ForwardReason::OpeningWaits,
             reason,
             inputs: Some(inputs),
         }
@@ -395,7 +455,7 @@
         // Silent targets may yet answer the next copy, those that sent the packet
         // back will not take it now.
         self.flows.remove(flow);
-        let settled = fresh && now >= self.settled_at;
+        let settled = fresh && !self.is_unsettled(now);
         match (any_eligible, reason) {
             (true, ForwardReason::OpeningReturned) => {
                 Decision::Reset { sequence: 0, reason: ResetReason::Refused }
@@ -444,7 +504,7 @@
         service: ServiceId,
         now: Millis,
     ) -> Vec<Candidate> {
-        let unsettled = now < self.settled_at;
+        let unsettled = self.is_unsettled(now);
         let may_live = |candidate: &&Candidate| match candidate.standing {
             Standing::Vanished(at) => unsettled || now.saturating_sub(at) < VANISHED_GRACE_MS,
             Standing::Ready | Standing::Leaving => false,
@@ -479,12 +539,12 @@
         };
         let tried = self.flows.tried(&flow);
         let order = self.search_order(view, route.services(), flow.hash(), now);
-        let next = order.into_iter().find(|(_, agent)| !tried.contains(agent));
-        let Some((service, agent)) = next else {
+        let next = order.into_iter().find(|place| !tried.contains(&place.agent));
+        let Some(place) = next else {
             return self.search_failed(&flow, head, fresh, now);
         };
-        self.go_to(flow, agent, FlowStage::Searching, now);
-        forward(agent, service, true, ForwardReason::Search)
+        self.go_to(flow, place.agent, FlowStage::Searching, now);
+        forward(place.agent, place.service, true, ForwardReason::Search)
     }
 
     /// All targets that may hold a flow in the flow's order, those that do not
@@ -495,22 +555,44 @@
         services: impl Iterator<Item = ServiceId>,
         flow_hash: u64,
         now: Millis,
-    ) -> Vec<(ServiceId, Ipv4Addr)> {
-        let mut order = Vec::new();
+    ) -> Vec<SearchPlace> {
+        let mut order: Vec<SearchPlace> = Vec::new();
         for service in services {
-            let candidates = rendezvous_order(flow_hash, view.candidates(service).iter());
-            order.extend(candidates.iter().map(|candidate| (service, candidate.agent)));
+            for candidate in rendezvous_order(flow_hash, view.candidates(service).iter()) {
+                order.push(self.search_place(service, &candidate, now));
+            }
             for agent in self.statuses.claimants(service, now) {
-                if !order.iter().any(|(_, known)| *known == agent) {
-                    order.push((service, agent));
+                if !order.iter().any(|place| place.agent == agent) {
+                    order.push(SearchPlace { service, agent, is_silent: false });
                 }
             }
         }
         // A stable sort: the flow's order stays within each half.
-        order.sort_by_key(|(_, agent)| self.statuses.is_suspect(*agent, now));
+        order.sort_by_key(|place| place.is_silent);
         order
     }
 
+    fn search_place(&self, service: ServiceId, candidate: &Candidate, now: Millis) -> SearchPlace {
+        let agent = candidate.agent;
+        let is_silent = self.has_left(candidate, now) || self.statuses.is_suspect(agent, now);
+        SearchPlace { service, agent, is_silent }
+    }
+
+    /// Whether a target left the store and its agent is silent too.
+    fn has_left(&self, candidate: &Candidate, now: Millis) -> bool {
+        let age = self.statuses.age(candidate.agent, now);
+        let is_silent = age.is_none_or(|age| age >= SILENT_LEAVER_MS);
+        candidate.standing != Standing::Ready && is_silent
+    }
+
+    /// Whether an agent that does not answer most likely ended with its target.
+    fn may_be_gone(&self, view: &FleetView, flow: &FlowKey, agent: Ipv4Addr, now: Millis) -> bool {
+        let services = view.route(flow.service).into_iter().flat_map(|route| route.services());
+        let mut candidates = services.flat_map(|service| view.candidates(service));
+        let candidate = candidates.find(|candidate| candidate.agent == agent);
+        candidate.is_none_or(|candidate| self.has_left(candidate, now))
+    }
+
     /// No target that is known holds the flow.
     fn search_failed(
         &mut self,
@@ -519,13 +601,20 @@
         fresh: bool,
         now: Millis,
     ) -> Decision {
-        let settled = fresh && now >= self.settled_at;
+        let certain = fresh && now >= self.regained_at + CLAIMS_KNOWN_MS;
         let Some(entry) = self.flows.get_mut(flow) else {
             return Decision::Drop(DropReason::NobodyHoldsYet);
         };
         entry.tried.clear();
+        entry.stage = FlowStage::Unheld;
+        // A target that did not answer may hold the flow.
+        let answered = !std::mem::take(&mut entry.search_met_silence);
+        if !answered {
+            entry.unheld_since = None;
+            return Decision::Drop(DropReason::NobodyHoldsYet);
+        }
         let first = *entry.unheld_since.get_or_insert(now);
-        if settled && now.saturating_sub(first) >= GIVE_UP_AFTER_MS && !head.flags.rst {
+        if certain && now.saturating_sub(first) >= GIVE_UP_AFTER_MS && !head.flags.rst {
             self.flows.remove(flow);
             let sequence = head.acknowledgment;
             return Decision::Reset { sequence, reason: ResetReason::NobodyHolds };
@@ -533,6 +622,53 @@
         Decision::Drop(DropReason::NobodyHoldsYet)
     }
 
+    /// Keeps a copy of a packet that looks for its target, or drops the copy when
+    /// the search has ended.
+    fn keep_for_search(
+        &mut self,
+        decision: &Decision,
+        head: &PacketHead,
+        packet: &[u8],
+        now: Millis,
+    ) {
+        let flow = head.client_flow();
+        match decision {
+            Decision::Forward { search: true, .. } | Decision::Drop(DropReason::NobodyHoldsYet) => {
+                self.searches.keep(flow, head, packet, now);
+            }
+            _ => self.searches.remove(&flow),
+        }
+    }
+
+    /// The packets whose search got no answer in time, for [`Self::search_again`].
+    pub fn due_searches(&mut self, now: Millis) -> Vec<(PacketHead, Vec<u8>)> {
+        self.searches.take_due(now, SEARCH_STEP_MS)
+    }
+
+    /// Goes on with the search of a packet from [`Self::due_searches`].
+    pub fn search_again(
+        &mut self,
+        view: &FleetView,
+        head: &PacketHead,
+        packet: &[u8],
+        fresh: bool,
+        now: Millis,
+    ) -> Decision {
+        let flow = head.client_flow();
+        let stage = self.flows.get_mut(&flow).map(|entry| entry.stage);
+        if !matches!(stage, Some(FlowStage::Searching | FlowStage::Unheld)) {
+            return Decision::Drop(DropReason::SearchEnded);
+        }
+        let decision = self.later_packet(view, head, fresh, now);
+        self.keep_for_search(&decision, head, packet, now);
+        decision
+    }
+
+    /// Whether targets may live that have no record yet.
+    fn is_unsettled(&self, now: Millis) -> bool {
+        now < self.regained_at + SETTLE_MS
+    }
+
     fn go_to(&mut self, flow: FlowKey, agent: Ipv4Addr, stage: FlowStage, now: Millis) {
         match self.flows.get_mut(&flow) {
             Some(entry) => {
@@ -551,13 +687,21 @@
     }
 }
 
+/// One target that may hold a flow.
+struct SearchPlace {
+    service: ServiceId,
+    agent: Ipv4Addr,
+    /// Its agent does not answer; it is asked last.
+    is_silent: bool,
+}
+
 /// A target known by its agent's word alone.
 fn claimed_candidate(agent: Ipv4Addr, now: Millis) -> Candidate {
     Candidate { agent, standing: Standing::Vanished(now), slots: 1, cold_until: 0 }
 }
 
 fn forward(agent: Ipv4Addr, service: ServiceId, search: bool, reason: ForwardReason) -> Decision {
-    Decision::Forward { agent, service, search, reason, inputs: None }
+    Decision::Forward { agent, service, search, may_wait: false, reason, inputs: None }
 }
 
 /// The service that an agent stands for in the view; for an agent that the view
--- a/crates/steering/src/flow_table.rs
+++ b/crates/steering/src/flow_table.rs
@@ -14,6 +14,8 @@
     Opening,
     /// The flow is not known here; its packets look for the target that holds it.
     Searching,
+    /// A search ended at no target; the next packet begins another.
+    Unheld,
     /// The target holds the flow or answered its opening packet.
     Held,
 }
@@ -34,12 +36,28 @@
     pub tried: Vec<Ipv4Addr>,
     /// When a search first found that no target held the flow.
     pub unheld_since: Option<Millis>,
+    /// Whether the search now under way met a target that did not answer.
+    pub search_met_silence: bool,
+    /// Busy targets that sent the opening packet back.
+    pub busy_returns: u8,
+    /// Whether the opening packet was sent to wait at a target.
+    pub has_waited: bool,
 }
 
 impl FlowEntry {
     /// An entry for a flow whose packet goes to `agent` for the first time.
     pub fn new(agent: Ipv4Addr, stage: FlowStage, now: Millis) -> Self {
-        Self { agent, stage, used_at: now, tried_at: now, tried: Vec::new(), unheld_since: None }
+        Self {
+            agent,
+            stage,
+            used_at: now,
+            tried_at: now,
+            tried: Vec::new(),
+            unheld_since: None,
+            search_met_silence: false,
+            busy_returns: 0,
+            has_waited: false,
+        }
     }
 
     /// Notes that an agent's target did not take the flow.
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -12,10 +12,14 @@
 mod balancer;
 mod flow_table;
 mod packet;
+mod pending_search;
 mod selection;
 mod view;
 
-pub use agent::{Agent, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop};
+pub use agent::{
+    Agent, Arrival, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, WaitOutcome,
+    WaitedOpening,
+};
 pub use agent_status::AgentStatuses;
 pub use balancer::{
     Balancer, Decision, DropReason, ForwardReason, ResetReason, Selection, SelectionInputs,
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -112,10 +112,9 @@
         self.services.get(&service).map_or(&[], Vec::as_slice)
     }
 
-    /// How many targets take new flows, over all services.
-    pub fn ready_targets(&self) -> usize {
-        let all = self.services.values().flatten();
-        all.filter(|candidate| candidate.standing == Standing::Ready).count()
+    /// The agents of all known targets.
+    pub fn agents(&self) -> Vec<Ipv4Addr> {
+        self.services.values().flatten().map(|candidate| candidate.agent).collect()
     }
 }
 
