Split the balancer's decisions, and test replica, peers, packets and store answers

Cause: the decisions stood in one file of 700 lines with up to eight arguments a function, and the new crates had no tests.

Ruled out: nothing; behaviour stays as it is.

Conclusion: ready for tests of the decisions themselves.

--- /dev/null
+++ b/crates/fleet/tests/peers.rs
@@ -0,0 +1,143 @@
+//! Peers, the choice of readers, and what peers send each other.
+
+use std::net::Ipv4Addr;
+
+use proptest::prelude::*;
+use weirhinge_fleet::reader::{ReaderInputs, should_read};
+use weirhinge_fleet::{
+    Digest, MessageError, PEER_LIFETIME_MS, PeerMessage, PeerRole, PeerTable, decode, encode,
+};
+
+const OWN: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 5);
+
+fn address(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, last)
+}
+
+fn digest(sender: Ipv4Addr, reading: bool) -> Digest {
+    Digest {
+        sender: sender.to_bits(),
+        role: PeerRole::Balancer,
+        revision: 1,
+        age_ms: Some(0),
+        reading,
+        reply: false,
+        balancers: Vec::new(),
+        target: None,
+    }
+}
+
+fn inputs() -> ReaderInputs {
+    ReaderInputs {
+        uptime_ms: 10_000,
+        age_ms: Some(200),
+        rank: 0,
+        reading: false,
+        lower_reader: false,
+    }
+}
+
+#[test]
+fn seeds_are_silent_until_they_are_heard() {
+    let mut peers = PeerTable::new(OWN, [OWN, address(1), address(2)]);
+    assert_eq!(peers.silent_seeds().collect::<Vec<_>>(), vec![address(1), address(2)]);
+    assert!(peers.heard(&digest(address(1), false), 0));
+    assert!(!peers.heard(&digest(address(1), false), 10));
+    assert_eq!(peers.silent_seeds().collect::<Vec<_>>(), vec![address(2)]);
+    peers.expire(PEER_LIFETIME_MS + 20);
+    assert_eq!(peers.silent_seeds().count(), 2);
+    assert_eq!(peers.balancers().count(), 0);
+}
+
+#[test]
+fn balancers_that_peers_name_are_known_but_not_named_on() {
+    let mut peers = PeerTable::new(OWN, []);
+    let named = Digest { balancers: vec![address(9).to_bits()], ..digest(address(1), false) };
+    peers.heard(&named, 0);
+    assert_eq!(peers.balancers().collect::<Vec<_>>(), vec![address(1), address(9)]);
+    // Hearsay does not travel further until the balancer was heard.
+    assert_eq!(peers.named_in_digest(0), vec![address(1).to_bits()]);
+}
+
+#[test]
+fn rank_counts_lower_balancers_alone() {
+    let mut peers = PeerTable::new(OWN, []);
+    peers.heard(&digest(address(1), true), 0);
+    peers.heard(&digest(address(9), true), 0);
+    peers.heard(&Digest { role: PeerRole::Agent, ..digest(address(2), false) }, 0);
+    assert_eq!(peers.rank(), 1);
+    assert!(peers.lower_reader(100, 1_000));
+    assert!(!peers.lower_reader(1_100, 1_000));
+}
+
+#[test]
+fn a_higher_reader_stops_nobody() {
+    let mut peers = PeerTable::new(OWN, []);
+    peers.heard(&digest(address(9), true), 0);
+    assert!(!peers.lower_reader(10, 1_000));
+}
+
+#[test]
+fn fresh_knowledge_is_not_read_again() {
+    assert!(!should_read(&inputs()));
+}
+
+#[test]
+fn a_reader_goes_on_until_a_lower_one_reads() {
+    assert!(should_read(&ReaderInputs { reading: true, ..inputs() }));
+    assert!(!should_read(&ReaderInputs { reading: true, lower_reader: true, ..inputs() }));
+}
+
+#[test]
+fn old_knowledge_is_read_in_order_of_rank_and_within_two_seconds() {
+    let old = |age_ms, rank| should_read(&ReaderInputs { age_ms: Some(age_ms), rank, ..inputs() });
+    assert!(old(1_400, 0));
+    assert!(!old(1_400, 1));
+    assert!(old(1_500, 1));
+    assert!(old(1_900, 500), "also the last of many balancers reads in time");
+}
+
+#[test]
+fn a_balancer_that_knows_nothing_reads_soon_even_if_others_do() {
+    let new = |uptime_ms| ReaderInputs {
+        uptime_ms,
+        age_ms: None,
+        rank: 3,
+        lower_reader: true,
+        ..inputs()
+    };
+    assert!(!should_read(&new(0)));
+    assert!(should_read(&new(50)));
+}
+
+#[test]
+fn foreign_datagrams_are_refused() {
+    assert_eq!(decode::<PeerMessage<'_>>(&[]), Err(MessageError::UnknownVersion));
+    assert_eq!(decode::<PeerMessage<'_>>(&[200, 1, 2]), Err(MessageError::UnknownVersion));
+    assert_eq!(decode::<PeerMessage<'_>>(&[1, 255, 255, 255]), Err(MessageError::Malformed));
+}
+
+proptest! {
+    #[test]
+    fn forwarded_packets_come_through(
+        service in any::<u64>(),
+        search in any::<bool>(),
+        may_wait in any::<bool>(),
+        packet in prop::collection::vec(any::<u8>(), 0..1_300),
+    ) {
+        let message = PeerMessage::Forward { service, search, may_wait, packet: &packet };
+        let mut buffer = Vec::new();
+        encode(&message, &mut buffer).expect("encodes");
+        prop_assert_eq!(decode::<PeerMessage<'_>>(&buffer).expect("decodes"), message);
+        // A datagram of 1,234 bytes grows by a few bytes, not by a second head.
+        prop_assert!(buffer.len() <= packet.len() + 40);
+    }
+
+    #[test]
+    fn noise_never_panics(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let mut framed = vec![1];
+        framed.extend(&bytes);
+        let _ = decode::<PeerMessage<'_>>(&framed);
+        let _ = decode::<weirhinge_fleet::Update>(&framed);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/replica.rs
@@ -0,0 +1,196 @@
+//! The replica: monotonic under reordered, repeated, stale and partial sources.
+
+use proptest::prelude::*;
+use weirhinge_fleet::{
+    Change, Configuration, Replica, TargetRecord, TargetState, Update, VersionedConfiguration,
+    VersionedTarget,
+};
+
+fn record(address: u32, state: TargetState) -> TargetRecord {
+    TargetRecord {
+        service: "sheets".to_owned(),
+        address,
+        zone: "a".to_owned(),
+        slots: 5,
+        state,
+        warm_up_ms: 0,
+    }
+}
+
+fn target(id: &str, revision: u64, state: Option<TargetState>) -> VersionedTarget {
+    VersionedTarget {
+        id: id.to_owned(),
+        revision,
+        present: state.is_some(),
+        record: state.map(|state| record(7, state)),
+    }
+}
+
+fn configuration(revision: u64, version: u64) -> VersionedConfiguration {
+    let configuration = Configuration { version, routes: Vec::new(), idle_timeout_ms: 15_000 };
+    VersionedConfiguration { revision, configuration }
+}
+
+fn events(after: u64, through: u64, targets: Vec<VersionedTarget>) -> Update {
+    Update { after, through, complete: false, age_ms: 0, configuration: None, targets }
+}
+
+fn listing(through: u64, targets: Vec<VersionedTarget>) -> Update {
+    Update { complete: true, ..events(0, through, targets) }
+}
+
+fn present(replica: &Replica) -> Vec<(String, u64)> {
+    replica
+        .targets()
+        .filter(|entry| entry.target.present)
+        .map(|entry| (entry.target.id.clone(), entry.target.revision))
+        .collect()
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let mut replica = Replica::new();
+    let with = |configuration, through| Update {
+        configuration: Some(configuration),
+        ..events(0, through, Vec::new())
+    };
+    replica.apply(with(configuration(9, 31), 9), 0);
+    let changes = replica.apply(with(configuration(4, 12), 4), 1);
+    assert_eq!(changes, Vec::new());
+    assert_eq!(replica.configuration().map(|known| known.configuration.version), Some(31));
+    assert_eq!(replica.revision(), 9);
+}
+
+#[test]
+fn a_removed_target_does_not_come_back_by_an_older_report() {
+    let mut replica = Replica::new();
+    replica.apply(listing(3, vec![target("x", 3, Some(TargetState::Ready))]), 0);
+    replica.apply(events(3, 5, vec![target("x", 5, None)]), 1);
+    replica.apply(events(0, 4, vec![target("x", 4, Some(TargetState::Draining))]), 2);
+    assert_eq!(present(&replica), Vec::new());
+}
+
+#[test]
+fn a_removal_keeps_the_last_record() {
+    let mut replica = Replica::new();
+    replica.apply(listing(3, vec![target("x", 3, Some(TargetState::Ready))]), 0);
+    let changes = replica.apply(events(3, 5, vec![target("x", 5, None)]), 1);
+    let record = Some(record(7, TargetState::Ready));
+    assert_eq!(changes, vec![Change::Removed { id: "x".to_owned(), record }]);
+}
+
+#[test]
+fn what_a_complete_list_lacks_is_gone_unless_it_is_newer_than_the_list() {
+    let mut replica = Replica::new();
+    let known = vec![
+        target("old", 3, Some(TargetState::Ready)),
+        target("new", 8, Some(TargetState::Ready)),
+    ];
+    replica.apply(events(0, 8, known), 0);
+    replica.apply(listing(6, vec![target("listed", 5, Some(TargetState::Ready))]), 1);
+    assert_eq!(present(&replica), vec![("listed".to_owned(), 5), ("new".to_owned(), 8)]);
+}
+
+#[test]
+fn a_gap_in_what_is_known_does_not_advance_the_revision() {
+    let mut replica = Replica::new();
+    replica.apply(listing(3, Vec::new()), 0);
+    replica.apply(events(5, 9, vec![target("x", 8, Some(TargetState::Ready))]), 1);
+    assert_eq!(replica.revision(), 3);
+    // The entry itself counts all the same.
+    assert_eq!(present(&replica), vec![("x".to_owned(), 8)]);
+}
+
+#[test]
+fn only_the_known_revision_or_a_newer_one_confirms() {
+    let mut replica = Replica::new();
+    replica.apply(listing(7, Vec::new()), 1_000);
+    assert_eq!(replica.age(1_500), Some(500));
+    replica.confirm(6, 0, 1_500);
+    assert_eq!(replica.age(1_500), Some(500));
+    replica.confirm(7, 100, 1_500);
+    assert_eq!(replica.age(1_500), Some(100));
+    // An older confirmation does not make it older.
+    replica.confirm(7, 900, 1_500);
+    assert_eq!(replica.age(1_500), Some(100));
+}
+
+#[test]
+fn a_peer_that_is_behind_gets_the_difference() {
+    let mut replica = Replica::new();
+    let targets =
+        vec![target("x", 3, Some(TargetState::Ready)), target("y", 4, Some(TargetState::Ready))];
+    replica.apply(listing(4, targets), 0);
+    replica.apply(events(4, 6, vec![target("x", 6, None)]), 0);
+    let update = replica.update_after(4, 10);
+    assert!(!update.complete);
+    assert_eq!((update.after, update.through, update.age_ms), (4, 6, 10));
+    let ids: Vec<&str> = update.targets.iter().map(|target| target.id.as_str()).collect();
+    assert_eq!(ids, vec!["x"]);
+}
+
+#[test]
+fn a_peer_from_before_forgotten_removals_gets_everything() {
+    let mut replica = Replica::new();
+    replica.apply(listing(3, vec![target("x", 3, Some(TargetState::Ready))]), 0);
+    replica.apply(events(3, 5, vec![target("x", 5, None)]), 0);
+    replica.apply(events(5, 5, Vec::new()), 200_000);
+    assert!(replica.update_after(4, 200_000).complete);
+    assert!(!replica.update_after(5, 200_000).complete);
+}
+
+prop_compose! {
+    fn any_history()(states in prop::collection::vec(
+        (0..4u8, prop_oneof![
+            Just(Some(TargetState::Ready)), Just(Some(TargetState::Draining)), Just(None),
+        ]), 1..20,
+    )) -> Vec<VersionedTarget> {
+        states
+            .into_iter()
+            .zip(1..)
+            .map(|((id, state), revision)| target(&id.to_string(), revision, state))
+            .collect()
+    }
+}
+
+proptest! {
+    /// Whatever order and repetition the changes come in, the replica ends where
+    /// the store is.
+    #[test]
+    fn reordered_and_repeated_changes_converge(
+        history in any_history(),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..60),
+    ) {
+        let last = history.len() as u64;
+        let mut expected = Replica::new();
+        for change in &history {
+            expected.apply(events(0, change.revision, vec![change.clone()]), 0);
+        }
+        let mut replica = Replica::new();
+        for index in order {
+            let change = index.get(&history).clone();
+            replica.apply(events(change.revision - 1, change.revision, vec![change]), 0);
+        }
+        replica.apply(events(0, last, history.iter().rev().cloned().collect()), 0);
+        prop_assert_eq!(present(&replica), present(&expected));
+        prop_assert_eq!(replica.revision(), last);
+    }
+
+    /// A replica that follows another by differences ends equal to it.
+    #[test]
+    fn differences_carry_everything(history in any_history(), cut in any::<prop::sample::Index>()) {
+        let cut = cut.index(history.len());
+        let mut leader = Replica::new();
+        let mut follower = Replica::new();
+        for change in &history[..cut] {
+            leader.apply(events(change.revision - 1, change.revision, vec![change.clone()]), 0);
+        }
+        follower.apply(leader.update_after(0, 0), 0);
+        for change in &history[cut..] {
+            leader.apply(events(change.revision - 1, change.revision, vec![change.clone()]), 0);
+        }
+        follower.apply(leader.update_after(follower.revision(), 0), 0);
+        prop_assert_eq!(present(&follower), present(&leader));
+        prop_assert_eq!(follower.revision(), leader.revision());
+    }
+}
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -11,7 +11,8 @@
 use weirhinge_fleet::{Millis, PeerMessage, PeerRole, decode};
 use weirhinge_observe::Metrics;
 use weirhinge_steering::{
-    Balancer, Decision, DropReason, FlowKey, ForwardReason, PacketHead, SelectionInputs,
+    Balancer, ClientPacket, Context, Decision, DropReason, FlowKey, Forward, ForwardReason,
+    PacketHead,
 };
 
 use crate::clock::Clock;
@@ -151,11 +152,9 @@
             Ok(head) => head,
             Err(malformed) => return self.metrics.dropped.increment(malformed.label()),
         };
-        let decision = {
-            let node = self.node.borrow();
-            let fresh = node.is_fresh(now);
-            self.core.borrow_mut().client_packet(node.view(), &head, packet, fresh, now)
-        };
+        let decision = self.decide(now, |core, context| {
+            core.client_packet(context, ClientPacket { head: &head, bytes: packet })
+        });
         self.metrics.decision_seconds.observe(began.elapsed().as_secs_f64());
         self.carry_out(decision, &head, packet, now);
     }
@@ -195,13 +194,11 @@
             }
             PeerMessage::Returned { reason, waiting, packet } => {
                 let Ok(head) = self.platform.decode(packet) else { return };
-                let decision = {
-                    let node = self.node.borrow();
-                    let fresh = node.is_fresh(now);
-                    let mut core = self.core.borrow_mut();
+                let decision = self.decide(now, |core, context| {
                     core.heard(sender, waiting, now);
-                    core.returned_packet(node.view(), &head, packet, sender, reason, fresh, now)
-                };
+                    let packet = ClientPacket { head: &head, bytes: packet };
+                    core.returned_packet(context, packet, sender, reason)
+                });
                 self.carry_out(decision, &head, packet, now);
             }
             PeerMessage::Holds { client, service, confirmed, waiting } => {
@@ -218,15 +215,29 @@
         }
     }
 
+    fn decide(
+        &self,
+        now: Millis,
+        decide: impl FnOnce(&mut Balancer, &Context<'_>) -> Decision,
+    ) -> Decision {
+        let node = self.node.borrow();
+        let context = Context { view: node.view(), fresh: node.is_fresh(now), now };
+        decide(&mut self.core.borrow_mut(), &context)
+    }
+
     fn carry_out(&self, decision: Decision, head: &PacketHead, packet: &[u8], now: Millis) {
         let flow = head.client_flow();
         match decision {
-            Decision::Forward { agent, service, search, may_wait, reason, inputs } => {
-                self.metrics.forwarded.increment(reason.label());
-                self.log_forwarded(&flow, agent, reason, inputs.as_ref(), packet, now);
-                let service = service.0;
-                let message = PeerMessage::Forward { service, search, may_wait, packet };
-                self.link.send(agent, &message);
+            Decision::Forward(forward) => {
+                self.metrics.forwarded.increment(forward.reason.label());
+                self.log_forwarded(&flow, &forward, packet, now);
+                let message = PeerMessage::Forward {
+                    service: forward.service.0,
+                    search: forward.is_search(),
+                    may_wait: forward.may_wait(),
+                    packet,
+                };
+                self.link.send(forward.agent, &message);
             }
             Decision::Reset { sequence, reason } => {
                 self.metrics.resets.increment(reason.label());
@@ -244,17 +255,14 @@
         }
     }
 
-    fn log_forwarded(
-        &self,
-        flow: &FlowKey,
-        agent: Ipv4Addr,
-        reason: ForwardReason,
-        inputs: Option<&SelectionInputs>,
-        packet: &[u8],
-        now: Millis,
-    ) {
-        let forwarded = Forwarded { flow, agent, reason: reason.label(), inputs };
-        match reason {
+    fn log_forwarded(&self, flow: &FlowKey, forward: &Forward, packet: &[u8], now: Millis) {
+        let forwarded = Forwarded {
+            flow,
+            agent: forward.agent,
+            reason: forward.reason.label(),
+            inputs: forward.inputs.as_ref(),
+        };
+        match forward.reason {
             ForwardReason::Held => {}
             ForwardReason::Search => self.decisions.search(&forwarded, self.basis(now), now),
             _ => self.decisions.opening(&forwarded, self.basis(now), now),
@@ -302,12 +310,9 @@
             let now = self.clock.now();
             let due = self.core.borrow_mut().due_searches(now);
             for (head, packet) in due {
-                let decision = {
-                    let node = self.node.borrow();
-                    let fresh = node.is_fresh(now);
-                    let mut core = self.core.borrow_mut();
-                    core.search_again(node.view(), &head, &packet, fresh, now)
-                };
+                let decision = self.decide(now, |core, context| {
+                    core.search_again(context, ClientPacket { head: &head, bytes: &packet })
+                });
                 self.carry_out(decision, &head, &packet, now);
             }
         }
--- /dev/null
+++ b/crates/steering/src/balancer/decision.rs
@@ -0,0 +1,151 @@
+//! What a balancer decides about a packet, and why.
+
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::{Millis, ServiceId};
+
+/// Why a packet was forwarded where it was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForwardReason {
+    /// Opens a flow at the chosen target.
+    Opened,
+    /// A copy of an opening packet, for the target that answered the first.
+    OpeningRepeated,
+    /// A copy of an opening packet that nobody answered, for another target.
+    OpeningMoved,
+    /// The previous target sent the opening packet back.
+    OpeningReturned,
+    /// All targets compared are busy; the opening packet waits at this one.
+    OpeningWaits,
+    /// The flow's target is known.
+    Held,
+    /// The flow is not known; the packet looks for its target.
+    Search,
+}
+
+impl ForwardReason {
+    /// Label for logs and counters.
+    pub fn label(self) -> &'static str {
+        match self {
+            ForwardReason::Opened => "opened",
+            ForwardReason::OpeningRepeated => "opening_repeated",
+            ForwardReason::OpeningMoved => "opening_moved",
+            ForwardReason::OpeningReturned => "opening_returned",
+            ForwardReason::OpeningWaits => "opening_waits",
+            ForwardReason::Held => "held",
+            ForwardReason::Search => "search",
+        }
+    }
+}
+
+/// Why a flow was reset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResetReason {
+    /// No route has the packet's destination.
+    NoRoute,
+    /// The route's service has no target that takes new flows.
+    NoTarget,
+    /// Every target sent the opening packet back.
+    Refused,
+    /// Every target sent the flow's packet back, repeatedly.
+    NobodyHolds,
+}
+
+impl ResetReason {
+    /// Label for logs and counters.
+    pub fn label(self) -> &'static str {
+        match self {
+            ResetReason::NoRoute => "no_route",
+            ResetReason::NoTarget => "no_target",
+            ResetReason::Refused => "refused",
+            ResetReason::NobodyHolds => "nobody_holds",
+        }
+    }
+}
+
+/// Why a packet was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DropReason {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No target is known yet, or the store's word is too old to refuse by.
+    NoTargetYet,
+    /// A packet that claims to be sent back by a target came from a client.
+    BouncedByClient,
+    /// No target held the flow this time.
+    NobodyHoldsYet,
+    /// The kept copy of a packet is no longer needed.
+    SearchEnded,
+}
+
+impl DropReason {
+    /// Label for logs and counters.
+    pub fn label(self) -> &'static str {
+        match self {
+            DropReason::NoConfiguration => "no_configuration",
+            DropReason::NoTargetYet => "no_target_yet",
+            DropReason::BouncedByClient => "bounced_by_client",
+            DropReason::NobodyHoldsYet => "nobody_holds_yet",
+            DropReason::SearchEnded => "search_ended",
+        }
+    }
+}
+
+/// What was weighed when a target was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SelectionInputs {
+    /// Targets that could be chosen.
+    pub eligible: usize,
+    /// Believed load of the chosen target, in thousandths of its slots.
+    pub load_permille: u64,
+    /// Milliseconds since the chosen agent last spoke; none if never.
+    pub load_age_ms: Option<Millis>,
+}
+
+/// A packet's way to an agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Forward {
+    /// The agent.
+    pub agent: Ipv4Addr,
+    /// The service that the agent must stand for.
+    pub service: ServiceId,
+    /// Why this agent.
+    pub reason: ForwardReason,
+    /// What was weighed, if a target was chosen by load.
+    pub inputs: Option<SelectionInputs>,
+}
+
+impl Forward {
+    /// Whether the target is only guessed to hold the flow.
+    pub fn is_search(&self) -> bool {
+        self.reason == ForwardReason::Search
+    }
+
+    /// Whether an opening packet may wait at the agent until there is room.
+    pub fn may_wait(&self) -> bool {
+        self.reason == ForwardReason::OpeningWaits
+    }
+}
+
+/// What to do with a packet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it to an agent.
+    Forward(Forward),
+    /// Tell the client at once that the flow will not go on.
+    Reset {
+        /// Sequence number of the reset.
+        sequence: u32,
+        /// Why.
+        reason: ResetReason,
+    },
+    /// Do nothing.
+    Drop(DropReason),
+}
+
+impl Decision {
+    /// Forwards a packet to an agent that was not chosen by load.
+    pub(super) fn forward(agent: Ipv4Addr, service: ServiceId, reason: ForwardReason) -> Self {
+        Decision::Forward(Forward { agent, service, reason, inputs: None })
+    }
+}
--- /dev/null
+++ b/crates/steering/src/balancer/mod.rs
@@ -0,0 +1,259 @@
+//! A balancer's decisions about packets.
+
+mod decision;
+mod opening;
+mod search;
+
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::{Millis, ReturnReason, ServiceId, TargetClaim};
+
+pub use decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
+
+use crate::agent_status::AgentStatuses;
+use crate::flow_table::{FlowEntry, FlowStage, FlowTable};
+use crate::packet::{FlowKey, PacketHead};
+use crate::pending_search::PendingSearches;
+use crate::view::FleetView;
+
+/// Most flows that a balancer remembers.
+const FLOW_CAPACITY: usize = 131_072;
+/// Idle time after which a flow is forgotten when no configuration states one.
+const DEFAULT_IDLE_MS: Millis = 60_000;
+/// Shortest idle time after which a flow is forgotten.
+const SHORTEST_IDLE_MS: Millis = 5_000;
+/// How long targets without a record may still take flows after the store's
+/// word became fresh again: living ones have renewed their records by then.
+const SETTLE_MS: Millis = 2_500;
+
+/// What a decision is made from, beside the balancer's own state.
+#[derive(Clone, Copy, Debug)]
+pub struct Context<'a> {
+    /// Routes and targets in force.
+    pub view: &'a FleetView,
+    /// Whether the store's word is recent enough to refuse by.
+    pub fresh: bool,
+    /// The time.
+    pub now: Millis,
+}
+
+/// A packet that a client wrote.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientPacket<'a> {
+    /// Its head.
+    pub head: &'a PacketHead,
+    /// All of it.
+    pub bytes: &'a [u8],
+}
+
+/// The state of a balancer that decisions need beside the view.
+#[derive(Clone, Debug)]
+pub struct Balancer {
+    flows: FlowTable,
+    statuses: AgentStatuses,
+    /// Packets that look for their target, to be sent on without waiting for the
+    /// client to send them again.
+    searches: PendingSearches,
+    /// When the store's word last became fresh.
+    regained_at: Millis,
+}
+
+impl Balancer {
+    /// A balancer that has seen nothing.
+    pub fn new() -> Self {
+        Self::with_capacity(FLOW_CAPACITY)
+    }
+
+    /// A balancer that remembers at most `capacity` flows.
+    pub fn with_capacity(capacity: usize) -> Self {
+        Self {
+            flows: FlowTable::new(capacity),
+            statuses: AgentStatuses::default(),
+            searches: PendingSearches::default(),
+            regained_at: 0,
+        }
+    }
+
+    /// Number of flows remembered.
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Notes that the store's word is fresh again after it was not.
+    pub fn store_regained(&mut self, now: Millis) {
+        self.regained_at = now;
+    }
+
+    /// Decides about a client's packet.
+    pub fn client_packet(&mut self, context: &Context<'_>, packet: ClientPacket<'_>) -> Decision {
+        if packet.head.flags.bounced {
+            return Decision::Drop(DropReason::BouncedByClient);
+        }
+        if packet.head.is_opening() {
+            return self.opening_packet(context, packet.head);
+        }
+        let decision = self.later_packet(context, packet.head);
+        self.keep_for_search(&decision, packet, context.now);
+        decision
+    }
+
+    /// Decides about a client's packet that an agent sent back.
+    pub fn returned_packet(
+        &mut self,
+        context: &Context<'_>,
+        packet: ClientPacket<'_>,
+        from: Ipv4Addr,
+        reason: ReturnReason,
+    ) -> Decision {
+        if reason == ReturnReason::Leaving {
+            self.statuses.is_stopping(from);
+        }
+        let opens = packet.head.is_opening();
+        let flow = packet.head.client_flow();
+        if let Some(known) = self.note_return(context, &flow, from, opens) {
+            return known;
+        }
+        if opens {
+            return self.returned_opening(context, packet.head, reason);
+        }
+        let decision = self.search(context, packet.head);
+        self.keep_for_search(&decision, packet, context.now);
+        decision
+    }
+
+    /// Takes in that an agent's target answered a flow. Returns for how many
+    /// milliseconds the opening packet had waited, if this was its first answer.
+    pub fn holds(
+        &mut self,
+        flow: FlowKey,
+        from: Ipv4Addr,
+        confirmed: bool,
+        waiting: u32,
+        now: Millis,
+    ) -> Option<Millis> {
+        self.statuses.heard(from, waiting, now);
+        let entry = self.flows.get_mut(&flow)?;
+        let was_opening = entry.stage == FlowStage::Opening;
+        // Two targets may answer copies of one opening packet; the client goes on
+        // with one of them, and only that one's later packets confirm.
+        if confirmed || entry.stage != FlowStage::Held {
+            entry.hold(from);
+            self.searches.remove(&flow);
+        }
+        was_opening.then(|| now.saturating_sub(entry.tried_at))
+    }
+
+    /// Takes in an agent's sign of life that came with an answer to a packet.
+    pub fn heard(&mut self, agent: Ipv4Addr, waiting: u32, now: Millis) {
+        self.statuses.heard(agent, waiting, now);
+    }
+
+    /// Takes in an agent's word about the target beside it.
+    pub fn claimed(&mut self, agent: Ipv4Addr, claim: &TargetClaim, now: Millis) {
+        self.statuses.claimed(agent, claim, now);
+    }
+
+    /// Whether this balancer seems to be cut off from all agents.
+    pub fn is_isolated(&self, now: Millis) -> bool {
+        self.statuses.is_isolated(now)
+    }
+
+    /// Forgets what is too old.
+    pub fn expire(&mut self, view: &FleetView, now: Millis) {
+        let idle_ms = view.idle_timeout_ms().unwrap_or(DEFAULT_IDLE_MS);
+        self.flows.expire(now, idle_ms.max(SHORTEST_IDLE_MS));
+        self.statuses.expire(now);
+    }
+
+    fn later_packet(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
+        let flow = head.client_flow();
+        let Some(entry) = self.flows.get_mut(&flow) else {
+            return self.search(context, head);
+        };
+        entry.used_at = context.now;
+        let agent = entry.agent;
+        let reason = match entry.stage {
+            FlowStage::Unheld => return self.search(context, head),
+            FlowStage::Searching if search::is_stalled(entry, context.now) => {
+                return self.search_past_silence(context, head);
+            }
+            FlowStage::Searching => ForwardReason::Search,
+            FlowStage::Opening | FlowStage::Held => ForwardReason::Held,
+        };
+        let service = service_of(context.view, &flow, agent);
+        Decision::forward(agent, service, reason)
+    }
+
+    /// Notes in the flow's entry that an agent sent its packet back. Returns the
+    /// decision if the entry already says where the packet goes.
+    fn note_return(
+        &mut self,
+        context: &Context<'_>,
+        flow: &FlowKey,
+        from: Ipv4Addr,
+        opens: bool,
+    ) -> Option<Decision> {
+        let stage = if opens { FlowStage::Opening } else { FlowStage::Searching };
+        let Some(entry) = self.flows.get_mut(flow) else {
+            let mut entry = FlowEntry::new(from, stage, context.now);
+            entry.note_tried(from);
+            self.flows.insert(*flow, entry);
+            return None;
+        };
+        match entry.stage {
+            FlowStage::Held if entry.agent != from => {
+                let agent = entry.agent;
+                let service = service_of(context.view, flow, agent);
+                Some(Decision::forward(agent, service, ForwardReason::Held))
+            }
+            FlowStage::Unheld => Some(Decision::Drop(DropReason::NobodyHoldsYet)),
+            _ => {
+                entry.note_tried(from);
+                entry.stage = stage;
+                None
+            }
+        }
+    }
+
+    /// The outcome for a packet to an address without a route.
+    fn without_route(view: &FleetView, head: &PacketHead) -> Decision {
+        let sequence = if head.is_opening() { 0 } else { head.acknowledgment };
+        match view.label() {
+            None => Decision::Drop(DropReason::NoConfiguration),
+            Some(_) => Decision::Reset { sequence, reason: ResetReason::NoRoute },
+        }
+    }
+
+    /// Whether targets may live that have no record yet.
+    fn is_unsettled(&self, now: Millis) -> bool {
+        now < self.regained_at + SETTLE_MS
+    }
+
+    fn go_to(&mut self, flow: FlowKey, agent: Ipv4Addr, stage: FlowStage, now: Millis) {
+        match self.flows.get_mut(&flow) {
+            Some(entry) => {
+                entry.agent = agent;
+                entry.stage = stage;
+                entry.tried_at = now;
+            }
+            None => self.flows.insert(flow, FlowEntry::new(agent, stage, now)),
+        }
+    }
+}
+
+impl Default for Balancer {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// The service that an agent stands for in the view; for an agent that the view
+/// no longer has, the route's. Only opening packets are refused for it.
+fn service_of(view: &FleetView, flow: &FlowKey, agent: Ipv4Addr) -> ServiceId {
+    let Some(route) = view.route(flow.service) else { return ServiceId(0) };
+    let stands_for = |service: &ServiceId| {
+        view.candidates(*service).iter().any(|candidate| candidate.agent == agent)
+    };
+    let by_agent = route.services().find(stands_for);
+    by_agent.or_else(|| route.pick(flow.hash())).unwrap_or(ServiceId(0))
+}
--- /dev/null
+++ b/crates/steering/src/balancer/opening.rs
@@ -0,0 +1,177 @@
+//! Where opening packets go.
+
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::{Millis, ReturnReason, ServiceId};
+
+use super::decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
+use super::{Balancer, Context, service_of};
+use crate::flow_table::{FlowEntry, FlowStage};
+use crate::packet::{FlowKey, PacketHead};
+use crate::selection::{least_loaded, load_permille, rendezvous_order};
+use crate::view::{Candidate, Standing};
+
+/// Opening packets of one flow come within this span; a later one opens another.
+const OPENING_SPAN_MS: Millis = 2_000;
+/// How long a target whose record left without a word may take flows when its
+/// service has no other. Below the bound on work for a leaving target.
+const VANISHED_GRACE_MS: Millis = 1_500;
+/// Busy targets that an opening packet passes before it waits at one.
+const BUSY_RETURNS: u8 = 3;
+/// Targets compared by load. Two even out almost as well as all would (the power
+/// of two choices) and keep the flow near the front of its order, where a balancer
+/// that does not know the flow looks first.
+const COMPARED: usize = 2;
+
+impl Balancer {
+    pub(super) fn opening_packet(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
+        let now = context.now;
+        let flow = head.client_flow();
+        let is_copy = |entry: &FlowEntry| {
+            matches!(entry.stage, FlowStage::Opening | FlowStage::Held)
+                && now.saturating_sub(entry.tried_at) < OPENING_SPAN_MS
+        };
+        let Some(entry) = self.flows.get_mut(&flow).filter(|entry| is_copy(entry)) else {
+            self.flows.remove(&flow);
+            return self.choose_target(context, head, ForwardReason::Opened);
+        };
+        entry.used_at = now;
+        let agent = entry.agent;
+        if entry.stage == FlowStage::Held {
+            let service = service_of(context.view, &flow, agent);
+            return Decision::forward(agent, service, ForwardReason::OpeningRepeated);
+        }
+        entry.note_tried(agent);
+        self.choose_target(context, head, ForwardReason::OpeningMoved)
+    }
+
+    /// An opening packet that came back goes past busy targets a few times, then
+    /// waits at the least loaded one.
+    pub(super) fn returned_opening(
+        &mut self,
+        context: &Context<'_>,
+        head: &PacketHead,
+        returned: ReturnReason,
+    ) -> Decision {
+        let mut reason = ForwardReason::OpeningReturned;
+        let entry = self.flows.get_mut(&head.client_flow());
+        if let Some(entry) = entry.filter(|entry| !entry.has_waited)
+            && returned == ReturnReason::Busy
+        {
+            entry.busy_returns += 1;
+            if entry.busy_returns >= BUSY_RETURNS {
+                entry.has_waited = true;
+                entry.tried.clear();
+                reason = ForwardReason::OpeningWaits;
+            }
+        }
+        self.choose_target(context, head, reason)
+    }
+
+    /// Chooses a target for an opening packet among those not tried yet.
+    fn choose_target(
+        &mut self,
+        context: &Context<'_>,
+        head: &PacketHead,
+        reason: ForwardReason,
+    ) -> Decision {
+        let now = context.now;
+        let flow = head.client_flow();
+        let Some(route) = context.view.route(head.destination) else {
+            return Self::without_route(context.view, head);
+        };
+        let Some(service) = route.pick(flow.hash()) else {
+            return Decision::Reset { sequence: 0, reason: ResetReason::NoTarget };
+        };
+        let eligible = self.eligible(context, service, flow.hash());
+        let any_eligible = !eligible.is_empty();
+        let tried = self.flows.tried(&flow);
+        let is_untried = |candidate: &Candidate| !tried.contains(&candidate.agent);
+        let untried: Vec<Candidate> = eligible.into_iter().filter(is_untried).collect();
+        let compared = if reason == ForwardReason::OpeningWaits { untried.len() } else { COMPARED };
+        let Some(chosen) = least_loaded(&untried, compared, &self.statuses, now) else {
+            return self.nobody_takes(context, &flow, any_eligible, reason);
+        };
+        let inputs = SelectionInputs {
+            eligible: untried.len(),
+            load_permille: load_permille(&chosen, &self.statuses, now),
+            load_age_ms: self.statuses.age(chosen.agent, now),
+        };
+        self.statuses.sent_opening(chosen.agent, now);
+        self.go_to(flow, chosen.agent, FlowStage::Opening, now);
+        Decision::Forward(Forward { agent: chosen.agent, service, reason, inputs: Some(inputs) })
+    }
+
+    /// The outcome for an opening packet that no untried target can get.
+    fn nobody_takes(
+        &mut self,
+        context: &Context<'_>,
+        flow: &FlowKey,
+        any_eligible: bool,
+        reason: ForwardReason,
+    ) -> Decision {
+        // Silent targets may yet answer the next copy, those that sent the packet
+        // back will not take it now.
+        self.flows.remove(flow);
+        let settled = context.fresh && !self.is_unsettled(context.now);
+        match (any_eligible, reason) {
+            (true, ForwardReason::OpeningReturned) => {
+                Decision::Reset { sequence: 0, reason: ResetReason::Refused }
+            }
+            (false, _) if settled => Decision::Reset { sequence: 0, reason: ResetReason::NoTarget },
+            _ => Decision::Drop(DropReason::NoTargetYet),
+        }
+    }
+
+    /// Targets that may take a new flow, best first: ready ones, or where there is
+    /// none those that lost their record but may well live; then ready ones that
+    /// do not answer.
+    fn eligible(
+        &self,
+        context: &Context<'_>,
+        service: ServiceId,
+        flow_hash: u64,
+    ) -> Vec<Candidate> {
+        let now = context.now;
+        let candidates = context.view.candidates(service);
+        let ready = candidates.iter().filter(|candidate| candidate.standing == Standing::Ready);
+        let ready = rendezvous_order(flow_hash, ready);
+        let is_suspect = |candidate: &Candidate| self.statuses.is_suspect(candidate.agent, now);
+        let (suspect, mut eligible): (Vec<_>, Vec<_>) = ready.into_iter().partition(is_suspect);
+        if eligible.is_empty() {
+            let unrecorded = self.unrecorded(candidates, service, now);
+            eligible = rendezvous_order(flow_hash, unrecorded.iter());
+            eligible.retain(|candidate| !is_suspect(candidate));
+        }
+        eligible.extend(suspect);
+        eligible
+    }
+
+    /// Targets without a record that may take flows where no other does.
+    fn unrecorded(
+        &self,
+        candidates: &[Candidate],
+        service: ServiceId,
+        now: Millis,
+    ) -> Vec<Candidate> {
+        let unsettled = self.is_unsettled(now);
+        let may_live = |candidate: &&Candidate| match candidate.standing {
+            Standing::Vanished(at) => unsettled || now.saturating_sub(at) < VANISHED_GRACE_MS,
+            Standing::Ready | Standing::Leaving => false,
+        };
+        let mut unrecorded: Vec<Candidate> = candidates.iter().filter(may_live).copied().collect();
+        if unsettled {
+            for agent in self.statuses.claimants(service, now) {
+                if candidates.iter().all(|candidate| candidate.agent != agent) {
+                    unrecorded.push(claimed_candidate(agent, now));
+                }
+            }
+        }
+        unrecorded
+    }
+}
+
+/// A target known by its agent's word alone.
+fn claimed_candidate(agent: Ipv4Addr, now: Millis) -> Candidate {
+    Candidate { agent, standing: Standing::Vanished(now), slots: 1, cold_until: 0 }
+}
--- /dev/null
+++ b/crates/steering/src/balancer/search.rs
@@ -0,0 +1,186 @@
+//! The search for the target that holds a flow which this balancer does not know.
+
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::{Millis, ServiceId};
+
+use super::decision::{Decision, DropReason, ForwardReason, ResetReason};
+use super::{Balancer, ClientPacket, Context};
+use crate::flow_table::{FlowEntry, FlowStage};
+use crate::packet::{FlowKey, PacketHead};
+use crate::selection::rendezvous_order;
+use crate::view::{Candidate, FleetView, Standing};
+
+/// A search that got no answer from a target for this long tries the next one.
+const SEARCH_STEP_MS: Millis = 120;
+/// A flow is given up when every target sent its packet back twice, at least this
+/// far apart, so that a target that was not known the first time is.
+const GIVE_UP_AFTER_MS: Millis = 100;
+/// How long after the store's word became fresh an agent has had the time to say
+/// what stands beside it.
+const CLAIMS_KNOWN_MS: Millis = 250;
+/// A target that left the store and whose agent was silent for this long does not
+/// hold up the giving up of a flow.
+const SILENT_LEAVER_MS: Millis = 2_500;
+
+/// One target that may hold a flow.
+struct SearchPlace {
+    service: ServiceId,
+    agent: Ipv4Addr,
+    /// Its agent does not answer; it is asked last.
+    is_silent: bool,
+}
+
+impl Balancer {
+    /// Sends a packet of an unknown flow to the next target that may hold it.
+    pub(super) fn search(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
+        let flow = head.client_flow();
+        let Some(route) = context.view.route(head.destination) else {
+            return Self::without_route(context.view, head);
+        };
+        let tried = self.flows.tried(&flow);
+        let order = self.search_order(context, route.services(), flow.hash());
+        let next = order.into_iter().find(|place| !tried.contains(&place.agent));
+        let Some(place) = next else {
+            return self.search_failed(context, &flow, head);
+        };
+        self.go_to(flow, place.agent, FlowStage::Searching, context.now);
+        Decision::forward(place.agent, place.service, ForwardReason::Search)
+    }
+
+    /// Goes past a target that did not answer.
+    pub(super) fn search_past_silence(
+        &mut self,
+        context: &Context<'_>,
+        head: &PacketHead,
+    ) -> Decision {
+        let flow = head.client_flow();
+        let Some(silent) = self.flows.get_mut(&flow).map(|entry| entry.agent) else {
+            return self.search(context, head);
+        };
+        let may_hold = !self.may_be_gone(context.view, &flow, silent, context.now);
+        if let Some(entry) = self.flows.get_mut(&flow) {
+            entry.note_tried(silent);
+            entry.search_met_silence |= may_hold;
+        }
+        self.search(context, head)
+    }
+
+    /// Keeps a copy of a packet that looks for its target, or drops the copy when
+    /// the search has ended.
+    pub(super) fn keep_for_search(
+        &mut self,
+        decision: &Decision,
+        packet: ClientPacket<'_>,
+        now: Millis,
+    ) {
+        let flow = packet.head.client_flow();
+        let goes_on = match decision {
+            Decision::Forward(forward) => forward.is_search(),
+            Decision::Drop(reason) => *reason == DropReason::NobodyHoldsYet,
+            Decision::Reset { .. } => false,
+        };
+        if goes_on {
+            self.searches.keep(flow, packet.head, packet.bytes, now);
+        } else {
+            self.searches.remove(&flow);
+        }
+    }
+
+    /// The packets whose search got no answer in time, for [`Self::search_again`].
+    pub fn due_searches(&mut self, now: Millis) -> Vec<(PacketHead, Vec<u8>)> {
+        self.searches.take_due(now, SEARCH_STEP_MS)
+    }
+
+    /// Goes on with the search of a packet from [`Self::due_searches`].
+    pub fn search_again(&mut self, context: &Context<'_>, packet: ClientPacket<'_>) -> Decision {
+        let flow = packet.head.client_flow();
+        let stage = self.flows.get_mut(&flow).map(|entry| entry.stage);
+        if !matches!(stage, Some(FlowStage::Searching | FlowStage::Unheld)) {
+            self.searches.remove(&flow);
+            return Decision::Drop(DropReason::SearchEnded);
+        }
+        let decision = self.later_packet(context, packet.head);
+        self.keep_for_search(&decision, packet, context.now);
+        decision
+    }
+
+    /// All targets that may hold a flow in the flow's order, those that do not
+    /// answer last.
+    fn search_order(
+        &self,
+        context: &Context<'_>,
+        services: impl Iterator<Item = ServiceId>,
+        flow_hash: u64,
+    ) -> Vec<SearchPlace> {
+        let mut order: Vec<SearchPlace> = Vec::new();
+        for service in services {
+            let candidates = context.view.candidates(service).iter();
+            for candidate in rendezvous_order(flow_hash, candidates) {
+                order.push(self.search_place(service, &candidate, context.now));
+            }
+            for agent in self.statuses.claimants(service, context.now) {
+                if !order.iter().any(|place| place.agent == agent) {
+                    order.push(SearchPlace { service, agent, is_silent: false });
+                }
+            }
+        }
+        // A stable sort: the flow's order stays within each half.
+        order.sort_by_key(|place| place.is_silent);
+        order
+    }
+
+    fn search_place(&self, service: ServiceId, candidate: &Candidate, now: Millis) -> SearchPlace {
+        let agent = candidate.agent;
+        let is_silent = self.has_left(candidate, now) || self.statuses.is_suspect(agent, now);
+        SearchPlace { service, agent, is_silent }
+    }
+
+    /// Whether a target left the store and its agent is silent too.
+    fn has_left(&self, candidate: &Candidate, now: Millis) -> bool {
+        let age = self.statuses.age(candidate.agent, now);
+        let is_silent = age.is_none_or(|age| age >= SILENT_LEAVER_MS);
+        candidate.standing != Standing::Ready && is_silent
+    }
+
+    /// Whether an agent that does not answer most likely ended with its target.
+    fn may_be_gone(&self, view: &FleetView, flow: &FlowKey, agent: Ipv4Addr, now: Millis) -> bool {
+        let services = view.route(flow.service).into_iter().flat_map(|route| route.services());
+        let mut candidates = services.flat_map(|service| view.candidates(service));
+        let candidate = candidates.find(|candidate| candidate.agent == agent);
+        candidate.is_none_or(|candidate| self.has_left(candidate, now))
+    }
+
+    /// No target that is known holds the flow.
+    fn search_failed(
+        &mut self,
+        context: &Context<'_>,
+        flow: &FlowKey,
+        head: &PacketHead,
+    ) -> Decision {
+        let now = context.now;
+        let certain = context.fresh && now >= self.regained_at + CLAIMS_KNOWN_MS;
+        let Some(entry) = self.flows.get_mut(flow) else {
+            return Decision::Drop(DropReason::NobodyHoldsYet);
+        };
+        entry.tried.clear();
+        entry.stage = FlowStage::Unheld;
+        // A target that did not answer may hold the flow.
+        if std::mem::take(&mut entry.search_met_silence) {
+            entry.unheld_since = None;
+            return Decision::Drop(DropReason::NobodyHoldsYet);
+        }
+        let first = *entry.unheld_since.get_or_insert(now);
+        if certain && now.saturating_sub(first) >= GIVE_UP_AFTER_MS && !head.flags.rst {
+            self.flows.remove(flow);
+            let sequence = head.acknowledgment;
+            return Decision::Reset { sequence, reason: ResetReason::NobodyHolds };
+        }
+        Decision::Drop(DropReason::NobodyHoldsYet)
+    }
+}
+
+/// Whether the target asked last has had its time to answer.
+pub(super) fn is_stalled(entry: &FlowEntry, now: Millis) -> bool {
+    now.saturating_sub(entry.tried_at) >= SEARCH_STEP_MS
+}
--- a/crates/steering/src/flow_table.rs
+++ b/crates/steering/src/flow_table.rs
@@ -60,6 +60,15 @@
         }
     }
 
+    /// Notes that an agent's target holds the flow.
+    pub fn hold(&mut self, agent: Ipv4Addr) {
+        self.agent = agent;
+        self.stage = FlowStage::Held;
+        self.tried.clear();
+        self.unheld_since = None;
+        self.search_met_silence = false;
+    }
+
     /// Notes that an agent's target did not take the flow.
     pub fn note_tried(&mut self, agent: Ipv4Addr) {
         if !self.tried.contains(&agent) {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -22,7 +22,8 @@
 };
 pub use agent_status::AgentStatuses;
 pub use balancer::{
-    Balancer, Decision, DropReason, ForwardReason, ResetReason, Selection, SelectionInputs,
+    Balancer, ClientPacket, Context, Decision, DropReason, Forward, ForwardReason, ResetReason,
+    SelectionInputs,
 };
 pub use flow_table::{FlowEntry, FlowStage, FlowTable};
 pub use packet::{Flags, FlowKey, MalformedPacket, PacketHead};
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -7,8 +7,6 @@
 use crate::agent_status::AgentStatuses;
 use crate::view::Candidate;
 
-/// How many targets, in the flow's own order, are compared by load.
-const COMPARED: usize = 2;
 /// Load of a target that is slow from its start, in percent of its load when warm.
 const COLD_LOAD_PERCENT: u64 = 160;
 
@@ -31,16 +29,14 @@
     order
 }
 
-/// The less loaded of the first few candidates in the flow's order. Comparing
-/// two by load evens out almost as well as comparing all of them (the power of
-/// two choices) and keeps the flow near the front of its order, where a balancer
-/// that does not know the flow looks first.
+/// The least loaded of the first `compared` candidates in the flow's order.
 pub fn least_loaded(
     order: &[Candidate],
+    compared: usize,
     statuses: &AgentStatuses,
     now: Millis,
 ) -> Option<Candidate> {
-    let compared = order.iter().take(COMPARED);
+    let compared = order.iter().take(compared);
     compared.min_by_key(|candidate| load_permille(candidate, statuses, now)).copied()
 }
 
