Never compare a target that does not answer by its load

Cause: a test of passing over silent targets failed: with few targets a silent or stopping one stood among the two compared by load, and looks idle because it reports nothing.

Ruled out: the order of eligible targets, which already put it last.

Change: targets that do not answer form a tier of their own, used only when no other is left. 43 tests of the decisions of balancer and agent.

--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -23,6 +23,27 @@
 /// that does not know the flow looks first.
 const COMPARED: usize = 2;
 
+/// Targets that may take a new flow, each tier in the flow's order.
+struct Eligible {
+    answering: Vec<Candidate>,
+    /// Ready targets whose agent does not answer or is about to stop.
+    silent: Vec<Candidate>,
+}
+
+impl Eligible {
+    fn is_empty(&self) -> bool {
+        self.answering.is_empty() && self.silent.is_empty()
+    }
+
+    /// The targets that a flow did not try yet.
+    fn without(mut self, tried: &[Ipv4Addr]) -> Self {
+        let is_untried = |candidate: &Candidate| !tried.contains(&candidate.agent);
+        self.answering.retain(is_untried);
+        self.silent.retain(is_untried);
+        self
+    }
+}
+
 impl Balancer {
     pub(super) fn opening_packet(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
         let now = context.now;
@@ -85,15 +106,15 @@
         };
         let eligible = self.eligible(context, service, flow.hash());
         let any_eligible = !eligible.is_empty();
-        let tried = self.flows.tried(&flow);
-        let is_untried = |candidate: &Candidate| !tried.contains(&candidate.agent);
-        let untried: Vec<Candidate> = eligible.into_iter().filter(is_untried).collect();
-        let compared = if reason == ForwardReason::OpeningWaits { untried.len() } else { COMPARED };
-        let Some(chosen) = least_loaded(&untried, compared, &self.statuses, now) else {
+        let untried = eligible.without(self.flows.tried(&flow));
+        // A target that does not answer looks idle: it is never compared by load.
+        let tier = if untried.answering.is_empty() { &untried.silent } else { &untried.answering };
+        let compared = if reason == ForwardReason::OpeningWaits { tier.len() } else { COMPARED };
+        let Some(chosen) = least_loaded(tier, compared, &self.statuses, now) else {
             return self.nobody_takes(context, &flow, any_eligible, reason);
         };
         let inputs = SelectionInputs {
-            eligible: untried.len(),
+            eligible: tier.len(),
             load_permille: load_permille(&chosen, &self.statuses, now),
             load_age_ms: self.statuses.age(chosen.agent, now),
         };
@@ -123,28 +144,21 @@
         }
     }
 
-    /// Targets that may take a new flow, best first: ready ones, or where there is
-    /// none those that lost their record but may well live; then ready ones that
-    /// do not answer.
-    fn eligible(
-        &self,
-        context: &Context<'_>,
-        service: ServiceId,
-        flow_hash: u64,
-    ) -> Vec<Candidate> {
+    /// Targets that may take a new flow: ready ones, or where none of them answers
+    /// also those that lost their record but may well live.
+    fn eligible(&self, context: &Context<'_>, service: ServiceId, flow_hash: u64) -> Eligible {
         let now = context.now;
         let candidates = context.view.candidates(service);
         let ready = candidates.iter().filter(|candidate| candidate.standing == Standing::Ready);
         let ready = rendezvous_order(flow_hash, ready);
-        let is_suspect = |candidate: &Candidate| self.statuses.is_suspect(candidate.agent, now);
-        let (suspect, mut eligible): (Vec<_>, Vec<_>) = ready.into_iter().partition(is_suspect);
-        if eligible.is_empty() {
+        let is_silent = |candidate: &Candidate| self.statuses.is_suspect(candidate.agent, now);
+        let (silent, mut answering): (Vec<_>, Vec<_>) = ready.into_iter().partition(is_silent);
+        if answering.is_empty() {
             let unrecorded = self.unrecorded(candidates, service, now);
-            eligible = rendezvous_order(flow_hash, unrecorded.iter());
-            eligible.retain(|candidate| !is_suspect(candidate));
+            answering = rendezvous_order(flow_hash, unrecorded.iter());
+            answering.retain(|candidate| !is_silent(candidate));
         }
-        eligible.extend(suspect);
-        eligible
+        Eligible { answering, silent }
     }
 
     /// Targets without a record that may take flows where no other does.
--- /dev/null
+++ b/crates/steering/tests/agent.rs
@@ -0,0 +1,254 @@
+//! The agent's decisions: the check of the service, bounces, room, notices.
+
+mod support;
+
+use support::{OTHER, SERVICE, agent, data, flow, opening, packet};
+use weirhinge_fleet::{ReturnReason, ServiceId};
+use weirhinge_steering::{
+    Agent, Arrival, DeliveryDecision, Flags, FlowKey, HoldsNotice, OutputDecision, OutputDrop,
+    PacketHead, WaitOutcome,
+};
+
+fn new_agent() -> Agent {
+    let mut agent = Agent::new(ServiceId::of(SERVICE));
+    agent.set_slots(4);
+    agent
+}
+
+fn arrival(head: &PacketHead) -> Arrival<'_> {
+    Arrival {
+        head,
+        packet: b"packet",
+        balancer: agent(100),
+        service: ServiceId::of(SERVICE),
+        search: false,
+        may_wait: false,
+    }
+}
+
+fn deliver(agent: &mut Agent, head: &PacketHead, now: u64) -> u32 {
+    match agent.delivery(&arrival(head), now) {
+        DeliveryDecision::Deliver { echo } => echo,
+        other => panic!("expected a delivery, got {other:?}"),
+    }
+}
+
+/// A packet of the target on a flow.
+fn output(flow: FlowKey, flags: Flags, length: u16) -> PacketHead {
+    let head = packet(flow, flags, length);
+    PacketHead { source: head.destination, destination: head.source, ..head }
+}
+
+fn answer(flow: FlowKey) -> PacketHead {
+    output(flow, Flags { ack: true, ..Flags::default() }, 400)
+}
+
+fn request(port: u16, sequence: u32) -> PacketHead {
+    PacketHead { sequence, ..data(flow(port)) }
+}
+
+/// Fills the room of six: four slots and half as many again.
+fn fill(agent: &mut Agent) {
+    for port in 0..6 {
+        deliver(agent, &request(port, 0), 0);
+    }
+    assert_eq!(agent.waiting(), 6);
+}
+
+#[test]
+fn an_opening_packet_for_another_service_goes_back() {
+    let mut beside = new_agent();
+    let head = opening(flow(1));
+    let wrong = Arrival { service: ServiceId::of(OTHER), ..arrival(&head) };
+    let returned = DeliveryDecision::Return(ReturnReason::OtherService);
+    assert_eq!(beside.delivery(&wrong, 0), returned);
+    // A later packet is the target's to judge.
+    let head = data(flow(1));
+    let later = Arrival { service: ServiceId::of(OTHER), ..arrival(&head) };
+    assert!(matches!(beside.delivery(&later, 0), DeliveryDecision::Deliver { .. }));
+}
+
+#[test]
+fn a_bounced_packet_finds_the_balancer_that_sent_it() {
+    let mut beside = new_agent();
+    let first = deliver(&mut beside, &data(flow(1)), 0);
+    let head = data(flow(2));
+    let second = Arrival { balancer: agent(101), ..arrival(&head) };
+    let DeliveryDecision::Deliver { echo: second } = beside.delivery(&second, 0) else {
+        panic!("expected a delivery");
+    };
+    let bounced = |port, echo| {
+        let flags = Flags { ack: true, bounced: true, ..Flags::default() };
+        PacketHead { echo, ..packet(flow(port), flags, 100) }
+    };
+    let back = |balancer| OutputDecision::Return { balancer };
+    assert_eq!(beside.output(&bounced(1, first), 1), back(agent(100)));
+    assert_eq!(beside.output(&bounced(2, second), 1), back(agent(101)));
+    let unknown = OutputDecision::Drop(OutputDrop::UnknownDelivery);
+    assert_eq!(beside.output(&bounced(3, 999_999), 1), unknown);
+    assert_eq!(beside.output(&bounced(3, 0), 1), unknown);
+    assert_eq!(beside.waiting(), 0, "what bounced does not wait");
+}
+
+#[test]
+fn labels_of_forgotten_deliveries_are_not_mixed_up() {
+    let mut beside = new_agent();
+    let first = deliver(&mut beside, &data(flow(1)), 0);
+    for _ in 0..5_000 {
+        deliver(&mut beside, &data(flow(2)), 0);
+    }
+    let flags = Flags { bounced: true, ..Flags::default() };
+    let late = PacketHead { echo: first, ..packet(flow(1), flags, 0) };
+    assert_eq!(beside.output(&late, 1), OutputDecision::Drop(OutputDrop::UnknownDelivery));
+}
+
+#[test]
+fn the_answer_to_an_opening_packet_is_told_to_the_balancer() {
+    let mut beside = new_agent();
+    deliver(&mut beside, &opening(flow(1)), 0);
+    let syn_ack = output(flow(1), Flags { syn: true, ack: true, ..Flags::default() }, 0);
+    let notice = HoldsNotice { balancer: agent(100), flow: flow(1), confirmed: false };
+    assert_eq!(beside.output(&syn_ack, 1), OutputDecision::ToClient { notice: Some(notice) });
+    deliver(&mut beside, &data(flow(1)), 2);
+    assert_eq!(beside.output(&answer(flow(1)), 3), OutputDecision::ToClient { notice: None });
+}
+
+#[test]
+fn a_flow_that_was_searched_for_is_confirmed_once() {
+    let mut beside = new_agent();
+    let head = data(flow(1));
+    beside.delivery(&Arrival { search: true, ..arrival(&head) }, 0);
+    let notice = HoldsNotice { balancer: agent(100), flow: flow(1), confirmed: true };
+    let told = OutputDecision::ToClient { notice: Some(notice) };
+    assert_eq!(beside.output(&answer(flow(1)), 1), told);
+    assert_eq!(beside.output(&answer(flow(1)), 2), OutputDecision::ToClient { notice: None });
+}
+
+#[test]
+fn requests_wait_until_their_first_answer() {
+    let mut beside = new_agent();
+    deliver(&mut beside, &request(1, 0), 0);
+    deliver(&mut beside, &request(1, 100), 0);
+    deliver(&mut beside, &request(2, 0), 0);
+    assert_eq!(beside.waiting(), 2);
+    beside.output(&answer(flow(1)), 10);
+    assert_eq!(beside.waiting(), 1);
+    beside.output(&output(flow(2), Flags { rst: true, ..Flags::default() }, 0), 10);
+    assert_eq!(beside.waiting(), 0);
+}
+
+/// A client that did not hear of an acknowledgment sends data again; counting it
+/// as a request made targets look busy for good.
+#[test]
+fn data_sent_again_after_its_answer_is_no_new_request() {
+    let mut beside = new_agent();
+    deliver(&mut beside, &request(1, 0), 0);
+    beside.output(&answer(flow(1)), 10);
+    deliver(&mut beside, &request(1, 0), 20);
+    assert_eq!(beside.waiting(), 0);
+    deliver(&mut beside, &request(1, 100), 30);
+    assert_eq!(beside.waiting(), 1);
+}
+
+#[test]
+fn sequence_numbers_wrap() {
+    let mut beside = new_agent();
+    deliver(&mut beside, &request(1, u32::MAX - 50), 0);
+    beside.output(&answer(flow(1)), 10);
+    deliver(&mut beside, &request(1, 49), 20);
+    assert_eq!(beside.waiting(), 1);
+}
+
+#[test]
+fn a_request_whose_answer_was_not_seen_stops_counting() {
+    let mut beside = new_agent();
+    deliver(&mut beside, &request(1, 0), 0);
+    beside.expire(2_000);
+    assert_eq!(beside.waiting(), 1);
+    beside.expire(3_000);
+    assert_eq!(beside.waiting(), 0);
+    beside.expire(70_000);
+    assert_eq!((beside.waiting(), beside.flow_count()), (0, 0));
+}
+
+#[test]
+fn a_busy_target_sends_openings_back_unless_they_may_wait() {
+    let mut beside = new_agent();
+    fill(&mut beside);
+    let head = opening(flow(50));
+    let busy = DeliveryDecision::Return(ReturnReason::Busy);
+    assert_eq!(beside.delivery(&arrival(&head), 1), busy);
+    let may_wait = Arrival { may_wait: true, ..arrival(&head) };
+    assert_eq!(beside.delivery(&may_wait, 1), DeliveryDecision::Wait);
+    assert_eq!(beside.delivery(&arrival(&head), 2), DeliveryDecision::WaitsAlready);
+    assert_eq!(beside.next_outcome(3), None);
+    // Packets of open flows never wait.
+    deliver(&mut beside, &data(flow(51)), 3);
+}
+
+#[test]
+fn a_target_of_unknown_size_is_never_busy() {
+    let mut beside = Agent::new(ServiceId::of(SERVICE));
+    for port in 0..200 {
+        deliver(&mut beside, &request(port, 0), 0);
+    }
+    deliver(&mut beside, &opening(flow(300)), 0);
+}
+
+#[test]
+fn the_newest_waiting_opening_goes_first_when_there_is_room() {
+    let mut beside = new_agent();
+    fill(&mut beside);
+    for port in [50, 51] {
+        let head = opening(flow(port));
+        beside.delivery(&Arrival { may_wait: true, ..arrival(&head) }, u64::from(port));
+    }
+    beside.output(&answer(flow(0)), 60);
+    let Some(WaitOutcome::Deliver(first, _)) = beside.next_outcome(60) else {
+        panic!("expected a delivery");
+    };
+    assert_eq!(first.head.client_flow(), flow(51));
+    // The admitted flow's request is expected and takes the room.
+    assert_eq!(beside.next_outcome(61), None);
+    // It never comes: the room is free again.
+    let Some(WaitOutcome::Deliver(second, _)) = beside.next_outcome(130) else {
+        panic!("expected a delivery");
+    };
+    assert_eq!(second.head.client_flow(), flow(50));
+}
+
+#[test]
+fn an_opening_that_waited_too_long_goes_back() {
+    let mut beside = new_agent();
+    fill(&mut beside);
+    let head = opening(flow(50));
+    beside.delivery(&Arrival { may_wait: true, ..arrival(&head) }, 0);
+    assert_eq!(beside.next_outcome(700), None);
+    let Some(WaitOutcome::Return(opening)) = beside.next_outcome(800) else {
+        panic!("expected a return");
+    };
+    assert_eq!(opening.balancer, agent(100));
+}
+
+#[test]
+fn a_stopping_agent_takes_no_new_flow_and_keeps_its_own() {
+    let mut beside = new_agent();
+    fill(&mut beside);
+    let head = opening(flow(50));
+    beside.delivery(&Arrival { may_wait: true, ..arrival(&head) }, 0);
+    beside.leave();
+    let leaving = DeliveryDecision::Return(ReturnReason::Leaving);
+    assert_eq!(beside.delivery(&arrival(&opening(flow(9))), 1), leaving);
+    assert!(matches!(beside.next_outcome(1), Some(WaitOutcome::Return(_))));
+    deliver(&mut beside, &request(3, 100), 2);
+}
+
+#[test]
+fn memory_for_flows_is_bounded() {
+    let mut beside = Agent::new(ServiceId::of(SERVICE));
+    for port in 0..20_000 {
+        deliver(&mut beside, &opening(flow(port)), 0);
+        deliver(&mut beside, &data(flow(port)), 0);
+    }
+    assert!(beside.flow_count() <= 8_192);
+}
--- /dev/null
+++ b/crates/steering/tests/balancer.rs
@@ -0,0 +1,483 @@
+//! The balancer's decisions: openings, walks past targets, searches, resets.
+
+mod support;
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+
+use support::{OTHER, SERVICE, Store, agent, data, flow, forwarded, opening};
+use weirhinge_fleet::{ReturnReason, ServiceId, TargetClaim, TargetState};
+use weirhinge_steering::{
+    Balancer, ClientPacket, Context, Decision, DropReason, FleetView, ForwardReason, PacketHead,
+    ResetReason,
+};
+
+/// Long after the start, when nothing is unsettled.
+const LATER: u64 = 100_000;
+
+struct Fixture {
+    balancer: Balancer,
+    view: FleetView,
+    fresh: bool,
+}
+
+impl Fixture {
+    fn new(store: &Store) -> Self {
+        Self { balancer: Balancer::new(), view: store.view(), fresh: true }
+    }
+
+    fn context(&self, now: u64) -> Context<'_> {
+        Context { view: &self.view, fresh: self.fresh, now }
+    }
+
+    fn client(&mut self, head: &PacketHead, now: u64) -> Decision {
+        let context = Context { view: &self.view, fresh: self.fresh, now };
+        self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
+    }
+
+    fn returned(
+        &mut self,
+        head: &PacketHead,
+        from: Ipv4Addr,
+        reason: ReturnReason,
+        now: u64,
+    ) -> Decision {
+        let context = Context { view: &self.view, fresh: self.fresh, now };
+        let packet = ClientPacket { head, bytes: b"packet" };
+        self.balancer.returned_packet(&context, packet, from, reason)
+    }
+
+    fn bounced(&mut self, head: &PacketHead, from: Ipv4Addr, now: u64) -> Decision {
+        self.returned(head, from, ReturnReason::Bounced, now)
+    }
+
+    fn search_again(&mut self, head: &PacketHead, now: u64) -> Decision {
+        let context = Context { view: &self.view, fresh: self.fresh, now };
+        self.balancer.search_again(&context, ClientPacket { head, bytes: b"packet" })
+    }
+
+    /// Opens a flow and lets the chosen target answer.
+    fn open(&mut self, port: u16, now: u64) -> Ipv4Addr {
+        let chosen = forwarded(&self.client(&opening(flow(port)), now)).agent;
+        self.balancer.holds(flow(port), chosen, false, 0, now);
+        chosen
+    }
+
+    /// Bounces a packet until the balancer no longer forwards it.
+    fn bounce_to_the_end(&mut self, head: &PacketHead, now: u64) -> (Vec<Ipv4Addr>, Decision) {
+        let mut visited = Vec::new();
+        let mut decision = self.client(head, now);
+        while let Decision::Forward(forward) = &decision {
+            visited.push(forward.agent);
+            assert!(visited.len() < 100, "the walk ends");
+            decision = self.bounced(head, *visited.last().expect("pushed"), now);
+        }
+        (visited, decision)
+    }
+}
+
+fn claim(service: &str) -> TargetClaim {
+    TargetClaim { service: service.to_owned(), alive: true, waiting: 0, leaving: false }
+}
+
+#[test]
+fn a_flow_stays_at_the_target_that_answered() {
+    let mut fixture = Fixture::new(&Store::with_targets(7));
+    let held = fixture.open(1, LATER);
+    let decision = fixture.client(&data(flow(1)), LATER + 10);
+    assert_eq!(forwarded(&decision).agent, held);
+    assert_eq!(forwarded(&decision).reason, ForwardReason::Held);
+}
+
+#[test]
+fn a_flow_stays_when_its_target_drains_and_leaves_the_store() {
+    let mut store = Store::with_targets(2);
+    let mut fixture = Fixture::new(&store);
+    let held = fixture.open(1, LATER);
+    let number = held.octets()[3];
+    store.target(number, SERVICE, Some(TargetState::Draining), LATER);
+    store.target(number, SERVICE, None, LATER);
+    fixture.view = store.view();
+    assert_eq!(forwarded(&fixture.client(&data(flow(1)), LATER + 10)).agent, held);
+    // New flows go elsewhere.
+    for port in 100..150 {
+        assert_ne!(forwarded(&fixture.client(&opening(flow(port)), LATER + 20)).agent, held);
+    }
+}
+
+#[test]
+fn an_unknown_flow_is_looked_for_at_every_target_once() {
+    let mut store = Store::with_targets(7);
+    store.target(3, SERVICE, Some(TargetState::Draining), 0);
+    let mut fixture = Fixture::new(&store);
+    let (mut visited, end) = fixture.bounce_to_the_end(&data(flow(1)), LATER);
+    visited.sort();
+    assert_eq!(visited, (1..=7).map(agent).collect::<Vec<_>>());
+    assert_eq!(end, Decision::Drop(DropReason::NobodyHoldsYet));
+}
+
+#[test]
+fn balancers_look_for_a_flow_first_where_another_would_open_it() {
+    let store = Store::with_targets(7);
+    let mut found_early = 0;
+    for port in 0..200 {
+        let held = Fixture::new(&store).open(port, LATER);
+        let mut other = Fixture::new(&store);
+        let first = forwarded(&other.client(&data(flow(port)), LATER)).agent;
+        let second = forwarded(&other.bounced(&data(flow(port)), first, LATER)).agent;
+        found_early += usize::from(held == first || held == second);
+    }
+    assert_eq!(found_early, 200);
+}
+
+#[test]
+fn a_found_flow_is_remembered() {
+    let mut fixture = Fixture::new(&Store::with_targets(5));
+    let first = forwarded(&fixture.client(&data(flow(1)), LATER)).agent;
+    let second = forwarded(&fixture.bounced(&data(flow(1)), first, LATER)).agent;
+    fixture.balancer.holds(flow(1), second, true, 0, LATER + 1);
+    let decision = fixture.client(&data(flow(1)), LATER + 2);
+    assert_eq!(forwarded(&decision).agent, second);
+    assert_eq!(forwarded(&decision).reason, ForwardReason::Held);
+}
+
+#[test]
+fn a_flow_is_given_up_when_all_targets_sent_it_back_twice() {
+    let mut fixture = Fixture::new(&Store::with_targets(3));
+    let head = data(flow(1));
+    let (_, end) = fixture.bounce_to_the_end(&head, LATER);
+    assert_eq!(end, Decision::Drop(DropReason::NobodyHoldsYet));
+    let mut decision = fixture.search_again(&head, LATER + 130);
+    while let Decision::Forward(forward) = &decision {
+        let from = forward.agent;
+        decision = fixture.bounced(&head, from, LATER + 131);
+    }
+    let reason = ResetReason::NobodyHolds;
+    assert_eq!(decision, Decision::Reset { sequence: head.acknowledgment, reason });
+}
+
+#[test]
+fn a_target_that_does_not_answer_may_hold_the_flow() {
+    let mut fixture = Fixture::new(&Store::with_targets(3));
+    let head = data(flow(1));
+    let silent = forwarded(&fixture.client(&head, LATER)).agent;
+    let mut now = LATER;
+    for _ in 0..20 {
+        now += 130;
+        let mut decision = fixture.search_again(&head, now);
+        while let Decision::Forward(forward) = &decision {
+            let from = forward.agent;
+            if from == silent {
+                break;
+            }
+            decision = fixture.bounced(&head, from, now);
+        }
+        assert!(!matches!(decision, Decision::Reset { .. }), "reset at {now}");
+    }
+}
+
+#[test]
+fn a_silent_target_that_left_the_store_does_not_hold_a_flow_up_for_ever() {
+    let mut store = Store::with_targets(2);
+    store.target(2, SERVICE, None, 0);
+    let mut fixture = Fixture::new(&store);
+    let head = data(flow(1));
+    let mut now = LATER;
+    let mut decision = fixture.client(&head, now);
+    for _ in 0..20 {
+        while let Decision::Forward(forward) = &decision {
+            if forward.agent == agent(2) {
+                break;
+            }
+            let from = forward.agent;
+            decision = fixture.bounced(&head, from, now);
+        }
+        if matches!(decision, Decision::Reset { .. }) {
+            return;
+        }
+        now += 130;
+        decision = fixture.search_again(&head, now);
+    }
+    panic!("never given up");
+}
+
+#[test]
+fn nothing_is_given_up_on_old_knowledge() {
+    let mut fixture = Fixture::new(&Store::with_targets(2));
+    fixture.fresh = false;
+    let head = data(flow(1));
+    for round in 0..10 {
+        let (_, end) = fixture.bounce_to_the_end(&head, LATER + round * 500);
+        assert_eq!(end, Decision::Drop(DropReason::NobodyHoldsYet));
+    }
+}
+
+#[test]
+fn a_refused_opening_goes_to_every_target_then_is_refused_at_once() {
+    let mut fixture = Fixture::new(&Store::with_targets(7));
+    let (mut visited, end) = fixture.bounce_to_the_end(&opening(flow(1)), LATER);
+    visited.sort();
+    assert_eq!(visited, (1..=7).map(agent).collect::<Vec<_>>());
+    assert_eq!(end, Decision::Reset { sequence: 0, reason: ResetReason::Refused });
+}
+
+#[test]
+fn an_opening_passes_three_busy_targets_and_waits_at_the_least_loaded() {
+    let mut fixture = Fixture::new(&Store::with_targets(7));
+    for number in 1..=7 {
+        let waiting = if number == 6 { 8 } else { 9 };
+        fixture.balancer.heard(agent(number), waiting, LATER);
+    }
+    let head = opening(flow(1));
+    let mut decision = fixture.client(&head, LATER);
+    for _ in 0..3 {
+        assert!(!forwarded(&decision).may_wait());
+        let from = forwarded(&decision).agent;
+        fixture.balancer.heard(from, if from == agent(6) { 8 } else { 9 }, LATER);
+        decision = fixture.returned(&head, from, ReturnReason::Busy, LATER);
+    }
+    assert!(forwarded(&decision).may_wait());
+    assert_eq!(forwarded(&decision).agent, agent(6));
+    // Having waited in vain, it is refused once no target is left.
+    let mut visits = 0;
+    while let Decision::Forward(forward) = &decision {
+        let from = forward.agent;
+        visits += 1;
+        decision = fixture.returned(&head, from, ReturnReason::Busy, LATER + 800);
+    }
+    assert_eq!(visits, 7);
+    assert_eq!(decision, Decision::Reset { sequence: 0, reason: ResetReason::Refused });
+}
+
+#[test]
+fn a_copy_goes_to_another_target_only_while_nobody_answered() {
+    let mut fixture = Fixture::new(&Store::with_targets(3));
+    let first = forwarded(&fixture.client(&opening(flow(1)), LATER)).agent;
+    let moved = fixture.client(&opening(flow(1)), LATER + 200);
+    assert_ne!(forwarded(&moved).agent, first);
+    assert_eq!(forwarded(&moved).reason, ForwardReason::OpeningMoved);
+    let answered = forwarded(&moved).agent;
+    fixture.balancer.holds(flow(1), answered, false, 0, LATER + 201);
+    let repeated = fixture.client(&opening(flow(1)), LATER + 600);
+    assert_eq!(forwarded(&repeated).agent, answered);
+    assert_eq!(forwarded(&repeated).reason, ForwardReason::OpeningRepeated);
+}
+
+#[test]
+fn of_two_targets_that_answered_the_one_that_confirms_keeps_the_flow() {
+    let mut fixture = Fixture::new(&Store::with_targets(3));
+    let first = fixture.open(1, LATER);
+    let late = if first == agent(1) { agent(2) } else { agent(1) };
+    fixture.balancer.holds(flow(1), late, false, 0, LATER + 5);
+    assert_eq!(forwarded(&fixture.client(&data(flow(1)), LATER + 6)).agent, first);
+    fixture.balancer.holds(flow(1), late, true, 0, LATER + 7);
+    assert_eq!(forwarded(&fixture.client(&data(flow(1)), LATER + 8)).agent, late);
+}
+
+#[test]
+fn an_old_entry_does_not_catch_a_new_flow_on_the_same_port() {
+    let mut fixture = Fixture::new(&Store::with_targets(7));
+    fixture.open(1, LATER);
+    let decision = fixture.client(&opening(flow(1)), LATER + 5_000);
+    assert_eq!(forwarded(&decision).reason, ForwardReason::Opened);
+}
+
+#[test]
+fn silent_and_stopping_targets_are_passed_over() {
+    let mut fixture = Fixture::new(&Store::with_targets(2));
+    // Target 1 answers nothing; target 2 answers all.
+    let mut to_silent = 0;
+    for port in 0..100 {
+        let now = LATER + u64::from(port) * 10;
+        let chosen = forwarded(&fixture.client(&opening(flow(port)), now)).agent;
+        if chosen == agent(2) {
+            fixture.balancer.holds(flow(port), chosen, false, 0, now);
+        } else {
+            to_silent += 1;
+        }
+    }
+    assert!(to_silent < 30, "{to_silent} openings to a silent target in a second");
+    let mut stopping = Fixture::new(&Store::with_targets(2));
+    let first = forwarded(&stopping.client(&opening(flow(1)), LATER)).agent;
+    stopping.returned(&opening(flow(1)), first, ReturnReason::Leaving, LATER);
+    for port in 10..60 {
+        assert_ne!(forwarded(&stopping.client(&opening(flow(port)), LATER)).agent, first);
+    }
+}
+
+#[test]
+fn the_less_loaded_of_two_gets_the_flow() {
+    let mut fixture = Fixture::new(&Store::with_targets(2));
+    fixture.balancer.heard(agent(1), 6, LATER);
+    fixture.balancer.heard(agent(2), 0, LATER);
+    assert_eq!(forwarded(&fixture.client(&opening(flow(1)), LATER)).agent, agent(2));
+}
+
+#[test]
+fn flows_spread_evenly_without_reports() {
+    let mut fixture = Fixture::new(&Store::with_targets(7));
+    let mut counts: HashMap<Ipv4Addr, u32> = HashMap::new();
+    for port in 0..7_000 {
+        let chosen = forwarded(&fixture.client(&opening(flow(port)), LATER)).agent;
+        *counts.entry(chosen).or_default() += 1;
+    }
+    let most = counts.values().max().copied().unwrap_or_default();
+    assert!(counts.len() == 7 && most < 1_050, "{counts:?}");
+}
+
+#[test]
+fn each_part_of_a_route_gets_its_share_and_copies_stay_with_their_part() {
+    let mut store = Store::with_targets(3);
+    store.target(11, OTHER, Some(TargetState::Ready), 0);
+    store.route(&[(SERVICE, 80), (OTHER, 20)]);
+    let mut fixture = Fixture::new(&store);
+    let mut to_other = 0;
+    for port in 0..5_000 {
+        let first = fixture.client(&opening(flow(port)), LATER);
+        let copy = fixture.client(&opening(flow(port)), LATER + 200);
+        if let Decision::Forward(copy) = &copy {
+            assert_eq!(copy.service, forwarded(&first).service);
+        }
+        to_other += u32::from(forwarded(&first).service == ServiceId::of(OTHER));
+    }
+    assert!((950..1_050).contains(&to_other), "{to_other} of 5000 to a part of a fifth");
+}
+
+#[test]
+fn a_flow_is_found_in_the_other_part_after_weights_changed() {
+    let mut store = Store::with_targets(2);
+    store.target(11, OTHER, Some(TargetState::Ready), 0);
+    store.route(&[(SERVICE, 0), (OTHER, 1)]);
+    let mut fixture = Fixture::new(&store);
+    let (mut visited, _) = fixture.bounce_to_the_end(&data(flow(1)), LATER);
+    visited.sort();
+    assert_eq!(visited, vec![agent(1), agent(2), agent(11)]);
+}
+
+#[test]
+fn an_address_used_again_belongs_to_its_new_service() {
+    let mut store = Store::with_targets(2);
+    store.target(2, SERVICE, None, 0);
+    store.target(2, OTHER, Some(TargetState::Ready), 0);
+    let view = store.view();
+    let agents = |service| -> Vec<Ipv4Addr> {
+        view.candidates(ServiceId::of(service)).iter().map(|candidate| candidate.agent).collect()
+    };
+    assert_eq!(agents(SERVICE), vec![agent(1)]);
+    assert_eq!(agents(OTHER), vec![agent(2)]);
+}
+
+#[test]
+fn missing_routes_are_told_at_once_and_only_with_a_configuration() {
+    let mut store = Store::with_targets(1);
+    store.configure(Vec::new());
+    let mut fixture = Fixture::new(&store);
+    let no_route = |sequence| Decision::Reset { sequence, reason: ResetReason::NoRoute };
+    assert_eq!(fixture.client(&opening(flow(1)), LATER), no_route(0));
+    assert_eq!(fixture.client(&data(flow(2)), LATER), no_route(500));
+    let mut unconfigured = Fixture::new(&Store::default());
+    let dropped = Decision::Drop(DropReason::NoConfiguration);
+    assert_eq!(unconfigured.client(&opening(flow(1)), LATER), dropped);
+    assert_eq!(unconfigured.client(&data(flow(2)), LATER), dropped);
+}
+
+#[test]
+fn a_service_without_targets_refuses_only_on_settled_knowledge() {
+    let mut fixture = Fixture::new(&Store::with_targets(0));
+    let refused = Decision::Reset { sequence: 0, reason: ResetReason::NoTarget };
+    let dropped = Decision::Drop(DropReason::NoTargetYet);
+    assert_eq!(fixture.client(&opening(flow(1)), LATER), refused);
+    fixture.balancer.store_regained(LATER);
+    assert_eq!(fixture.client(&opening(flow(2)), LATER + 1_000), dropped);
+    assert_eq!(fixture.client(&opening(flow(3)), LATER + 3_000), refused);
+    fixture.fresh = false;
+    assert_eq!(fixture.client(&opening(flow(4)), LATER + 3_000), dropped);
+}
+
+#[test]
+fn after_an_outage_targets_without_a_record_take_flows_for_a_while() {
+    let mut store = Store::with_targets(1);
+    store.target(1, SERVICE, None, LATER);
+    let mut fixture = Fixture::new(&store);
+    fixture.balancer.store_regained(LATER);
+    fixture.balancer.claimed(agent(9), &claim(SERVICE), LATER);
+    let mut chosen: Vec<Ipv4Addr> = (0..50)
+        .map(|port| forwarded(&fixture.client(&opening(flow(port)), LATER + 100)).agent)
+        .collect();
+    chosen.sort();
+    chosen.dedup();
+    assert_eq!(chosen, vec![agent(1), agent(9)]);
+    // A recorded target is preferred, and silence of the store is believed in time.
+    store.target(2, SERVICE, Some(TargetState::Ready), LATER + 1_100);
+    fixture.view = store.view();
+    let preferred = fixture.client(&opening(flow(90)), LATER + 1_200);
+    assert_eq!(forwarded(&preferred).agent, agent(2));
+}
+
+#[test]
+fn a_target_without_a_record_takes_no_flow_past_the_bound() {
+    let mut store = Store::with_targets(1);
+    store.target(1, SERVICE, None, LATER);
+    let mut fixture = Fixture::new(&store);
+    fixture.balancer.claimed(agent(1), &claim(SERVICE), LATER);
+    assert!(matches!(fixture.client(&opening(flow(1)), LATER + 1_000), Decision::Forward(_)));
+    assert!(matches!(fixture.client(&opening(flow(2)), LATER + 2_000), Decision::Reset { .. }));
+}
+
+#[test]
+fn a_bounced_packet_from_a_client_is_dropped() {
+    let mut fixture = Fixture::new(&Store::with_targets(1));
+    let mut head = data(flow(1));
+    head.flags.bounced = true;
+    let dropped = Decision::Drop(DropReason::BouncedByClient);
+    assert_eq!(fixture.client(&head, LATER), dropped);
+}
+
+#[test]
+fn a_balancer_that_no_agent_answers_is_isolated() {
+    let mut fixture = Fixture::new(&Store::with_targets(3));
+    assert!(!fixture.balancer.is_isolated(LATER), "not before it was in touch");
+    fixture.balancer.claimed(agent(1), &claim(SERVICE), LATER);
+    assert!(!fixture.balancer.is_isolated(LATER + 600));
+    assert!(fixture.balancer.is_isolated(LATER + 700));
+    fixture.balancer.claimed(agent(2), &claim(SERVICE), LATER + 800);
+    assert!(!fixture.balancer.is_isolated(LATER + 801));
+    // Heard but not reached: openings stay unanswered.
+    for port in 0..10 {
+        fixture.client(&opening(flow(port)), LATER + 900);
+    }
+    fixture.balancer.claimed(agent(1), &claim(SERVICE), LATER + 1_700);
+    assert!(fixture.balancer.is_isolated(LATER + 1_700));
+    fixture.balancer.heard(agent(1), 0, LATER + 1_800);
+    assert!(!fixture.balancer.is_isolated(LATER + 1_801));
+}
+
+#[test]
+fn memory_for_flows_is_bounded() {
+    let mut fixture = Fixture::new(&Store::with_targets(3));
+    fixture.balancer = Balancer::with_capacity(100);
+    for port in 0..5_000 {
+        fixture.client(&opening(flow(port)), LATER);
+        fixture.client(&data(flow(port)), LATER);
+    }
+    assert_eq!(fixture.balancer.flow_count(), 100);
+    let view = fixture.view.clone();
+    fixture.balancer.expire(&view, LATER + 16_000);
+    assert_eq!(fixture.balancer.flow_count(), 0);
+    assert!(fixture.context(0).fresh);
+}
+
+#[test]
+fn searches_go_on_without_the_client() {
+    let mut fixture = Fixture::new(&Store::with_targets(2));
+    let head = data(flow(1));
+    let first = forwarded(&fixture.client(&head, LATER)).agent;
+    assert!(fixture.balancer.due_searches(LATER + 50).is_empty());
+    let due = fixture.balancer.due_searches(LATER + 130);
+    assert_eq!(due, vec![(head, b"packet".to_vec())]);
+    let next = fixture.search_again(&head, LATER + 130);
+    assert_ne!(forwarded(&next).agent, first);
+    let found = forwarded(&next).agent;
+    fixture.balancer.holds(flow(1), found, true, 0, LATER + 131);
+    assert!(fixture.balancer.due_searches(LATER + 400).is_empty());
+}
--- /dev/null
+++ b/crates/steering/tests/support/mod.rs
@@ -0,0 +1,129 @@
+//! A small fleet for tests of decisions.
+
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use weirhinge_fleet::{
+    Configuration, Replica, Route, RoutePart, TargetRecord, TargetState, Update,
+    VersionedConfiguration, VersionedTarget,
+};
+use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, PacketHead};
+
+pub const SERVICE: &str = "sheets";
+pub const OTHER: &str = "dispatch";
+
+pub fn endpoint() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+pub fn agent(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, number)
+}
+
+pub fn flow(port: u16) -> FlowKey {
+    let client = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port);
+    FlowKey { client, service: endpoint() }
+}
+
+pub fn packet(flow: FlowKey, flags: Flags, length: u16) -> PacketHead {
+    PacketHead {
+        source: flow.client,
+        destination: flow.service,
+        flags,
+        sequence: 1_000,
+        acknowledgment: 500,
+        length,
+        echo: 0,
+    }
+}
+
+pub fn opening(flow: FlowKey) -> PacketHead {
+    PacketHead { acknowledgment: 0, ..packet(flow, Flags { syn: true, ..Flags::default() }, 0) }
+}
+
+pub fn data(flow: FlowKey) -> PacketHead {
+    packet(flow, Flags { ack: true, ..Flags::default() }, 100)
+}
+
+pub fn forwarded(decision: &Decision) -> &Forward {
+    match decision {
+        Decision::Forward(forward) => forward,
+        other => panic!("expected a forward, got {other:?}"),
+    }
+}
+
+/// Builds what the store says, change by change.
+#[derive(Default)]
+pub struct Store {
+    replica: Replica,
+    revision: u64,
+}
+
+impl Store {
+    /// One route to a service with ready targets numbered 1 to `targets`.
+    pub fn with_targets(targets: u8) -> Self {
+        let mut store = Self::default();
+        store.route(&[(SERVICE, 1)]);
+        for number in 1..=targets {
+            store.target(number, SERVICE, Some(TargetState::Ready), 0);
+        }
+        store
+    }
+
+    pub fn route(&mut self, parts: &[(&str, u32)]) {
+        let parts = parts.iter();
+        let parts = parts
+            .map(|(service, weight)| RoutePart { service: (*service).to_owned(), weight: *weight });
+        let route = Route {
+            address: endpoint().ip().to_bits(),
+            port: endpoint().port(),
+            parts: parts.collect(),
+        };
+        self.configure(vec![route]);
+    }
+
+    pub fn configure(&mut self, routes: Vec<Route>) {
+        self.revision += 1;
+        let configuration =
+            Configuration { version: self.revision, routes, idle_timeout_ms: 15_000 };
+        let configuration = Some(VersionedConfiguration { revision: self.revision, configuration });
+        let update = Update { configuration, ..self.change() };
+        self.replica.apply(update, 0);
+    }
+
+    pub fn target(&mut self, number: u8, service: &str, state: Option<TargetState>, now: u64) {
+        self.revision += 1;
+        let record = state.map(|state| TargetRecord {
+            service: service.to_owned(),
+            address: agent(number).to_bits(),
+            zone: "a".to_owned(),
+            slots: 4,
+            state,
+            warm_up_ms: 0,
+        });
+        let target = VersionedTarget {
+            id: format!("{service}-{number}"),
+            revision: self.revision,
+            present: record.is_some(),
+            record,
+        };
+        let update = Update { targets: vec![target], ..self.change() };
+        self.replica.apply(update, now);
+    }
+
+    pub fn view(&self) -> FleetView {
+        FleetView::compile(&self.replica)
+    }
+
+    fn change(&self) -> Update {
+        Update {
+            after: self.revision - 1,
+            through: self.revision,
+            complete: false,
+            age_ms: 0,
+            configuration: None,
+            targets: Vec::new(),
+        }
+    }
+}
