--- a/crates/steering/src/agent.rs
+++ b/crates/steering/src/agent.rs
@@ -24,7 +24,7 @@
 /// Most opening packets that wait for room.
 const WAITING_OPENINGS: usize = 128;
 /// Longest wait of an opening packet. The client gives an attempt up after 1.4 s.
-const LONGEST_WAIT_MS: Millis = 800;
+const LONGEST_WAIT_MS: Millis = 1_100;
 
 /// A client's packet on its way to the target.
 #[derive(Clone, Copy, Debug)]
@@ -230,10 +230,11 @@
     /// that are open already never stand behind it.
     pub fn next_outcome(&mut self, now: Millis) -> Option<WaitOutcome> {
         self.drop_expectations(now);
-        let oldest = self.openings.front()?;
-        let is_over = now.saturating_sub(oldest.arrived_at) >= LONGEST_WAIT_MS;
-        if is_over || self.leaving {
-            return self.openings.pop_front().map(WaitOutcome::Return);
+        let is_over = |opening: &WaitedOpening| {
+            self.leaving || now.saturating_sub(opening.arrived_at) >= LONGEST_WAIT_MS
+        };
+        if let Some(place) = self.openings.iter().position(is_over) {
+            return self.openings.remove(place).map(WaitOutcome::Return);
         }
         if self.is_busy() {
             return None;
@@ -254,12 +255,18 @@
         if !arrival.may_wait || self.openings.len() >= WAITING_OPENINGS {
             return DeliveryDecision::Return(ReturnReason::Busy);
         }
-        self.openings.push_back(WaitedOpening {
+        let opening = WaitedOpening {
             head: *arrival.head,
             packet: arrival.packet.to_vec(),
             balancer: arrival.balancer,
             arrived_at: now,
-        });
+        };
+        // A copy belongs to a flow that is late already.
+        if arrival.head.acknowledgment > 0 {
+            self.openings.push_front(opening);
+        } else {
+            self.openings.push_back(opening);
+        }
         DeliveryDecision::Wait
     }
 
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -74,17 +74,23 @@
         head: &PacketHead,
         returned: ReturnReason,
     ) -> Decision {
+        let flow = head.client_flow();
+        let Some(entry) = self.flows.get_mut(&flow).filter(|_| returned == ReturnReason::Busy)
+        else {
+            return self.choose_target(context, head, ForwardReason::OpeningReturned);
+        };
+        if entry.has_waited {
+            // All targets were busy before it waited, for nearly as long as the
+            // client waits; it gets its answer now.
+            self.flows.remove(&flow);
+            return Decision::Reset { sequence: 0, reason: ResetReason::Refused };
+        }
+        entry.busy_returns += 1;
         let mut reason = ForwardReason::OpeningReturned;
-        let entry = self.flows.get_mut(&head.client_flow());
-        if let Some(entry) = entry.filter(|entry| !entry.has_waited)
-            && returned == ReturnReason::Busy
-        {
-            entry.busy_returns += 1;
-            if entry.busy_returns >= BUSY_RETURNS {
-                entry.has_waited = true;
-                entry.tried.clear();
-                reason = ForwardReason::OpeningWaits;
-            }
+        if entry.busy_returns >= BUSY_RETURNS {
+            entry.has_waited = true;
+            entry.tried.clear();
+            reason = ForwardReason::OpeningWaits;
         }
         self.choose_target(context, head, reason)
     }
