Test the whole path of the platform with real processes and stand-ins

Ruled out: running the daemons inside the test process; signals, exits and settings files would go untested.

--- /dev/null
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -0,0 +1,314 @@
+//! The whole path on the users' platform: real balancers and agents between
+//! stand-ins of the store, the routers, the targets and the clients.
+
+use std::net::IpAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use weirhinge_platform_standins::{
+    ClientFlow, Fleet, FleetPlan, FlowError, RouterHash, StoreFault, TargetBehaviour,
+};
+
+/// The template that deployments of the platform use.
+const TEMPLATE: &str =
+    include_str!(concat!(env!("CARGO_MANIFEST_DIR"), "/../../platform/settings.toml"));
+/// Long enough for several attempts on a busy machine.
+const DEADLINE: Duration = Duration::from_secs(15);
+/// Metrics port of every machine.
+const METRICS: u16 = 9_464;
+
+fn plan() -> FleetPlan {
+    FleetPlan {
+        balancers: 3,
+        targets: vec!["dispatch", "dispatch", "dispatch", "sheets"],
+        hash: RouterHash::Mod,
+    }
+}
+
+async fn start(plan: &FleetPlan) -> eyre::Result<Fleet> {
+    Fleet::start(Path::new(env!("CARGO_BIN_EXE_weirhinge")), TEMPLATE, plan).await
+}
+
+/// Opens flows and sends a first request on each.
+async fn open_flows(fleet: &Fleet, count: usize) -> eyre::Result<Vec<(ClientFlow, String)>> {
+    let mut flows = Vec::new();
+    for number in 0..count {
+        let mut flow = open(fleet).await?;
+        let server = request(&mut flow, &format!("first-{number}")).await?;
+        flows.push((flow, server));
+    }
+    Ok(flows)
+}
+
+async fn open(fleet: &Fleet) -> eyre::Result<ClientFlow> {
+    let opened = fleet.client.open(Fleet::route(443)).await;
+    opened.map_err(|error| eyre::eyre!("open a flow: {error:?}"))
+}
+
+async fn request(flow: &mut ClientFlow, id: &str) -> eyre::Result<String> {
+    let answered = flow.request(id, DEADLINE).await;
+    answered.map_err(|error| eyre::eyre!("request {id}: {error:?}"))
+}
+
+/// Sends one more request on each flow; its own target must answer.
+async fn all_held(flows: &mut [(ClientFlow, String)], round: &str) -> eyre::Result<()> {
+    for (number, (flow, server)) in flows.iter_mut().enumerate() {
+        let answered = request(flow, &format!("{round}-{number}")).await?;
+        eyre::ensure!(answered == *server, "flow {number} moved from {server} to {answered}");
+    }
+    Ok(())
+}
+
+fn no_packet_was_changed(fleet: &Fleet) {
+    assert_eq!(fleet.client.forged(), 0);
+    for target in &fleet.targets {
+        assert_eq!(target.forged(), 0);
+    }
+}
+
+async fn http_get(address: IpAddr, port: u16, path: &str) -> eyre::Result<String> {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect((address, port)).await?;
+    let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    stream.write_all(text.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_reach_their_service_and_come_back_whole() -> eyre::Result<()> {
+    let mut fleet = start(&plan()).await?;
+    let mut flows = open_flows(&fleet, 30).await?;
+    all_held(&mut flows, "second").await?;
+    let ran: usize = fleet.targets[..3].iter().map(|target| target.ran().len()).sum();
+    assert_eq!((ran, fleet.targets[3].ran().len()), (60, 0));
+    for (number, target) in fleet.targets[..3].iter().enumerate() {
+        assert!(!target.ran().is_empty(), "target {number} got nothing");
+    }
+    for (flow, _) in flows {
+        flow.close().await;
+    }
+    // A configuration moves new flows, and a dropped route refuses them at once.
+    fleet.configure(&[(443, &[("sheets", 1)])]);
+    fleet
+        .wait_for("the new configuration on all balancers", |fleet| {
+            let has = |log: String| log.contains("\"version\":6");
+            fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
+        })
+        .await?;
+    let mut flow = open(&fleet).await?;
+    request(&mut flow, "moved").await?;
+    assert_eq!(fleet.targets[3].ran(), vec!["moved".to_owned()]);
+    let began = Instant::now();
+    assert_eq!(fleet.client.open(Fleet::route(8_080)).await.err(), Some(FlowError::Reset));
+    assert!(began.elapsed() < Duration::from_millis(1_400), "refused before the attempt ended");
+    no_packet_was_changed(&fleet);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn open_flows_survive_killed_and_stopped_balancers() -> eyre::Result<()> {
+    for hash in [RouterHash::Mod, RouterHash::Steady] {
+        let mut fleet = start(&FleetPlan { hash, ..plan() }).await?;
+        let mut flows = open_flows(&fleet, 25).await?;
+        fleet.balancers[0].kill()?;
+        all_held(&mut flows, "killed").await?;
+        fleet.balancers[0].restart()?;
+        fleet.wait_for("the killed balancer to be in", |fleet| fleet.routers.ready() == 3).await?;
+        fleet.balancers[1].signal(Signal::SIGTERM)?;
+        all_held(&mut flows, "stopped").await?;
+        let status = fleet.balancers[1].ended().await?;
+        assert!(status.success(), "a planned stop ends well: {status}");
+        all_held(&mut flows, "after").await?;
+        no_packet_was_changed(&fleet);
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn open_flows_survive_when_all_processes_are_killed() -> eyre::Result<()> {
+    let mut fleet = start(&plan()).await?;
+    let mut flows = open_flows(&fleet, 20).await?;
+    for process in fleet.balancers.iter_mut().chain(&mut fleet.agents) {
+        process.kill()?;
+    }
+    for process in fleet.balancers.iter_mut().chain(&mut fleet.agents) {
+        process.restart()?;
+    }
+    all_held(&mut flows, "after").await?;
+    no_packet_was_changed(&fleet);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn balancers_that_all_restart_while_the_store_is_down_learn_from_agents() -> eyre::Result<()>
+{
+    let mut fleet = start(&plan()).await?;
+    let mut flows = open_flows(&fleet, 10).await?;
+    fleet
+        .wait_for("the configuration on all agents", |fleet| {
+            let has = |log: String| log.contains("\"event\":\"configuration\"");
+            fleet.agents.iter().all(|agent| agent.log_text().is_ok_and(has))
+        })
+        .await?;
+    fleet.store.fail(StoreFault::Silent);
+    for balancer in &mut fleet.balancers {
+        balancer.kill()?;
+    }
+    for balancer in &mut fleet.balancers {
+        balancer.restart()?;
+    }
+    all_held(&mut flows, "down").await?;
+    let mut flow = open(&fleet).await?;
+    request(&mut flow, "new").await?;
+    // When the store comes back with news, they are taken.
+    fleet.store.fail(StoreFault::None);
+    fleet.configure(&[(443, &[("sheets", 1)])]);
+    fleet
+        .wait_for("the new configuration on all balancers", |fleet| {
+            let has = |log: String| log.contains("\"version\":6");
+            fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
+        })
+        .await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_reaches_balancers_that_the_store_does_not_serve() -> eyre::Result<()> {
+    let faults = [
+        StoreFault::Status(429),
+        StoreFault::Status(503),
+        StoreFault::Silent,
+        StoreFault::Reset,
+        StoreFault::Slow(Duration::from_millis(300)),
+    ];
+    let mut fleet = start(&plan()).await?;
+    let mut version = 3;
+    // The lowest address reads for all: refuse that one, then another.
+    for (round, fault) in faults.into_iter().enumerate() {
+        let refused = fleet.balancers[round % 2].address;
+        fleet.store.fail_for(IpAddr::V4(refused), fault);
+        fleet.configure(&[(443, &[("dispatch", 1)])]);
+        version += 3;
+        let text = format!("\"version\":{version}");
+        fleet
+            .wait_for("a change past a refused balancer", |fleet| {
+                let has = |log: String| log.contains(&text);
+                fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
+            })
+            .await?;
+        fleet.store.fail_for(IpAddr::V4(refused), StoreFault::None);
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forgotten_history_is_listed_anew() -> eyre::Result<()> {
+    let mut fleet = start(&plan()).await?;
+    fleet.store.forget_history();
+    fleet.configure(&[(443, &[("sheets", 1)])]);
+    fleet.store.forget_history();
+    fleet
+        .wait_for("the configuration behind the gap", |fleet| {
+            let has = |log: String| log.contains("\"version\":6");
+            fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
+        })
+        .await?;
+    let log = fleet.balancers[0].log_text()?;
+    assert!(log.contains("store_history_gone") || log.contains("\"source\":\"peer\""));
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_target_keeps_its_flows_and_gets_no_new_ones() -> eyre::Result<()> {
+    let fleet = start(&plan()).await?;
+    let mut flows = open_flows(&fleet, 20).await?;
+    fleet.targets[0].drain();
+    fleet.targets[1].vanish();
+    // Well within the bound of three seconds for a change.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let before: Vec<usize> = fleet.targets.iter().map(|target| target.ran().len()).collect();
+    for number in 0..20 {
+        let mut flow = open(&fleet).await?;
+        request(&mut flow, &format!("new-{number}")).await?;
+    }
+    let after: Vec<usize> = fleet.targets.iter().map(|target| target.ran().len()).collect();
+    assert_eq!((after[0], after[1], after[2]), (before[0], before[1], before[2] + 20));
+    all_held(&mut flows, "leaving").await?;
+    no_packet_was_changed(&fleet);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn openings_go_past_full_targets_and_are_refused_when_all_are_full() -> eyre::Result<()> {
+    let fleet = start(&plan()).await?;
+    let full = TargetBehaviour { takes_new: false, ..TargetBehaviour::default() };
+    fleet.targets[0].behave(full);
+    fleet.targets[1].behave(full);
+    for number in 0..15 {
+        let mut flow = open(&fleet).await?;
+        request(&mut flow, &format!("past-{number}")).await?;
+    }
+    assert_eq!(fleet.targets[2].ran().len(), 15);
+    fleet.targets[2].behave(full);
+    let began = Instant::now();
+    assert_eq!(fleet.client.open(Fleet::route(443)).await.err(), Some(FlowError::Reset));
+    assert!(began.elapsed() < Duration::from_millis(1_400), "refused before the attempt ended");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flow_that_no_target_holds_is_reset_before_its_deadline() -> eyre::Result<()> {
+    let fleet = start(&plan()).await?;
+    let (mut flow, _) = open_flows(&fleet, 1).await?.remove(0);
+    for target in &fleet.targets {
+        target.crash();
+        target.revive();
+    }
+    let began = Instant::now();
+    assert_eq!(flow.request("lost", DEADLINE).await, Err(FlowError::Reset));
+    assert!(began.elapsed() < DEADLINE);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reloads_stops_and_figures_can_be_watched() -> eyre::Result<()> {
+    let mut fleet = start(&plan()).await?;
+    open_flows(&fleet, 5).await?;
+    let balancer = &fleet.balancers[0];
+    balancer.signal(Signal::SIGHUP)?;
+    fleet.wait_for("a reload", |fleet| saw(fleet, "\"outcome\":\"unchanged\"")).await?;
+    let good = std::fs::read_to_string(&fleet.balancers[0].settings)?;
+    std::fs::write(&fleet.balancers[0].settings, "peer_port = \"seven\"\n")?;
+    fleet.balancers[0].signal(Signal::SIGHUP)?;
+    fleet.wait_for("a refusal", |fleet| saw(fleet, "\"outcome\":\"refused\"")).await?;
+    assert!(saw(&fleet, "peer_port"), "the refusal names the field");
+    let changed = good.replace("zone-a", "zone-b");
+    std::fs::write(&fleet.balancers[0].settings, changed)?;
+    fleet.balancers[0].signal(Signal::SIGHUP)?;
+    fleet.wait_for("a change", |fleet| saw(fleet, "\"outcome\":\"at_next_start\"")).await?;
+    let address = IpAddr::V4(fleet.balancers[0].address);
+    let figures = http_get(address, METRICS, "/metrics").await?;
+    for name in [
+        "weirhinge_packets_forwarded_total",
+        "weirhinge_decision_seconds_bucket",
+        "weirhinge_store_revision",
+        "weirhinge_configuration_version 3",
+    ] {
+        assert!(figures.contains(name), "{name} in {figures}");
+    }
+    let agent = IpAddr::V4(fleet.agents[0].address);
+    assert!(http_get(agent, METRICS, "/metrics").await?.contains("weirhinge_packets_delivered"));
+    assert!(http_get(agent, METRICS, "/elsewhere").await?.starts_with("HTTP/1.1 404"));
+    fleet.agents[0].signal(Signal::SIGTERM)?;
+    assert!(fleet.agents[0].ended().await?.success());
+    let log = fleet.agents[0].log_text()?;
+    assert!(log.contains("\"event\":\"stop\"") && log.contains("\"event\":\"stopped\""), "{log}");
+    Ok(())
+}
+
+fn saw(fleet: &Fleet, text: &str) -> bool {
+    fleet.balancers[0].log_text().is_ok_and(|log| log.contains(text))
+}
