Send copies of a waiting opening where it waits

Ruled out: too short a wait; the refusals came at 206 ms, not at 1.1 s.

Change: while an opening waits, its copies go to the same agent. The test failed before.

--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -62,6 +62,10 @@
             let service = service_of(context.view, &flow, agent);
             return Decision::forward(agent, service, ForwardReason::OpeningRepeated);
         }
+        if entry.has_waited {
+            let service = service_of(context.view, &flow, agent);
+            return Decision::forward(agent, service, ForwardReason::OpeningWaits);
+        }
         entry.note_tried(agent);
         self.choose_target(context, head, ForwardReason::OpeningMoved)
     }
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -475,3 +475,20 @@
     fixture.balancer.holds(flow(1), found, true, 0, LATER + 131);
     assert!(fixture.balancer.due_searches(LATER + 400).is_empty());
 }
+
+/// A copy used to go to another busy target, and its return refused the flow that
+/// waited.
+#[test]
+fn a_copy_of_a_waiting_opening_goes_where_it_waits() {
+    let mut fixture = Fixture::new(&Store::with_targets(7));
+    let head = opening(flow(1));
+    let mut decision = fixture.client(&head, LATER);
+    while !forwarded(&decision).may_wait() {
+        let from = forwarded(&decision).agent;
+        decision = fixture.returned(&head, from, ReturnReason::Busy, LATER);
+    }
+    let waits_at = forwarded(&decision).agent;
+    let copy = fixture.client(&PacketHead { acknowledgment: 1, ..head }, LATER + 200);
+    assert_eq!(forwarded(&copy).agent, waits_at);
+    assert!(forwarded(&copy).may_wait());
+}
