Give urgent routes more room at busy targets

Ruled out: holding data of open flows back at the agent; clients would send it again and the target acknowledges late.

Change: routes carry their priority; openings of a route that shares its service with a less urgent one are admitted up to 2.5 requests a slot instead of 1.5 and leave the waiting room first.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -83,6 +83,8 @@
         /// Whether an opening packet may wait at the agent until the target has
         /// room; otherwise it comes back at once from a busy target.
         may_wait: bool,
+        /// Whether an opening packet goes before others of the service.
+        urgent: bool,
         /// The packet as the client wrote it.
         #[musli(bytes)]
         packet: &'a [u8],
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -38,6 +38,8 @@
     pub port: u16,
     /// The services that share the route's new flows.
     pub parts: Vec<RoutePart>,
+    /// How urgent the route's requests are; 0 is the most urgent.
+    pub priority: u32,
 }
 
 impl Route {
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -123,9 +123,10 @@
         service in any::<u64>(),
         search in any::<bool>(),
         may_wait in any::<bool>(),
+        urgent in any::<bool>(),
         packet in prop::collection::vec(any::<u8>(), 0..1_300),
     ) {
-        let message = PeerMessage::Forward { service, search, may_wait, packet: &packet };
+        let message = PeerMessage::Forward { service, search, may_wait, urgent, packet: &packet };
         let mut buffer = Vec::new();
         encode(&message, &mut buffer).expect("encodes");
         prop_assert_eq!(decode::<PeerMessage<'_>>(&buffer).expect("decodes"), message);
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -161,7 +161,7 @@
     fn peer_message(&self, datagram: &[u8], sender: Ipv4Addr) {
         match decode(datagram) {
             Ok(PeerMessage::Digest(digest)) => self.link.on_digest(&digest, sender),
-            Ok(PeerMessage::Forward { service, search, may_wait, packet }) => {
+            Ok(PeerMessage::Forward { service, search, may_wait, urgent, packet }) => {
                 match self.platform.decode(packet) {
                     Ok(head) => self.deliver(&Arrival {
                         head: &head,
@@ -170,6 +170,7 @@
                         service: ServiceId(service),
                         search,
                         may_wait,
+                        urgent,
                     }),
                     Err(malformed) => self.metrics.dropped.increment(malformed.label()),
                 }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -235,6 +235,7 @@
                     service: forward.service.0,
                     search: forward.is_search(),
                     may_wait: forward.may_wait(),
+                    urgent: forward.urgent,
                     packet,
                 };
                 self.link.send(forward.agent, &message);
--- a/crates/steering/src/agent.rs
+++ b/crates/steering/src/agent.rs
@@ -21,6 +21,10 @@
 /// A request without an answer for this long no longer counts: its client gave up
 /// or its answer was not seen.
 const LONGEST_REQUEST_MS: Millis = 3_000;
+/// Requests in hand, in percent of the slots, at which new flows wait.
+const ROOM_PERCENT: u32 = 150;
+/// The same for flows of urgent routes.
+const URGENT_ROOM_PERCENT: u32 = 250;
 /// Most opening packets that wait for room.
 const WAITING_OPENINGS: usize = 128;
 /// Longest wait of an opening packet. The client gives an attempt up after 1.4 s.
@@ -41,6 +45,8 @@
     pub search: bool,
     /// Whether an opening packet may wait until the target has room.
     pub may_wait: bool,
+    /// Whether an opening packet goes before others.
+    pub urgent: bool,
 }
 
 /// An opening packet that waited for room.
@@ -52,6 +58,7 @@
     pub packet: Vec<u8>,
     /// The balancer that sent it.
     pub balancer: Ipv4Addr,
+    urgent: bool,
     arrived_at: Millis,
 }
 
@@ -164,9 +171,8 @@
     expectations: VecDeque<(Millis, FlowKey)>,
     /// Opening packets that wait for room, the newest last.
     openings: VecDeque<WaitedOpening>,
-    /// Requests and expected ones at which a target counts as busy; none if its
-    /// size is not known.
-    room: Option<u32>,
+    /// Requests that the target works on at once; none if not known.
+    slots: Option<u32>,
     leaving: bool,
 }
 
@@ -182,7 +188,7 @@
             expected: 0,
             expectations: VecDeque::new(),
             openings: VecDeque::new(),
-            room: None,
+            slots: None,
             leaving: false,
         }
     }
@@ -204,8 +210,7 @@
 
     /// Notes how many requests the target works on at once.
     pub fn set_slots(&mut self, slots: u32) {
-        // A short queue at the target keeps it at work; a longer one only ages.
-        self.room = Some(slots + slots.div_ceil(2));
+        self.slots = Some(slots);
     }
 
     /// Decides about a client's packet that a balancer sent.
@@ -217,7 +222,8 @@
             if self.leaving {
                 return DeliveryDecision::Return(ReturnReason::Leaving);
             }
-            if self.is_busy() && !self.flows.contains_key(&arrival.head.client_flow()) {
+            let is_new = !self.flows.contains_key(&arrival.head.client_flow());
+            if is_new && self.is_busy_for(arrival.urgent) {
                 return self.busy_opening(arrival, now);
             }
         }
@@ -236,10 +242,12 @@
         if let Some(place) = self.openings.iter().position(is_over) {
             return self.openings.remove(place).map(WaitOutcome::Return);
         }
-        if self.is_busy() {
+        let urgent = self.openings.iter().rposition(|opening| opening.urgent);
+        let place = urgent.or_else(|| self.openings.len().checked_sub(1))?;
+        if self.is_busy_for(urgent.is_some()) {
             return None;
         }
-        let opening = self.openings.pop_back()?;
+        let opening = self.openings.remove(place)?;
         let echo = self.admit(&opening.head, opening.balancer, false, now);
         Some(WaitOutcome::Deliver(opening, echo))
     }
@@ -259,6 +267,7 @@
             head: *arrival.head,
             packet: arrival.packet.to_vec(),
             balancer: arrival.balancer,
+            urgent: arrival.urgent,
             arrived_at: now,
         };
         // A copy belongs to a flow that is late already.
@@ -270,8 +279,13 @@
         DeliveryDecision::Wait
     }
 
-    fn is_busy(&self) -> bool {
-        self.room.is_some_and(|room| self.waiting + self.expected >= room)
+    /// Whether new flows must wait. A short queue at the target keeps it at work, a
+    /// longer one only ages; urgent flows may make it longer, as requests on flows
+    /// that are open already cannot be kept from going before them.
+    fn is_busy_for(&self, urgent: bool) -> bool {
+        let percent = if urgent { URGENT_ROOM_PERCENT } else { ROOM_PERCENT };
+        let is_full = |slots: u32| (self.waiting + self.expected) * 100 >= slots * percent;
+        self.slots.is_some_and(is_full)
     }
 
     fn admit(&mut self, head: &PacketHead, balancer: Ipv4Addr, search: bool, now: Millis) -> u32 {
--- a/crates/steering/src/balancer/decision.rs
+++ b/crates/steering/src/balancer/decision.rs
@@ -109,6 +109,8 @@
     pub agent: Ipv4Addr,
     /// The service that the agent must stand for.
     pub service: ServiceId,
+    /// Whether an opening packet goes before others of the service.
+    pub urgent: bool,
     /// Why this agent.
     pub reason: ForwardReason,
     /// What was weighed, if a target was chosen by load.
@@ -146,6 +148,6 @@
 impl Decision {
     /// Forwards a packet to an agent that was not chosen by load.
     pub(super) fn forward(agent: Ipv4Addr, service: ServiceId, reason: ForwardReason) -> Self {
-        Decision::Forward(Forward { agent, service, reason, inputs: None })
+        Decision::Forward(Forward { agent, service, urgent: false, reason, inputs: None })
     }
 }
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -130,7 +130,9 @@
         };
         self.statuses.sent_opening(chosen.agent, now);
         self.go_to(flow, chosen.agent, FlowStage::Opening, now);
-        Decision::Forward(Forward { agent: chosen.agent, service, reason, inputs: Some(inputs) })
+        let urgent = route.is_urgent();
+        let agent = chosen.agent;
+        Decision::Forward(Forward { agent, service, urgent, reason, inputs: Some(inputs) })
     }
 
     /// The outcome for an opening packet that no untried target can get.
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RouteChoice {
     parts: Vec<(ServiceId, u32)>,
+    priority: u32,
+    urgent: bool,
 }
 
 impl RouteChoice {
@@ -36,6 +38,11 @@
         None
     }
 
+    /// Whether the route's requests go before those of another route of its service.
+    pub fn is_urgent(&self) -> bool {
+        self.urgent
+    }
+
     /// All services of the route.
     pub fn services(&self) -> impl Iterator<Item = ServiceId> {
         self.parts.iter().map(|(service, _)| *service)
@@ -87,8 +94,10 @@
         for route in &configuration.routes {
             let parts = route.parts.iter();
             let parts = parts.map(|part| (ServiceId::of(&part.service), part.weight)).collect();
-            view.routes.insert(route.endpoint(), RouteChoice { parts });
+            let choice = RouteChoice { parts, priority: route.priority, urgent: false };
+            view.routes.insert(route.endpoint(), choice);
         }
+        mark_urgent_routes(&mut view.routes);
         view
     }
 
@@ -118,6 +127,21 @@
     }
 }
 
+/// Marks the routes that share a service with a less urgent one.
+fn mark_urgent_routes(routes: &mut HashMap<SocketAddrV4, RouteChoice>) {
+    let mut least_urgent: HashMap<ServiceId, u32> = HashMap::new();
+    for route in routes.values() {
+        for service in route.services() {
+            let least = least_urgent.entry(service).or_default();
+            *least = route.priority.max(*least);
+        }
+    }
+    for route in routes.values_mut() {
+        let least = route.services().filter_map(|service| least_urgent.get(&service)).max();
+        route.urgent = least.is_some_and(|least| route.priority < *least);
+    }
+}
+
 /// Targets by service; of several records of one machine the newest counts, as
 /// an address that was used again belongs to its new user alone.
 fn compile_services(replica: &Replica) -> HashMap<ServiceId, Vec<Candidate>> {
--- a/crates/steering/tests/agent.rs
+++ b/crates/steering/tests/agent.rs
@@ -23,6 +23,7 @@
         service: ServiceId::of(SERVICE),
         search: false,
         may_wait: false,
+        urgent: false,
     }
 }
 
@@ -272,3 +273,30 @@
     };
     assert_eq!(delivered.head.client_flow(), flow(51));
 }
+
+/// Requests on open flows cannot be kept back, so that in a burst approvals, which
+/// open a flow each, waited for feeds.
+#[test]
+fn urgent_openings_find_room_where_others_wait_and_go_first() {
+    let mut beside = new_agent();
+    fill(&mut beside);
+    let urgent = |port| opening(flow(port));
+    let head = urgent(60);
+    let decision = beside.delivery(&Arrival { urgent: true, ..arrival(&head) }, 0);
+    assert!(matches!(decision, DeliveryDecision::Deliver { .. }));
+    // Ten in hand are too many for urgent ones too.
+    for port in 61..64 {
+        deliver(&mut beside, &request(port, 0), 0);
+    }
+    for (port, urgent) in [(70, true), (71, false)] {
+        let head = opening(flow(port));
+        beside.delivery(&Arrival { may_wait: true, urgent, ..arrival(&head) }, 1);
+    }
+    assert_eq!(beside.next_outcome(2), None);
+    beside.output(&answer(flow(0)), 3);
+    let Some(WaitOutcome::Deliver(first, _)) = beside.next_outcome(3) else {
+        panic!("expected a delivery");
+    };
+    assert_eq!(first.head.client_flow(), flow(70));
+    assert_eq!(beside.next_outcome(4), None);
+}
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -492,3 +492,22 @@
     assert_eq!(forwarded(&copy).agent, waits_at);
     assert!(forwarded(&copy).may_wait());
 }
+
+#[test]
+fn a_route_is_urgent_beside_a_less_urgent_one_of_its_service_alone() {
+    use weirhinge_fleet::{Route, RoutePart};
+    let route = |port: u16, service: &str, priority: u32| Route {
+        address: support::endpoint().ip().to_bits(),
+        port,
+        parts: vec![RoutePart { service: service.to_owned(), weight: 1 }],
+        priority,
+    };
+    let mut store = Store::with_targets(3);
+    store.configure(vec![route(443, SERVICE, 1), route(444, SERVICE, 2), route(445, OTHER, 1)]);
+    let view = store.view();
+    let urgent = |port| {
+        let endpoint = std::net::SocketAddrV4::new(*support::endpoint().ip(), port);
+        view.route(endpoint).expect("a route").is_urgent()
+    };
+    assert_eq!([urgent(443), urgent(444), urgent(445)], [true, false, false]);
+}
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -79,6 +79,7 @@
             address: endpoint().ip().to_bits(),
             port: endpoint().port(),
             parts: parts.collect(),
+            priority: 2,
         };
         self.configure(vec![route]);
     }
