Ask peers that have no news for a digest, and do not take a pause for a cut

Agents forgot balancers after 6 s of silence, as a balancer that has no news says nothing; those that are no seeds were then told nothing at all.

Change: a digest asks for one in return after 2 s of silence; a balancer that stood still itself does not judge by what it has not read yet. A test with real processes failed before (four balancers, nine quiet seconds).

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -8,6 +8,8 @@
 
 /// A peer that was silent for this long is taken for gone.
 pub const PEER_LIFETIME_MS: Millis = 6_000;
+/// A peer that was silent for this long is asked for a digest.
+const ASK_AFTER_MS: Millis = 2_000;
 /// Most peers remembered of each role; the rest are reached through others.
 const MAXIMUM_PEERS: usize = 512;
 /// Most addresses that one digest names.
@@ -59,6 +61,13 @@
         self.peers.remove(&address);
     }
 
+    /// Whether a peer was silent so long that it is to be asked for a digest. Peers
+    /// that have no news say nothing by themselves.
+    pub fn is_due(&self, address: Ipv4Addr, now: Millis) -> bool {
+        let heard_at = self.peers.get(&address).and_then(|peer| peer.heard_at);
+        heard_at.is_none_or(|heard_at| now.saturating_sub(heard_at) >= ASK_AFTER_MS)
+    }
+
     /// Drops peers that were silent too long.
     pub fn expire(&mut self, now: Millis) {
         self.peers.retain(|_, peer| {
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -142,3 +142,14 @@
         let _ = decode::<weirhinge_fleet::Update>(&framed);
     }
 }
+
+#[test]
+fn a_peer_without_news_is_asked_long_before_it_is_forgotten() {
+    let mut peers = PeerTable::new(OWN, []);
+    assert!(peers.is_due(address(1), 0));
+    peers.heard(&digest(address(1), false), 0);
+    assert!(!peers.is_due(address(1), 1_900));
+    assert!(peers.is_due(address(1), 2_000));
+    peers.expire(2_500);
+    assert_eq!(peers.balancers().count(), 1);
+}
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -36,6 +36,8 @@
 const SEARCH_POLL: Duration = Duration::from_millis(50);
 /// How often the reach of agents is looked at.
 const ISOLATION_POLL: Duration = Duration::from_millis(100);
+/// A poll this late means that this process itself stood still.
+const PAUSED_MS: Millis = 300;
 /// Routers ask twice a second and stop sending after two misses.
 const ROUTERS_LEAVE_MS: Millis = 1_300;
 /// Silence after which routers are believed to have stopped sending.
@@ -294,9 +296,17 @@
 
     /// Is not ready while cut off from all agents, so that routers use others.
     async fn watch_isolation(self: Rc<Self>, status: Status, log: Logger) {
+        let mut polled_at = self.clock.now();
         loop {
             tokio::time::sleep(ISOLATION_POLL).await;
-            let isolated = self.core.borrow().is_isolated(self.clock.now());
+            let now = self.clock.now();
+            let paused = now.saturating_sub(polled_at) >= PAUSED_MS;
+            polled_at = now;
+            if paused {
+                // What arrived during the pause is still unread.
+                continue;
+            }
+            let isolated = self.core.borrow().is_isolated(now);
             if status.set_isolated(isolated) {
                 info!(log, "balancer: reach of agents changed"; "event" => "isolation",
                     "isolated" => isolated);
--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node.rs
@@ -175,8 +175,9 @@
         choose(&self.view.agents(), AGENTS_ASKED)
     }
 
-    /// Peers that get this daemon's digest at a tick.
-    pub fn tick_receivers(&mut self, now: Millis) -> Vec<Ipv4Addr> {
+    /// Peers that get this daemon's digest at a tick, each with whether it is asked
+    /// for its own.
+    pub fn tick_receivers(&mut self, now: Millis) -> Vec<(Ipv4Addr, bool)> {
         self.peers.expire(now);
         let balancers: Vec<Ipv4Addr> = self.peers.balancers().collect();
         let contacts = match self.role {
@@ -189,7 +190,9 @@
         receivers.extend(choose(&silent, asked));
         receivers.sort();
         receivers.dedup();
-        receivers
+        let knows_nothing = self.replica.revision() == 0;
+        let ask = |receiver| knows_nothing || self.peers.is_due(receiver, now);
+        receivers.into_iter().map(|receiver| (receiver, ask(receiver))).collect()
     }
 
     fn note_freshness(&mut self, now: Millis) {
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -137,8 +137,7 @@
             node.check_freshness(now);
             node.tick_receivers(now)
         };
-        let ask = self.node.borrow().revision() == 0;
-        for receiver in receivers {
+        for (receiver, ask) in receivers {
             self.send_digest(receiver, ask);
         }
         self.update_gauges();
--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -312,3 +312,17 @@
 fn saw(fleet: &Fleet, text: &str) -> bool {
     fleet.balancers[0].log_text().is_ok_and(|log| log.contains(text))
 }
+
+/// Agents once forgot balancers that had nothing new to tell them, and balancers
+/// without traffic took that for being cut off.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quiet_fleet_stays_in_touch() -> eyre::Result<()> {
+    let fleet = start(&FleetPlan { balancers: 4, ..plan() }).await?;
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    for balancer in &fleet.balancers {
+        let log = balancer.log_text()?;
+        assert!(!log.contains("\"event\":\"isolation\""), "{}: {log}", balancer.address);
+    }
+    assert_eq!(fleet.routers.ready(), 4);
+    Ok(())
+}
