Explain requests from logs, check relay settings, and never wait for a log reader

Cause: an engineer with the logs alone had to join lines of many machines by hand; a process whose output nobody read could not end, because dropping the logger waits for the thread that writes.

Ruled out: a shorter queue alone, which still waits at the end.

Change: weirhinge explain tells a request, flow or machine across logs and corrects clock differences by openings and their answers; weirhinge check knows relay settings; lines without room are counted and served as a metric, the queue is 1,024 lines, and the end waits 300 ms for the writer. One fetch a revision instead of one from each peer that has it.

--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -4,7 +4,9 @@
 mod admin;
 mod logging;
 mod metrics;
+mod story;
 
 pub use admin::{AdminServer, BoundAddresses, Health, HealthSource, start_admin};
-pub use logging::{LogFormat, LogOptions, LogOutput, build_logger};
+pub use logging::{LogFormat, LogOptions, LogOutput, Logging};
 pub use metrics::{Counter, Gauge, Histogram, Metrics, ReasonCounters};
+pub use story::{LogLine, Story, StoryLine, Subject};
--- a/crates/observe/src/logging.rs
+++ b/crates/observe/src/logging.rs
@@ -4,13 +4,21 @@
 //! `balancer: ` or `agent: `; what varies goes into key-value pairs.
 
 use std::str::FromStr;
+use std::sync::mpsc;
+use std::time::Duration;
 
 use eyre::eyre;
-use slog::{Drain, Level, Logger, o};
+use slog::{Drain, Level, Logger, OwnedKVList, Record, o};
+use slog_async::{AsyncCore, AsyncGuard};
+
+use crate::metrics::Counter;
 
 /// Messages that may wait to be written; more are counted and dropped rather
 /// than slow the data path.
-const CHANNEL_SIZE: usize = 4_096;
+const CHANNEL_SIZE: usize = 1_024;
+
+/// Longest wait for the last lines when a process ends.
+const FINISH_LIMIT: Duration = Duration::from_millis(300);
 
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -70,26 +78,71 @@
     }
 }
 
-/// Builds a logger.
-pub fn build_logger(options: LogOptions) -> Logger {
-    match options.format {
-        LogFormat::Terminal => {
-            let decorator = slog_term::TermDecorator::new().stderr().build();
-            let drain = slog_term::FullFormat::new(decorator).build().fuse();
-            asynchronous(drain, options.level)
-        }
-        LogFormat::Json => {
-            let drain = slog_json::Json::default(options.output.writer()).fuse();
-            asynchronous(drain, options.level)
+/// A running logger and the thread that writes for it.
+pub struct Logging {
+    /// The process's logger; copies of it are cheap.
+    pub log: Logger,
+    /// Lines that found no room because the output was not read fast enough.
+    pub lost: Counter,
+    guard: AsyncGuard,
+}
+
+impl Logging {
+    /// Starts the thread that writes.
+    pub fn start(options: LogOptions) -> Self {
+        match options.format {
+            LogFormat::Terminal => {
+                let decorator = slog_term::TermDecorator::new().stderr().build();
+                let drain = slog_term::FullFormat::new(decorator).build().fuse();
+                Self::start_with(drain, options.level)
+            }
+            LogFormat::Json => {
+                let drain = slog_json::Json::default(options.output.writer()).fuse();
+                Self::start_with(drain, options.level)
+            }
         }
     }
+
+    /// Writes what still waits, but for no longer than a moment: an output that
+    /// nobody reads must not keep the process from ending.
+    pub fn finish(self) {
+        let (sender, finished) = mpsc::channel();
+        std::thread::spawn(move || {
+            // Dropping the guard waits for the thread that writes.
+            drop(self.guard);
+            // Nobody may wait any more.
+            let _ = sender.send(());
+        });
+        // In time or not, the process ends now.
+        let _ = finished.recv_timeout(FINISH_LIMIT);
+    }
+
+    fn start_with<D>(drain: D, level: Level) -> Self
+    where
+        D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+    {
+        let (core, guard) = AsyncCore::custom(drain).chan_size(CHANNEL_SIZE).build_with_guard();
+        let lost = Counter::default();
+        let drain = CountingDrain { core, lost: lost.clone() };
+        let log = Logger::root(drain.filter_level(level).fuse(), o!());
+        Self { log, lost, guard }
+    }
+}
+
+/// Hands records to the thread that writes, and counts those without room.
+struct CountingDrain {
+    core: AsyncCore,
+    lost: Counter,
 }
 
-fn asynchronous<D>(drain: D, level: Level) -> Logger
-where
-    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
-{
-    let drain =
-        slog_async::Async::new(drain).chan_size(CHANNEL_SIZE).build().filter_level(level).fuse();
-    Logger::root(drain, o!())
+impl Drain for CountingDrain {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+        if self.core.log(record, values).is_err() {
+            self.lost.inc();
+        }
+        Ok(())
+    }
 }
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -58,6 +58,11 @@
         counter
     }
 
+    /// Declares a counter that counts already.
+    pub fn adopt_counter(&mut self, name: &str, help: &str, counter: Counter) {
+        self.registry.register(name, help, counter);
+    }
+
     /// Declares a gauge.
     pub fn gauge(&mut self, name: &str, help: &str) -> Gauge {
         let gauge = Gauge::default();
--- /dev/null
+++ b/crates/observe/tests/story.rs
@@ -0,0 +1,69 @@
+//! Stories of requests from the logs of machines whose clocks differ.
+
+use weirhinge_observe::{Story, Subject};
+
+const FLOW: &str = "100.64.0.7:40001>198.18.0.1:443";
+
+fn line(node: &str, second: u32, event: &str, fields: &str) -> String {
+    format!(
+        "{{\"ts\":\"2026-01-01T00:00:{second:02}.500Z\",\"node\":\"{node}\",\
+         \"event\":\"{event}\",\"msg\":\"m\"{fields}}}"
+    )
+}
+
+fn flow_field(flow: &str) -> String {
+    format!(",\"flow\":\"{flow}\"")
+}
+
+/// A balancer, and an agent whose clock is twenty seconds ahead.
+fn logs() -> Story {
+    let flow = flow_field(FLOW);
+    let agent = ",\"agent\":\"10.0.0.9\"";
+    let balancer = [
+        line("b", 1, "opening", &format!("{flow}{agent}")),
+        line("b", 2, "request", &format!("{flow}{agent},\"request\":\"r-1\"")),
+        line("b", 3, "request", &format!("{flow}{agent},\"request\":\"r-2\"")),
+        line("b", 3, "opening", &flow_field("100.64.0.8:1>198.18.0.1:443")),
+        line("b", 5, "reset", &format!("{flow},\"outcome\":\"nobody_holds\"")),
+        line("b", 30, "search", &flow),
+    ];
+    let agent = [
+        line("a", 19, "start", ",\"address\":\"10.0.0.9\""),
+        line("a", 21, "answered", &flow),
+        line("a", 24, "returned", &format!("{flow},\"outcome\":\"bounced\"")),
+    ];
+    let mut story = Story::default();
+    story.read(&balancer.join("\n"));
+    story.read(&agent.join("\n"));
+    story
+}
+
+fn events(story: &Story, subject: &Subject) -> Vec<String> {
+    story.tell(subject).into_iter().map(|told| told.line.event).collect()
+}
+
+#[test]
+fn a_request_is_told_across_machines_in_the_right_order() {
+    let story = logs();
+    assert_eq!(story.clock_offsets().get("a"), Some(&20_000));
+    let told = events(&story, &Subject::Request("r-1".to_owned()));
+    assert_eq!(told, ["opening", "answered", "request", "returned", "reset"]);
+}
+
+#[test]
+fn a_flow_and_a_machine_are_told_whole() {
+    let story = logs();
+    let flow = events(&story, &Subject::Flow(FLOW.to_owned()));
+    assert_eq!(flow.len(), 7);
+    assert_eq!(events(&story, &Subject::Node("a".to_owned())).len(), 3);
+    assert!(events(&story, &Subject::Request("unknown".to_owned())).is_empty());
+}
+
+#[test]
+fn text_before_a_line_is_passed_over_and_noise_is_counted() {
+    let mut story = Story::default();
+    story.read(&format!("  12.5 machine-1 {}\n", line("b", 1, "start", "")));
+    story.read("no line at all\n{\"ts\":\"later\"}\n{broken\n\n");
+    assert_eq!(story.unreadable(), 3);
+    assert_eq!(events(&story, &Subject::Node("b".to_owned())), ["start"]);
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -22,7 +22,7 @@
 use crate::link::PeerLink;
 use crate::metrics::{AgentMetrics, FleetMetrics};
 use crate::platform::Platform;
-use crate::process::Signals;
+use crate::process::{ProcessLog, Signals};
 use crate::settings::{AgentSettings, RawSettings};
 use crate::status::{Status, serve_status};
 
@@ -73,14 +73,16 @@
     platform: P,
     settings: AgentSettings,
     settings_file: String,
-    log: Logger,
+    process_log: ProcessLog,
     mut signals: Signals,
 ) -> eyre::Result<()> {
     let clock = Clock::start();
     let common = settings.common.clone();
+    let log = clock.label(&process_log.log, &common.name);
     let mut metrics = Metrics::new();
     let agent_metrics = AgentMetrics::declare(&mut metrics);
     let fleet_metrics = FleetMetrics::declare(&mut metrics);
+    metrics.adopt_counter("log_lines_lost", "Log lines without room", process_log.lost);
     let metrics = metrics.freeze();
     let node = FleetNode::new(common.address, PeerRole::Agent, &common.seeds, log.clone());
     let node = Rc::new(RefCell::new(node));
@@ -121,8 +123,8 @@
         move || RawSettings::from_file(&file)?.into_agent(&file).map(|new| new == settings)
     };
     tokio::task::spawn_local(crate::reload::watch(signals.clone(), log.clone(), recheck));
-    info!(log, "agent: started"; "event" => "start", "name" => &common.name,
-        "zone" => &common.zone, "service" => &settings.service,
+    info!(log, "agent: started"; "event" => "start", "zone" => &common.zone,
+        "address" => common.address.to_string(), "service" => &settings.service,
         "target" => settings.target.to_string());
     signals.stopped().await;
     status.stop();
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -21,7 +21,7 @@
 use crate::link::PeerLink;
 use crate::metrics::{BalancerMetrics, FleetMetrics, StoreMetrics};
 use crate::platform::Platform;
-use crate::process::Signals;
+use crate::process::{ProcessLog, Signals};
 use crate::settings::{BalancerSettings, RawSettings};
 use crate::status::{Status, serve_status};
 use crate::store::StoreReader;
@@ -68,15 +68,17 @@
     platform: P,
     settings: BalancerSettings,
     settings_file: String,
-    log: Logger,
+    process_log: ProcessLog,
     mut signals: Signals,
 ) -> eyre::Result<()> {
     let clock = Clock::start();
     let common = settings.common.clone();
+    let log = clock.label(&process_log.log, &common.name);
     let mut metrics = Metrics::new();
     let balancer_metrics = BalancerMetrics::declare(&mut metrics);
     let fleet_metrics = FleetMetrics::declare(&mut metrics);
     let store_metrics = StoreMetrics::declare(&mut metrics);
+    metrics.adopt_counter("log_lines_lost", "Log lines without room", process_log.lost);
     let metrics = metrics.freeze();
     let node = FleetNode::new(common.address, PeerRole::Balancer, &common.seeds, log.clone());
     let node = Rc::new(RefCell::new(node));
@@ -115,8 +117,7 @@
         move || RawSettings::from_file(&file)?.into_balancer(&file).map(|new| new == settings)
     };
     tokio::task::spawn_local(crate::reload::watch(signals.clone(), log.clone(), recheck));
-    info!(log, "balancer: started"; "event" => "start", "name" => &common.name,
-        "zone" => &common.zone, "address" => common.address.to_string());
+    info!(log, "balancer: started"; "event" => "start", "zone" => &common.zone, "address" => common.address.to_string());
     signals.stopped().await;
     status.stop();
     info!(log, "balancer: stopping"; "event" => "stop", "flows" => daemon.flow_count());
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -7,7 +7,7 @@
 use eyre::WrapErr;
 use slog::{Logger, warn};
 use tokio::net::UdpSocket;
-use weirhinge_fleet::{Digest, MessageError, PeerMessage, encode};
+use weirhinge_fleet::{Digest, MessageError, Millis, PeerMessage, encode};
 
 use crate::clock::Clock;
 use crate::fleet_node::FleetNode;
@@ -15,8 +15,8 @@
 use crate::peer_stream;
 use crate::settings::CommonSettings;
 
-/// Most fetches under way at once.
-const MAXIMUM_FETCHES: u32 = 2;
+/// A fetch that has not brought its revision for this long is tried elsewhere.
+const FETCH_PATIENCE_MS: Millis = 150;
 
 /// This daemon's end of the conversation with its peers.
 pub struct PeerLink {
@@ -27,7 +27,8 @@
     metrics: FleetMetrics,
     log: Logger,
     buffer: RefCell<Vec<u8>>,
-    fetches: Cell<u32>,
+    /// The revision last fetched for, and since when.
+    wanted: Cell<(u64, Millis)>,
 }
 
 impl PeerLink {
@@ -60,7 +61,7 @@
             metrics,
             log,
             buffer: RefCell::new(Vec::new()),
-            fetches: Cell::new(0),
+            wanted: Cell::new((0, 0)),
         }))
     }
 
@@ -106,7 +107,7 @@
             self.send_digest(sender, false);
         }
         if reaction.fetch {
-            self.fetch(sender);
+            self.fetch(sender, digest.revision, now);
         }
         if reaction.spread {
             self.spread_news();
@@ -148,16 +149,15 @@
         self.send(peer, &PeerMessage::Digest(digest));
     }
 
-    fn fetch(self: &Rc<Self>, peer: Ipv4Addr) {
-        if self.fetches.get() >= MAXIMUM_FETCHES {
+    /// Fetches what a peer knows, unless the same is on its way from another.
+    fn fetch(self: &Rc<Self>, peer: Ipv4Addr, revision: u64, now: Millis) {
+        let (wanted, since) = self.wanted.get();
+        if revision <= wanted && now.saturating_sub(since) < FETCH_PATIENCE_MS {
             return;
         }
-        self.fetches.set(self.fetches.get() + 1);
+        self.wanted.set((revision, now));
         let link = Rc::clone(self);
-        tokio::task::spawn_local(async move {
-            link.fetch_from(peer).await;
-            link.fetches.set(link.fetches.get() - 1);
-        });
+        tokio::task::spawn_local(async move { link.fetch_from(peer).await });
     }
 
     async fn fetch_from(&self, peer: Ipv4Addr) {
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -1,9 +1,20 @@
 //! Starts a daemon's runtime and turns signals into notices.
 
 use eyre::WrapErr;
+use slog::Logger;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
+use weirhinge_observe::Counter;
+
+/// Where a daemon logs to.
+#[derive(Clone, Debug)]
+pub struct ProcessLog {
+    /// The logger.
+    pub log: Logger,
+    /// Lines that found no room.
+    pub lost: Counter,
+}
 
 /// Signals of one process, as values that every task can wait for.
 #[derive(Clone, Debug)]
--- a/crates/weirhinge/src/cli/check.rs
+++ b/crates/weirhinge/src/cli/check.rs
@@ -4,6 +4,7 @@
 use weirhinge_config::parse::{self, ConfigError};
 use weirhinge_config::settings::RawSettings;
 use weirhinge_config::{ConfigDocument, Keys};
+use weirhinge_relay::RawSettings as RelaySettings;
 
 use super::CliFailure;
 use super::daemon::refuse_rest;
@@ -15,7 +16,8 @@
   weirhinge check FILE
 
 FILE is a configuration document (TOML, or JSON if its name ends in .json), a
-settings file of a balancer or an agent, or a keys file; its fields tell which.
+settings file of a balancer or an agent, of either in relay mode, or a keys file;
+its fields tell which.
 ";
 
 /// What a file turned out to be.
@@ -25,6 +27,8 @@
     Keys,
     AgentSettings,
     BalancerSettings,
+    RelayAgentSettings,
+    RelayBalancerSettings,
 }
 
 /// Runs the command.
@@ -55,6 +59,12 @@
         FileKind::AgentSettings => parse::from_toml::<RawSettings>(file, &text)?
             .into_agent(file)
             .map(|settings| format!("valid agent settings for {}", settings.target)),
+        FileKind::RelayAgentSettings => parse::from_toml::<RelaySettings>(file, &text)?
+            .into_agent(file)
+            .map(|settings| format!("valid relay agent settings for {}", settings.service)),
+        FileKind::RelayBalancerSettings => parse::from_toml::<RelaySettings>(file, &text)?
+            .into_balancer(file)
+            .map(|settings| format!("valid relay balancer settings in {}", settings.common.zone)),
         FileKind::BalancerSettings => parse::from_toml::<RawSettings>(file, &text)?
             .into_balancer(file)
             .map(|settings| format!("valid balancer settings in zone {}", settings.common.zone)),
@@ -78,6 +88,12 @@
             line.strip_prefix(field).is_some_and(|rest| rest.trim_start().starts_with('='))
         })
     };
+    if has("peer_port") || has("readiness") {
+        return match has("target") || has("target_output") {
+            true => FileKind::RelayAgentSettings,
+            false => FileKind::RelayBalancerSettings,
+        };
+    }
     if has("revision") || text.contains("[[services]]") || text.contains("[[targets]]") {
         FileKind::Document
     } else if has("flow_hash") {
--- a/crates/weirhinge/src/cli/daemon.rs
+++ b/crates/weirhinge/src/cli/daemon.rs
@@ -8,7 +8,7 @@
 use slog::Logger;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use weirhinge_config::settings::RawSettings;
-use weirhinge_observe::{BoundAddresses, LogFormat, LogOptions, build_logger};
+use weirhinge_observe::{BoundAddresses, LogFormat, LogOptions, Logging};
 
 use super::CliFailure;
 
@@ -111,7 +111,8 @@
     F: FnOnce(Logger, StopSignal) -> Fut,
     Fut: Future<Output = eyre::Result<()>>,
 {
-    let logger = build_logger(log);
+    let logging = Logging::start(log);
+    let logger = logging.log.clone();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
@@ -124,6 +125,7 @@
     });
     // Tasks of cut flows must not hold the process up.
     runtime.shutdown_background();
+    logging.finish();
     result.map_err(CliFailure::Runtime)
 }
 
--- /dev/null
+++ b/crates/weirhinge/src/cli/explain.rs
@@ -0,0 +1,102 @@
+//! `weirhinge explain`.
+
+use std::io::Read;
+use std::time::{Duration, UNIX_EPOCH};
+
+use eyre::WrapErr;
+use pico_args::Arguments;
+use serde_json::Value;
+use weirhinge_observe::{Story, StoryLine, Subject};
+
+use super::CliFailure;
+use super::daemon::option;
+
+const USAGE: &str = "\
+weirhinge explain: tell from logs what happened
+
+USAGE:
+  weirhinge explain --request ID [FILE...]
+  weirhinge explain --flow CLIENT:PORT>ADDRESS:PORT [FILE...]
+  weirhinge explain --node NAME [FILE...]
+
+Reads the logs of any number of machines, from files or standard input, and
+prints the lines about the subject in order of time. Differences between the
+machines' clocks are estimated from the lines and corrected. Lines that cannot
+be read are counted.
+";
+
+/// Fields that every line has, or that its head already shows.
+const SHOWN_IN_HEAD: [&str; 6] = ["ts", "level", "node", "event", "msg", "up_ms"];
+
+/// Runs the command.
+pub fn run(mut arguments: Arguments) -> Result<(), CliFailure> {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{USAGE}");
+        return Ok(());
+    }
+    let subject = read_subject(&mut arguments)?;
+    let files: Vec<String> =
+        arguments.finish().into_iter().map(|file| file.to_string_lossy().into_owned()).collect();
+    if let Some(flag) = files.iter().find(|file| file.starts_with('-')) {
+        return Err(CliFailure::usage(format!("argument {flag:?}: not known, see --help")));
+    }
+    let mut story = Story::default();
+    read_logs(&files, &mut story).map_err(CliFailure::Runtime)?;
+    let told = story.tell(&subject);
+    for line in &told {
+        println!("{}", format_line(line));
+    }
+    print_summary(&story, told.len());
+    Ok(())
+}
+
+fn read_subject(arguments: &mut Arguments) -> Result<Subject, CliFailure> {
+    let request: Option<String> = option(arguments, "--request")?;
+    let flow: Option<String> = option(arguments, "--flow")?;
+    let node: Option<String> = option(arguments, "--node")?;
+    match (request, flow, node) {
+        (Some(id), None, None) => Ok(Subject::Request(id)),
+        (None, Some(flow), None) => Ok(Subject::Flow(flow)),
+        (None, None, Some(node)) => Ok(Subject::Node(node)),
+        _ => Err(CliFailure::usage(format!(
+            "subject: expected one of --request, --flow and --node\n\n{USAGE}"
+        ))),
+    }
+}
+
+fn read_logs(files: &[String], story: &mut Story) -> eyre::Result<()> {
+    if files.is_empty() {
+        let mut bytes = Vec::new();
+        std::io::stdin().read_to_end(&mut bytes).wrap_err("read standard input")?;
+        story.read(&String::from_utf8_lossy(&bytes));
+    }
+    for file in files {
+        let bytes = std::fs::read(file).wrap_err_with(|| format!("read {file}"))?;
+        story.read(&String::from_utf8_lossy(&bytes));
+    }
+    Ok(())
+}
+
+fn format_line(told: &StoryLine) -> String {
+    let since = Duration::from_millis(u64::try_from(told.at_ms).unwrap_or(0));
+    let time = humantime::format_rfc3339_millis(UNIX_EPOCH + since);
+    let fields = told.line.fields.iter();
+    let fields: Vec<String> = fields
+        .filter(|(name, value)| !SHOWN_IN_HEAD.contains(&name.as_str()) && !value.is_null())
+        .map(|(name, value)| match value {
+            Value::String(text) => format!("{name}={text}"),
+            other => format!("{name}={other}"),
+        })
+        .collect();
+    format!("{time} {:<28} {:<14} {}", told.line.node, told.line.event, fields.join(" "))
+}
+
+fn print_summary(story: &Story, told: usize) {
+    let offsets = story.clock_offsets();
+    let largest = offsets.iter().max_by_key(|(_, offset)| offset.abs());
+    let clocks = largest.map_or_else(
+        || "no clock could be compared".to_owned(),
+        |(node, offset)| format!("largest clock difference corrected: {offset} ms at {node}"),
+    );
+    println!("{told} lines; {clocks}; {} lines could not be read", story.unreadable());
+}
--- a/crates/weirhinge/src/cli/mod.rs
+++ b/crates/weirhinge/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod check;
 mod client;
 mod daemon;
+mod explain;
 mod failure;
 mod relay;
 
@@ -22,6 +23,7 @@
   balancer   Run a balancer: takes packets from the fabric, chooses agents
   agent      Run an agent beside one back end: holds its flows
   relay      Run on a platform whose targets end flows themselves
+  explain    Tell from logs what happened to a request, a flow or a machine
   check      Check a settings file or a configuration document
   get        Print the configuration that balancers have agreed on
   status     Print a balancer's view of the group
@@ -53,6 +55,7 @@
         Some("balancer") => balancer::run(arguments),
         Some("agent") => agent::run(arguments),
         Some("relay") => relay::run(arguments),
+        Some("explain") => explain::run(arguments),
         Some("check") => check::run(arguments),
         Some(command @ ("get" | "status" | "apply" | "drain" | "activate")) => {
             client::run(command, arguments)
--- a/crates/weirhinge/src/cli/relay.rs
+++ b/crates/weirhinge/src/cli/relay.rs
@@ -2,9 +2,9 @@
 
 use pico_args::Arguments;
 use slog::Level;
-use weirhinge_observe::{LogFormat, LogOptions, LogOutput, build_logger};
+use weirhinge_observe::{LogFormat, LogOptions, LogOutput, Logging};
 use weirhinge_platform::{SETTINGS_VARIABLE, UsersPlatform};
-use weirhinge_relay::{RawSettings, run_agent, run_balancer, run_process};
+use weirhinge_relay::{ProcessLog, RawSettings, Signals, run_agent, run_balancer, run_process};
 
 use super::CliFailure;
 use super::daemon::{option, refuse_rest};
@@ -17,7 +17,7 @@
   weirhinge relay agent [OPTIONS]
 
 OPTIONS:
-  --settings FILE     Settings file (TOML)  [default: the path in WEIRHINGE_NODE_FILE]
+  --settings FILE     Settings file (TOML)  [default: the path in {variable}]
   --log-level LEVEL   critical, error, warning, info, debug or trace  [default: info]
   -h, --help          Show this help
 
@@ -28,7 +28,7 @@
 /// Runs the command.
 pub fn run(mut arguments: Arguments) -> Result<(), CliFailure> {
     if arguments.contains(["-h", "--help"]) {
-        print!("{USAGE}");
+        print!("{}", usage());
         return Ok(());
     }
     let role = arguments.subcommand().map_err(CliFailure::usage)?;
@@ -39,25 +39,38 @@
         CliFailure::usage(format!("--settings: not given, and {SETTINGS_VARIABLE} is not set"))
     })?;
     let raw = RawSettings::from_file(&file).map_err(CliFailure::usage)?;
-    let log = || {
-        build_logger(LogOptions {
-            output: LogOutput::StandardOutput,
-            format: LogFormat::Json,
-            level,
-        })
-    };
+    let options = LogOptions { output: LogOutput::StandardOutput, format: LogFormat::Json, level };
     match role.as_deref() {
         Some("balancer") => {
             let settings = raw.into_balancer(&file).map_err(CliFailure::usage)?;
-            run_process(|signals| run_balancer(UsersPlatform, settings, file, log(), signals))
+            run_logged(options, |log, signals| {
+                run_balancer(UsersPlatform, settings, file, log, signals)
+            })
         }
         Some("agent") => {
             let settings = raw.into_agent(&file).map_err(CliFailure::usage)?;
-            run_process(|signals| run_agent(UsersPlatform, settings, file, log(), signals))
+            run_logged(options, |log, signals| {
+                run_agent(UsersPlatform, settings, file, log, signals)
+            })
         }
-        _ => return Err(CliFailure::usage(format!("role: expected balancer or agent\n\n{USAGE}"))),
+        _ => Err(CliFailure::usage(format!("role: expected balancer or agent\n\n{}", usage()))),
     }
-    .map_err(CliFailure::Runtime)
+}
+
+fn run_logged<F, Fut>(options: LogOptions, daemon: F) -> Result<(), CliFailure>
+where
+    F: FnOnce(ProcessLog, Signals) -> Fut,
+    Fut: Future<Output = eyre::Result<()>>,
+{
+    let logging = Logging::start(options);
+    let log = ProcessLog { log: logging.log.clone(), lost: logging.lost.clone() };
+    let result = run_process(|signals| daemon(log, signals));
+    logging.finish();
+    result.map_err(CliFailure::Runtime)
+}
+
+fn usage() -> String {
+    USAGE.replace("{variable}", SETTINGS_VARIABLE)
 }
 
 fn read_level(arguments: &mut Arguments) -> Result<Level, CliFailure> {
--- a/crates/weirhinge/tests/cli.rs
+++ b/crates/weirhinge/tests/cli.rs
@@ -30,6 +30,8 @@
         &["agent", "--help"],
         &["check", "--help"],
         &["apply", "--help"],
+        &["relay", "--help"],
+        &["explain", "--help"],
     ] {
         let output = weirhinge(arguments);
         assert_eq!(output.status.code(), Some(0), "{arguments:?}");
@@ -75,3 +77,54 @@
     let text = String::from_utf8(output.stderr).expect("text");
     assert!(text.contains("/does/not/exist: cannot be read"), "{text}");
 }
+
+/// Settings of a relay agent as the platform's template fills them.
+const RELAY_AGENT: &str = "\
+name = \"side-1\"
+zone = \"a\"
+address = \"10.1.0.12\"
+packets = \"10.1.0.12:8172\"
+readiness = \"10.1.0.12:8167\"
+peer_port = 7720
+seeds = [\"10.1.0.10:8166\"]
+store = \"10.200.1.7:8169\"
+stop_limit_s = 6
+target_output = \"10.1.0.12:8162\"
+target = \"10.1.0.12:8165\"
+service = \"sheets\"
+";
+
+/// What `check` says about relay settings with one line replaced.
+fn refused_relay(line: &str, replacement: &str) -> String {
+    let file = write_file("relay.toml", &RELAY_AGENT.replace(line, replacement));
+    let said = errors(&["check", &file.display().to_string()]);
+    said.replace(&file.display().to_string(), "FILE")
+}
+
+#[test]
+fn relay_settings_are_checked_field_by_field() {
+    let file = write_file("relay-good.toml", RELAY_AGENT);
+    let output = weirhinge(&["check", &file.display().to_string()]);
+    let text = String::from_utf8(output.stdout).expect("text");
+    assert!(text.contains("valid relay agent settings for sheets"), "{text}");
+    assert_snapshot!(refused_relay("peer_port = 7720", "peer_port = 0"), @"weirhinge: FILE: field peer_port: found 0, expected 1 to 65535");
+    assert_snapshot!(refused_relay("\"10.1.0.10:8166\"", "\"10.1.0.10\""), @r#"weirhinge: FILE: field seeds[0]: found "10.1.0.10", expected an IPv4 address and port"#);
+    assert_snapshot!(refused_relay("stop_limit_s = 6", "stop_limit_s = -1"), @"weirhinge: FILE: field stop_limit_s: found -1, expected 0 to 3600 seconds");
+    assert_snapshot!(refused_relay("service = \"sheets\"", ""), @"weirhinge: FILE: field service: found nothing, expected some text");
+    assert_snapshot!(refused_relay("address = \"10.1.0.12\"", "address = \"here\""), @"weirhinge: FILE: field address: found here, expected an IPv4 address");
+    let unknown = refused_relay("zone = \"a\"", "zone = \"a\"\nzonne = 1");
+    assert!(unknown.contains("unknown field `zonne`"), "{unknown}");
+}
+
+#[test]
+fn unusable_relay_and_explain_command_lines_say_why() {
+    let unset = errors(&["relay", "balancer"]);
+    let variable = weirhinge_platform::SETTINGS_VARIABLE;
+    assert!(
+        unset.contains(&format!("--settings: not given, and {variable} is not set")),
+        "{unset}"
+    );
+    assert_snapshot!(errors(&["relay", "agent", "--log-level", "loud"]), @r#"weirhinge: --log-level "loud": expected critical, error, warning, info, debug or trace"#);
+    assert!(errors(&["explain"]).contains("expected one of --request, --flow and --node"));
+    assert_snapshot!(errors(&["explain", "--node", "a", "--fast"]), @r#"weirhinge: argument "--fast": not known, see --help"#);
+}
--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -326,3 +326,55 @@
     assert_eq!(fleet.routers.ready(), 4);
     Ok(())
 }
+
+/// An engineer with the logs alone finds out what became of a request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_request_is_explained_from_its_identifier() -> eyre::Result<()> {
+    let fleet = start(&plan()).await?;
+    let (mut flow, _) = open_flows(&fleet, 1).await?.remove(0);
+    for target in &fleet.targets {
+        target.crash();
+        target.revive();
+    }
+    assert_eq!(flow.request("complaint-7", DEADLINE).await, Err(FlowError::Reset));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_weirhinge"))
+        .args(["explain", "--request", "complaint-7"])
+        .args(fleet.logs())
+        .output()?;
+    let story = String::from_utf8(output.stdout)?;
+    let place = |text: &str| story.find(text).ok_or_else(|| eyre::eyre!("no {text} in {story}"));
+    let places =
+        [place("request=complaint-7")?, place("outcome=bounced")?, place("outcome=nobody_holds ")?];
+    assert!(places.is_sorted(), "{story}");
+    assert!(story.contains("0 lines could not be read"), "{story}");
+    Ok(())
+}
+
+/// A log that nobody reads neither holds packets up nor keeps a process from
+/// ending; what was lost is counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_log_pipe_blocks_nothing() -> eyre::Result<()> {
+    let mut fleet = start(&FleetPlan { balancers: 1, ..plan() }).await?;
+    fleet.balancers[0].kill()?;
+    fleet.balancers[0].restart_unread()?;
+    fleet.wait_for("the balancer to be in", |fleet| fleet.routers.ready() == 1).await?;
+    let mut flows = open_flows(&fleet, 20).await?;
+    let began = Instant::now();
+    // Some 64 kB fit into the pipe and 1,024 lines before it; each request takes a
+    // line of 300 bytes.
+    for round in 0..90 {
+        all_held(&mut flows, &format!("round-{round}")).await?;
+    }
+    assert!(began.elapsed() < Duration::from_secs(60));
+    let address = IpAddr::V4(fleet.balancers[0].address);
+    let figures = http_get(address, METRICS, "/metrics").await?;
+    let lost = figures
+        .lines()
+        .find_map(|line| line.strip_prefix("weirhinge_log_lines_lost_total "))
+        .and_then(|count| count.parse::<u64>().ok());
+    assert!(lost.is_some_and(|lost| lost > 0), "{figures}");
+    fleet.balancers[0].signal(Signal::SIGTERM)?;
+    assert!(fleet.balancers[0].ended().await?.success());
+    Ok(())
+}
