Derive all waits for the store from the deployment's own bounds

Cause: the waits of reading and of targets without a record were constants fitted to bounds of 3 s; a deployment with tighter ones would have broken them when its reader failed.

Ruled out: shorter constants for all; each call to the store is paid for.

Change: Timing in the fleet crate, from three checked settings; a property test that the last of 5,000 balancers reads within 0.7 of any bound and that a working reader is never doubled.

The users' sites keep their waits.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod peers;
 pub mod reader;
 mod replica;
+mod timing;
 
 pub use message::{
     Digest, FetchRequest, MessageError, PeerMessage, PeerRole, ReturnReason, TargetClaim, decode,
@@ -19,6 +20,7 @@
 pub use model::{Configuration, Route, RoutePart, ServiceId, TargetRecord, TargetState};
 pub use peers::{PEER_LIFETIME_MS, PeerTable};
 pub use replica::{Change, Replica, TargetEntry, Update, VersionedConfiguration, VersionedTarget};
+pub use timing::{Bounds, Timing};
 
 /// Milliseconds on the process's steady clock since some fixed moment.
 pub type Millis = u64;
--- a/crates/fleet/src/reader.rs
+++ b/crates/fleet/src/reader.rs
@@ -7,18 +7,8 @@
 //! readers at once cost calls and nothing else.
 
 use crate::Millis;
+use crate::timing::Timing;
 
-/// Longest wait of one watch; an answer without changes confirms what is known.
-pub const WATCH_WAIT_MS: Millis = 1_000;
-/// Knowledge older than this is worth a call of one's own. Above the wait of a
-/// watch, so that a working reader is never doubled.
-const FRESH_MS: Millis = 1_350;
-/// Time that each balancer leaves to the one before it.
-const RANK_STEP_MS: Millis = 120;
-/// Longest such time, so that everyone reads well within the bound of a change.
-const LONGEST_RANK_WAIT_MS: Millis = 480;
-/// How long a reader's word that it reads counts.
-pub const READER_WORD_MS: Millis = 1_300;
 /// How long a daemon that knows nothing waits for peers before it reads.
 const FIRST_WAIT_MS: Millis = 12;
 
@@ -38,15 +28,12 @@
 }
 
 /// Whether to make the next call to the store.
-pub fn should_read(inputs: &ReaderInputs) -> bool {
-    let patience = FRESH_MS + rank_wait(inputs.rank);
+pub fn should_read(inputs: &ReaderInputs, timing: &Timing) -> bool {
+    let rank_wait = (inputs.rank as Millis).saturating_mul(timing.rank_step_ms);
+    let patience = timing.read_after_ms + rank_wait.min(timing.longest_rank_wait_ms);
     match inputs.age_ms {
         None => inputs.uptime_ms >= FIRST_WAIT_MS,
         Some(age) if age > patience => true,
         Some(_) => inputs.reading && !inputs.lower_reader,
     }
 }
-
-fn rank_wait(rank: usize) -> Millis {
-    (rank as Millis).saturating_mul(RANK_STEP_MS).min(LONGEST_RANK_WAIT_MS)
-}
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -5,7 +5,8 @@
 use proptest::prelude::*;
 use weirhinge_fleet::reader::{ReaderInputs, should_read};
 use weirhinge_fleet::{
-    Digest, MessageError, PEER_LIFETIME_MS, PeerMessage, PeerRole, PeerTable, decode, encode,
+    Bounds, Digest, MessageError, PEER_LIFETIME_MS, PeerMessage, PeerRole, PeerTable, Timing,
+    decode, encode,
 };
 
 const OWN: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 5);
@@ -79,18 +80,23 @@
 
 #[test]
 fn fresh_knowledge_is_not_read_again() {
-    assert!(!should_read(&inputs()));
+    assert!(!should_read(&inputs(), &Timing::default()));
 }
 
 #[test]
 fn a_reader_goes_on_until_a_lower_one_reads() {
-    assert!(should_read(&ReaderInputs { reading: true, ..inputs() }));
-    assert!(!should_read(&ReaderInputs { reading: true, lower_reader: true, ..inputs() }));
+    assert!(should_read(&ReaderInputs { reading: true, ..inputs() }, &Timing::default()));
+    assert!(!should_read(
+        &ReaderInputs { reading: true, lower_reader: true, ..inputs() },
+        &Timing::default()
+    ));
 }
 
 #[test]
 fn old_knowledge_is_read_in_order_of_rank_and_within_two_seconds() {
-    let old = |age_ms, rank| should_read(&ReaderInputs { age_ms: Some(age_ms), rank, ..inputs() });
+    let old = |age_ms, rank| {
+        should_read(&ReaderInputs { age_ms: Some(age_ms), rank, ..inputs() }, &Timing::default())
+    };
     assert!(old(1_400, 0));
     assert!(!old(1_400, 1));
     assert!(old(1_500, 1));
@@ -106,8 +112,8 @@
         lower_reader: true,
         ..inputs()
     };
-    assert!(!should_read(&new(0)));
-    assert!(should_read(&new(50)));
+    assert!(!should_read(&new(0), &Timing::default()));
+    assert!(should_read(&new(50), &Timing::default()));
 }
 
 #[test]
@@ -153,3 +159,25 @@
     peers.expire(2_500);
     assert_eq!(peers.balancers().count(), 1);
 }
+
+proptest! {
+    /// Whatever the bounds, a reader that fails right after it confirmed is replaced
+    /// and the change known with time to spare, however many balancers there are.
+    #[test]
+    fn the_last_balancer_reads_within_the_bounds(
+        change_ms in 500..60_000u64,
+        drain_ms in 500..60_000u64,
+        renewal_ms in 100..10_000u64,
+        rank in 0..5_000usize,
+    ) {
+        let timing = Timing::new(&Bounds { change_ms, drain_ms, renewal_ms });
+        let age_ms = Some(change_ms.min(drain_ms) * 7 / 10);
+        let failed = ReaderInputs { age_ms, rank, ..inputs() };
+        prop_assert!(should_read(&failed, &timing));
+        // A working reader, whose watch confirms once a wait, is never doubled.
+        let age_ms = Some(timing.watch_wait_ms + timing.watch_wait_ms / 4);
+        let working = ReaderInputs { age_ms, rank, ..inputs() };
+        prop_assert!(!should_read(&working, &timing));
+        prop_assert!(timing.settle_ms < drain_ms && timing.vanished_grace_ms < drain_ms);
+    }
+}
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -84,7 +84,7 @@
     let fleet_metrics = FleetMetrics::declare(&mut metrics);
     metrics.adopt_counter("log_lines_lost", "Log lines without room", process_log.lost);
     let metrics = metrics.freeze();
-    let node = FleetNode::new(common.address, PeerRole::Agent, &common.seeds, log.clone());
+    let node = FleetNode::new(&common, PeerRole::Agent, log.clone());
     let node = Rc::new(RefCell::new(node));
     let output = bind(settings.target_output, "the target's output").await?;
     let target = bind(SocketAddrV4::new(common.address, 0), "the target's input").await?;
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -80,7 +80,7 @@
     let store_metrics = StoreMetrics::declare(&mut metrics);
     metrics.adopt_counter("log_lines_lost", "Log lines without room", process_log.lost);
     let metrics = metrics.freeze();
-    let node = FleetNode::new(common.address, PeerRole::Balancer, &common.seeds, log.clone());
+    let node = FleetNode::new(&common, PeerRole::Balancer, log.clone());
     let node = Rc::new(RefCell::new(node));
     let packets = UdpSocket::bind(common.packets)
         .await
@@ -93,7 +93,7 @@
         platform: platform.clone(),
         clock,
         node: Rc::clone(&node),
-        core: RefCell::new(Balancer::new()),
+        core: RefCell::new(Balancer::new(common.timing)),
         packets,
         link: Rc::clone(&link),
         client_port: common.packets.port(),
@@ -101,7 +101,7 @@
         decisions: DecisionLog::new(log.clone()),
         last_packet_at: RefCell::new(0),
     });
-    let reader = StoreReader::new(platform, common.store, node, clock, store_metrics, log.clone());
+    let reader = StoreReader::new(platform, &common, node, clock, store_metrics, log.clone());
     let news = Rc::clone(&daemon);
     tokio::task::spawn_local(reader.run(move || {
         news.link.spread_news();
--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node.rs
@@ -5,15 +5,12 @@
 use rand::seq::IndexedRandom;
 use slog::{Logger, info};
 use weirhinge_fleet::{
-    Change, Digest, Millis, PeerRole, PeerTable, Replica, TargetClaim, Update, reader,
+    Change, Digest, Millis, PeerRole, PeerTable, Replica, TargetClaim, Timing, Update, reader,
 };
 use weirhinge_steering::FleetView;
 
-/// Knowledge younger than this is recent enough to refuse a flow by.
-pub const FRESH_MS: Millis = 1_800;
-/// Knowledge older than this counts as lost; once it is fresh again, records may
-/// be missing that are about to be renewed.
-const STALE_MS: Millis = 2_500;
+use crate::settings::CommonSettings;
+
 /// A digest this much fresher than what was known is passed on.
 const NEWS_MS: Millis = 300;
 /// Peers that get news at once.
@@ -45,6 +42,7 @@
     view: FleetView,
     was_fresh: bool,
     regained_at: Option<Millis>,
+    timing: Timing,
     /// Whether this daemon reads the store for the others.
     pub reading: bool,
     /// What an agent says about its target.
@@ -54,15 +52,17 @@
 
 impl FleetNode {
     /// A daemon that knows its seeds alone.
-    pub fn new(address: Ipv4Addr, role: PeerRole, seeds: &[Ipv4Addr], log: Logger) -> Self {
+    pub fn new(settings: &CommonSettings, role: PeerRole, log: Logger) -> Self {
+        let address = settings.address;
         Self {
             address,
             role,
             replica: Replica::new(),
-            peers: PeerTable::new(address, seeds.iter().copied()),
+            peers: PeerTable::new(address, settings.seeds.iter().copied()),
             view: FleetView::default(),
             was_fresh: false,
             regained_at: None,
+            timing: settings.timing,
             reading: false,
             claim: None,
             log,
@@ -86,7 +86,7 @@
 
     /// Whether the store's word is recent enough to refuse by.
     pub fn is_fresh(&self, now: Millis) -> bool {
-        self.age(now).is_some_and(|age| age < FRESH_MS)
+        self.age(now).is_some_and(|age| age < self.timing.fresh_ms)
     }
 
     /// When the store's word became fresh after it was lost; given out once.
@@ -155,13 +155,14 @@
 
     /// Whether this balancer should make the next call to the store.
     pub fn should_read(&self, now: Millis) -> bool {
-        reader::should_read(&reader::ReaderInputs {
+        let inputs = reader::ReaderInputs {
             uptime_ms: now,
             age_ms: self.replica.age(now),
             rank: self.peers.rank(),
             reading: self.reading,
-            lower_reader: self.peers.lower_reader(now, reader::READER_WORD_MS),
-        })
+            lower_reader: self.peers.lower_reader(now, self.timing.reader_word_ms),
+        };
+        reader::should_read(&inputs, &self.timing)
     }
 
     /// Peers that get news at once.
@@ -197,8 +198,8 @@
 
     fn note_freshness(&mut self, now: Millis) {
         let age = self.replica.age(now);
-        let is_fresh = age.is_some_and(|age| age < FRESH_MS);
-        let is_lost = age.is_none_or(|age| age >= STALE_MS);
+        let is_fresh = age.is_some_and(|age| age < self.timing.fresh_ms);
+        let is_lost = age.is_none_or(|age| age >= self.timing.stale_ms);
         if is_fresh && !self.was_fresh {
             self.was_fresh = true;
             self.regained_at = Some(now);
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,7 +4,10 @@
 
 use serde::Deserialize;
 use weirhinge_config::parse::{self, ConfigError};
+use weirhinge_fleet::{Bounds, Timing};
 
+/// Longest bound that settings may state, in milliseconds.
+pub const LONGEST_BOUND_MS: u64 = 600_000;
 /// Longest planned stop when the settings state none, in milliseconds.
 const DEFAULT_STOP_LIMIT_MS: u64 = 5_000;
 
@@ -32,6 +35,12 @@
     pub store: Option<String>,
     /// See [`CommonSettings::stop_limit_ms`], in seconds.
     pub stop_limit_s: Option<f64>,
+    /// See [`Bounds::change_ms`]; at most [`LONGEST_BOUND_MS`].
+    pub change_bound_ms: Option<u64>,
+    /// See [`Bounds::drain_ms`]; at most [`LONGEST_BOUND_MS`].
+    pub drain_bound_ms: Option<u64>,
+    /// See [`Bounds::renewal_ms`]; at most [`LONGEST_BOUND_MS`].
+    pub renewal_ms: Option<u64>,
     /// See [`AgentSettings::target`].
     pub target: Option<String>,
     /// See [`AgentSettings::target_output`].
@@ -63,6 +72,8 @@
     pub store: SocketAddr,
     /// Milliseconds that a planned stop may take.
     pub stop_limit_ms: u64,
+    /// Waits that keep the deployment's bounds.
+    pub timing: Timing,
 }
 
 /// Settings of a balancer.
@@ -135,6 +146,7 @@
             seeds: self.checked_seeds(file)?,
             store: endpoint(file, "store", self.store.as_deref())?.into(),
             stop_limit_ms: self.checked_stop_limit(file)?,
+            timing: self.checked_timing(file)?,
         })
     }
 
@@ -156,6 +168,23 @@
             .collect()
     }
 
+    fn checked_timing(&self, file: &str) -> Result<Timing, ConfigError> {
+        let default = Bounds::default();
+        let bound = |field: &str, value: Option<u64>, default| match value {
+            None => Ok(default),
+            Some(value) if (1..=LONGEST_BOUND_MS).contains(&value) => Ok(value),
+            Some(value) => {
+                let expected = format!("1 to {LONGEST_BOUND_MS} milliseconds");
+                Err(ConfigError::field(file, field, value, expected))
+            }
+        };
+        Ok(Timing::new(&Bounds {
+            change_ms: bound("change_bound_ms", self.change_bound_ms, default.change_ms)?,
+            drain_ms: bound("drain_bound_ms", self.drain_bound_ms, default.drain_ms)?,
+            renewal_ms: bound("renewal_ms", self.renewal_ms, default.renewal_ms)?,
+        }))
+    }
+
     fn checked_stop_limit(&self, file: &str) -> Result<u64, ConfigError> {
         let Some(seconds) = self.stop_limit_s else { return Ok(DEFAULT_STOP_LIMIT_MS) };
         if !(seconds.is_finite() && (0.0..=3_600.0).contains(&seconds)) {
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -12,12 +12,13 @@
 use hyper_util::rt::TokioIo;
 use slog::{Logger, info, warn};
 use tokio::net::TcpStream;
-use weirhinge_fleet::{Millis, Update, VersionedConfiguration, VersionedTarget, reader};
+use weirhinge_fleet::{Millis, Timing, Update, VersionedConfiguration, VersionedTarget};
 
 use crate::clock::Clock;
 use crate::fleet_node::FleetNode;
 use crate::metrics::StoreMetrics;
 use crate::platform::{Platform, RejectedItem};
+use crate::settings::CommonSettings;
 
 /// Largest answer accepted, in bytes.
 const MAXIMUM_ANSWER: usize = 4 << 20;
@@ -27,9 +28,6 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_200);
 /// How much longer than asked a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(500);
-/// Shortest time from one watch to the next, so that changes in quick succession
-/// share a call.
-const WATCH_SPACING_MS: Millis = 250;
 /// How often a balancer that does not read looks whether it should.
 const IDLE_POLL: Duration = Duration::from_millis(40);
 /// The same while nothing is known yet.
@@ -57,6 +55,7 @@
 pub struct StoreReader<P> {
     platform: P,
     address: SocketAddr,
+    timing: Timing,
     node: Rc<RefCell<FleetNode>>,
     clock: Clock,
     metrics: StoreMetrics,
@@ -70,7 +69,7 @@
     /// A reader that is not connected yet.
     pub fn new(
         platform: P,
-        address: SocketAddr,
+        settings: &CommonSettings,
         node: Rc<RefCell<FleetNode>>,
         clock: Clock,
         metrics: StoreMetrics,
@@ -78,7 +77,8 @@
     ) -> Self {
         Self {
             platform,
-            address,
+            address: settings.store,
+            timing: settings.timing,
             node,
             clock,
             metrics,
@@ -126,7 +126,7 @@
 
     async fn space_watches(&self, began: Millis) {
         let elapsed = self.clock.now().saturating_sub(began);
-        let rest = WATCH_SPACING_MS.saturating_sub(elapsed);
+        let rest = self.timing.watch_spacing_ms.saturating_sub(elapsed);
         tokio::time::sleep(Duration::from_millis(rest)).await;
     }
 
@@ -178,8 +178,8 @@
     }
 
     async fn watch(&mut self, after: u64) -> Result<(), StoreError> {
-        let path = self.platform.watch_path(after, reader::WATCH_WAIT_MS);
-        let limit = Duration::from_millis(reader::WATCH_WAIT_MS) + WATCH_SLACK;
+        let path = self.platform.watch_path(after, self.timing.watch_wait_ms);
+        let limit = Duration::from_millis(self.timing.watch_wait_ms) + WATCH_SLACK;
         let body = self.call(&path, limit).await?;
         let page = self.platform.read_watch(&body);
         let page = page.map_err(|rejected| self.unusable(rejected))?;
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -6,7 +6,7 @@
 
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::{Millis, ReturnReason, ServiceId, TargetClaim};
+use weirhinge_fleet::{Millis, ReturnReason, ServiceId, TargetClaim, Timing};
 
 pub use decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
 
@@ -22,9 +22,6 @@
 const DEFAULT_IDLE_MS: Millis = 60_000;
 /// Shortest idle time after which a flow is forgotten.
 const SHORTEST_IDLE_MS: Millis = 5_000;
-/// How long targets without a record may still take flows after the store's
-/// word became fresh again: living ones have renewed their records by then.
-const SETTLE_MS: Millis = 2_500;
 
 /// What a decision is made from, beside the balancer's own state.
 #[derive(Clone, Copy, Debug)]
@@ -56,12 +53,13 @@
     searches: PendingSearches,
     /// When the store's word last became fresh.
     regained_at: Millis,
+    timing: Timing,
 }
 
 impl Balancer {
     /// A balancer that has seen nothing.
-    pub fn new() -> Self {
-        Self::with_capacity(FLOW_CAPACITY)
+    pub fn new(timing: Timing) -> Self {
+        Self { timing, ..Self::with_capacity(FLOW_CAPACITY) }
     }
 
     /// A balancer that remembers at most `capacity` flows.
@@ -71,6 +69,7 @@
             statuses: AgentStatuses::default(),
             searches: PendingSearches::default(),
             regained_at: 0,
+            timing: Timing::default(),
         }
     }
 
@@ -226,7 +225,7 @@
 
     /// Whether targets may live that have no record yet.
     fn is_unsettled(&self, now: Millis) -> bool {
-        now < self.regained_at + SETTLE_MS
+        now < self.regained_at + self.timing.settle_ms
     }
 
     fn go_to(&mut self, flow: FlowKey, agent: Ipv4Addr, stage: FlowStage, now: Millis) {
@@ -243,7 +242,7 @@
 
 impl Default for Balancer {
     fn default() -> Self {
-        Self::new()
+        Self::new(Timing::default())
     }
 }
 
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -13,9 +13,6 @@
 
 /// Opening packets of one flow come within this span; a later one opens another.
 const OPENING_SPAN_MS: Millis = 2_000;
-/// How long a target whose record left without a word may take flows when its
-/// service has no other. Below the bound on work for a leaving target.
-const VANISHED_GRACE_MS: Millis = 1_500;
 /// Busy targets that an opening packet passes before it waits at one.
 const BUSY_RETURNS: u8 = 3;
 /// Targets compared by load. Two even out almost as well as all would (the power
@@ -181,8 +178,9 @@
         now: Millis,
     ) -> Vec<Candidate> {
         let unsettled = self.is_unsettled(now);
+        let grace_ms = self.timing.vanished_grace_ms;
         let may_live = |candidate: &&Candidate| match candidate.standing {
-            Standing::Vanished(at) => unsettled || now.saturating_sub(at) < VANISHED_GRACE_MS,
+            Standing::Vanished(at) => unsettled || now.saturating_sub(at) < grace_ms,
             Standing::Ready | Standing::Leaving => false,
         };
         let mut unrecorded: Vec<Candidate> = candidates.iter().filter(may_live).copied().collect();
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -23,7 +23,7 @@
 
 impl Fixture {
     fn new(store: &Store) -> Self {
-        Self { balancer: Balancer::new(), view: store.view(), fresh: true }
+        Self { balancer: Balancer::default(), view: store.view(), fresh: true }
     }
 
     fn context(&self, now: u64) -> Context<'_> {
