--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -159,6 +159,11 @@
             core.client_packet(context, ClientPacket { head: &head, bytes: packet })
         });
         self.metrics.decision_seconds.observe(began.elapsed().as_secs_f64());
+        if let (Decision::Forward(forward), Some(id)) =
+            (&decision, self.platform.request_id(packet))
+        {
+            self.decisions.request(id, &forwarded(&head.client_flow(), forward), now);
+        }
         self.carry_out(decision, &head, packet, now);
     }
 
@@ -233,7 +238,7 @@
         match decision {
             Decision::Forward(forward) => {
                 self.metrics.forwarded.increment(forward.reason.label());
-                self.log_forwarded(&flow, &forward, packet, now);
+                self.log_forwarded(&flow, &forward, now);
                 let message = PeerMessage::Forward {
                     service: forward.service.0,
                     search: forward.is_search(),
@@ -259,20 +264,13 @@
         }
     }
 
-    fn log_forwarded(&self, flow: &FlowKey, forward: &Forward, packet: &[u8], now: Millis) {
-        let forwarded = Forwarded {
-            flow,
-            agent: forward.agent,
-            reason: forward.reason.label(),
-            inputs: forward.inputs.as_ref(),
-        };
+    fn log_forwarded(&self, flow: &FlowKey, forward: &Forward, now: Millis) {
         match forward.reason {
             ForwardReason::Held => {}
-            ForwardReason::Search => self.decisions.search(&forwarded, self.basis(now), now),
-            _ => self.decisions.opening(&forwarded, self.basis(now), now),
-        }
-        if let Some(id) = self.platform.request_id(packet) {
-            self.decisions.request(id, &forwarded, now);
+            ForwardReason::Search => {
+                self.decisions.search(&forwarded(flow, forward), self.basis(now), now);
+            }
+            _ => self.decisions.opening(&forwarded(flow, forward), self.basis(now), now),
         }
     }
 
@@ -364,3 +362,12 @@
 fn endpoint((address, port): (u32, u16)) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::from_bits(address), port)
 }
+
+fn forwarded<'a>(flow: &'a FlowKey, forward: &'a Forward) -> Forwarded<'a> {
+    Forwarded {
+        flow,
+        agent: forward.agent,
+        reason: forward.reason.label(),
+        inputs: forward.inputs.as_ref(),
+    }
+}
