Keep flows in their region until its targets are busy

Change: settings name each zone's region; a far target is charged 1.5 requests a slot and compared beside the best near ones; searches ask the own region first. The reload test replaced a zone's name everywhere in the settings, which now names it twice in the table of regions and is refused; it replaces the daemon's own zone alone and asserts the same.

--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node.rs
@@ -7,7 +7,7 @@
 use weirhinge_fleet::{
     Change, Digest, Millis, PeerRole, PeerTable, Replica, TargetClaim, Timing, Update, reader,
 };
-use weirhinge_steering::FleetView;
+use weirhinge_steering::{FleetView, Locality};
 
 use crate::settings::CommonSettings;
 
@@ -43,6 +43,7 @@
     was_fresh: bool,
     regained_at: Option<Millis>,
     timing: Timing,
+    locality: Locality,
     /// Whether this daemon reads the store for the others.
     pub reading: bool,
     /// What an agent says about its target.
@@ -63,6 +64,7 @@
             was_fresh: false,
             regained_at: None,
             timing: settings.timing,
+            locality: settings.locality.clone(),
             reading: false,
             claim: None,
             log,
@@ -147,7 +149,7 @@
             self.log_change(change, source, now);
         }
         if !changes.is_empty() {
-            self.view = FleetView::compile(&self.replica);
+            self.view = FleetView::compile(&self.replica, &self.locality);
         }
         self.note_freshness(now);
         !changes.is_empty() || self.replica.revision() > before
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -1,10 +1,12 @@
 //! Settings of the relay's daemons: a TOML file.
 
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use serde::Deserialize;
 use weirhinge_config::parse::{self, ConfigError};
 use weirhinge_fleet::{Bounds, Timing};
+use weirhinge_steering::Locality;
 
 /// Longest bound that settings may state, in milliseconds.
 pub const LONGEST_BOUND_MS: u64 = 600_000;
@@ -19,6 +21,11 @@
     pub name: Option<String>,
     /// See [`CommonSettings::zone`].
     pub zone: Option<String>,
+    /// Region that the process runs in.
+    pub region: Option<String>,
+    /// The region of each zone. Targets in other regions are used only where those
+    /// in this one are busy; a zone that is not named counts as near.
+    pub regions: Option<HashMap<String, String>>,
     /// See [`CommonSettings::address`].
     pub address: Option<String>,
     /// See [`CommonSettings::packets`].
@@ -56,6 +63,8 @@
     pub name: String,
     /// Zone that the process runs in.
     pub zone: String,
+    /// Which zones are near.
+    pub locality: Locality,
     /// Address of the machine.
     pub address: Ipv4Addr,
     /// UDP address of clients' packets. Clients listen on the same port.
@@ -138,6 +147,7 @@
         Ok(CommonSettings {
             name: text(file, "name", self.name.as_deref())?,
             zone: text(file, "zone", self.zone.as_deref())?,
+            locality: self.checked_locality(file)?,
             address,
             packets: endpoint(file, "packets", self.packets.as_deref())?,
             readiness: endpoint(file, "readiness", self.readiness.as_deref())?,
@@ -168,6 +178,12 @@
             .collect()
     }
 
+    fn checked_locality(&self, file: &str) -> Result<Locality, ConfigError> {
+        let Some(regions) = &self.regions else { return Ok(Locality::default()) };
+        let region = text(file, "region", self.region.as_deref())?;
+        Ok(Locality::new(region, regions.clone()))
+    }
+
     fn checked_timing(&self, file: &str) -> Result<Timing, ConfigError> {
         let default = Bounds::default();
         let bound = |field: &str, value: Option<u64>, default| match value {
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -8,7 +8,7 @@
 use super::{Balancer, Context, service_of};
 use crate::flow_table::{FlowEntry, FlowStage};
 use crate::packet::{FlowKey, PacketHead};
-use crate::selection::{least_loaded, load_permille, rendezvous_order};
+use crate::selection::{cheapest, load_permille, rendezvous_order};
 use crate::view::{Candidate, Standing};
 
 /// Opening packets of one flow come within this span; a later one opens another.
@@ -117,7 +117,7 @@
         // A target that does not answer looks idle: it is never compared by load.
         let tier = if untried.answering.is_empty() { &untried.silent } else { &untried.answering };
         let compared = if reason == ForwardReason::OpeningWaits { tier.len() } else { COMPARED };
-        let Some(chosen) = least_loaded(tier, compared, &self.statuses, now) else {
+        let Some(chosen) = cheapest(tier, compared, &self.statuses, now) else {
             return self.nobody_takes(context, &flow, any_eligible, reason);
         };
         let inputs = SelectionInputs {
@@ -197,5 +197,5 @@
 
 /// A target known by its agent's word alone.
 fn claimed_candidate(agent: Ipv4Addr, now: Millis) -> Candidate {
-    Candidate { agent, standing: Standing::Vanished(now), slots: 1, cold_until: 0 }
+    Candidate { agent, standing: Standing::Vanished(now), slots: 1, cold_until: 0, near: true }
 }
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -29,6 +29,8 @@
     agent: Ipv4Addr,
     /// Its agent does not answer; it is asked last.
     is_silent: bool,
+    /// It is in another region; it is asked after those in this one.
+    is_far: bool,
 }
 
 impl Balancer {
@@ -121,19 +123,19 @@
             }
             for agent in self.statuses.claimants(service, context.now) {
                 if !order.iter().any(|place| place.agent == agent) {
-                    order.push(SearchPlace { service, agent, is_silent: false });
+                    order.push(SearchPlace { service, agent, is_silent: false, is_far: false });
                 }
             }
         }
-        // A stable sort: the flow's order stays within each half.
-        order.sort_by_key(|place| place.is_silent);
+        // A stable sort: the flow's order stays within each part.
+        order.sort_by_key(|place| (place.is_silent, place.is_far));
         order
     }
 
     fn search_place(&self, service: ServiceId, candidate: &Candidate, now: Millis) -> SearchPlace {
         let agent = candidate.agent;
         let is_silent = self.has_left(candidate, now) || self.statuses.is_suspect(agent, now);
-        SearchPlace { service, agent, is_silent }
+        SearchPlace { service, agent, is_silent, is_far: !candidate.near }
     }
 
     /// Whether a target left the store and its agent is silent too.
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -27,4 +27,4 @@
 };
 pub use flow_table::{FlowEntry, FlowStage, FlowTable};
 pub use packet::{Flags, FlowKey, MalformedPacket, PacketHead};
-pub use view::{Candidate, FleetView, RouteChoice, Standing, VersionLabel};
+pub use view::{Candidate, FleetView, Locality, RouteChoice, Standing, VersionLabel};
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -10,6 +10,12 @@
 /// Load of a target that is slow from its start, in percent of its load when warm.
 const COLD_LOAD_PERCENT: u64 = 160;
 
+/// Load, in thousandths of its slots, that a far target is charged with: about the
+/// load at which near ones send openings back.
+const FAR_PERMILLE: u64 = 1_500;
+/// Far targets compared where there are near ones.
+const FAR_COMPARED: usize = 1;
+
 /// Mixes a flow's hash with a target into a rank (the finaliser of SplitMix64):
 /// rendezvous hashing, so that a change of targets moves only its own share.
 fn rank(flow_hash: u64, agent: Ipv4Addr) -> u64 {
@@ -29,15 +35,24 @@
     order
 }
 
-/// The least loaded of the first `compared` candidates in the flow's order.
-pub fn least_loaded(
+/// The cheapest of the first `compared` near candidates and the first far one, in
+/// the flow's order. A far one is chosen only where the near ones are busy: every
+/// packet of the flow would cross regions.
+pub fn cheapest(
     order: &[Candidate],
     compared: usize,
     statuses: &AgentStatuses,
     now: Millis,
 ) -> Option<Candidate> {
-    let compared = order.iter().take(compared);
-    compared.min_by_key(|candidate| load_permille(candidate, statuses, now)).copied()
+    let near = order.iter().filter(|candidate| candidate.near).take(compared);
+    let far = order.iter().filter(|candidate| !candidate.near);
+    let any_near = order.iter().any(|candidate| candidate.near);
+    let far = far.take(if any_near { FAR_COMPARED } else { compared });
+    let cost = |candidate: &&Candidate| {
+        let distance = if candidate.near { 0 } else { FAR_PERMILLE };
+        load_permille(candidate, statuses, now) + distance
+    };
+    near.chain(far).min_by_key(cost).copied()
 }
 
 /// Believed load in thousandths of the target's slots.
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -60,6 +60,26 @@
     Leaving,
 }
 
+/// Which zones lie in this daemon's region.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Locality {
+    region: String,
+    regions_by_zone: HashMap<String, String>,
+}
+
+impl Locality {
+    /// The locality of a daemon in `region`.
+    pub fn new(region: String, regions_by_zone: HashMap<String, String>) -> Self {
+        Self { region, regions_by_zone }
+    }
+
+    /// Whether a zone lies in the daemon's region. A zone of no known region is
+    /// taken to.
+    fn is_near(&self, zone: &str) -> bool {
+        self.regions_by_zone.get(zone).is_none_or(|region| *region == self.region)
+    }
+}
+
 /// One target of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -71,6 +91,8 @@
     pub slots: u32,
     /// Until when it is slow from its start.
     pub cold_until: Millis,
+    /// Whether it is in this daemon's region.
+    pub near: bool,
 }
 
 /// Everything that routing decisions need, compiled from a replica.
@@ -84,8 +106,9 @@
 
 impl FleetView {
     /// Compiles what a replica knows.
-    pub fn compile(replica: &Replica) -> Self {
-        let mut view = Self { services: compile_services(replica), ..Self::default() };
+    pub fn compile(replica: &Replica, locality: &Locality) -> Self {
+        let services = compile_services(replica, locality);
+        let mut view = Self { services, ..Self::default() };
         let Some(versioned) = replica.configuration() else { return view };
         let configuration = &versioned.configuration;
         let label = VersionLabel { version: configuration.version, revision: versioned.revision };
@@ -144,7 +167,7 @@
 
 /// Targets by service; of several records of one machine the newest counts, as
 /// an address that was used again belongs to its new user alone.
-fn compile_services(replica: &Replica) -> HashMap<ServiceId, Vec<Candidate>> {
+fn compile_services(replica: &Replica, locality: &Locality) -> HashMap<ServiceId, Vec<Candidate>> {
     let mut newest: HashMap<Ipv4Addr, (&TargetEntry, &TargetRecord)> = HashMap::new();
     for entry in replica.targets() {
         let Some(record) = &entry.target.record else { continue };
@@ -156,7 +179,7 @@
     }
     let mut services: HashMap<ServiceId, Vec<Candidate>> = HashMap::new();
     for (entry, record) in newest.into_values() {
-        let candidate = candidate(entry, record);
+        let candidate = candidate(entry, record, locality);
         services.entry(ServiceId::of(&record.service)).or_default().push(candidate);
     }
     for candidates in services.values_mut() {
@@ -165,7 +188,7 @@
     services
 }
 
-fn candidate(entry: &TargetEntry, record: &TargetRecord) -> Candidate {
+fn candidate(entry: &TargetEntry, record: &TargetRecord, locality: &Locality) -> Candidate {
     let standing = match (record.state, entry.target.present) {
         (TargetState::Draining, _) => Standing::Leaving,
         (TargetState::Ready, true) => Standing::Ready,
@@ -176,5 +199,6 @@
         standing,
         slots: record.slots.max(1),
         cold_until: entry.learned_at + Millis::from(record.warm_up_ms),
+        near: locality.is_near(&record.zone),
     }
 }
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -511,3 +511,63 @@
     };
     assert_eq!([urgent(443), urgent(444), urgent(445)], [true, false, false]);
 }
+
+/// Six targets, half of them in another region.
+fn two_regions() -> Store {
+    let mut store = Store::with_targets(3);
+    for number in 51..=53 {
+        store.target(number, SERVICE, Some(TargetState::Ready), 0);
+    }
+    store
+}
+
+fn is_far(agent: Ipv4Addr) -> bool {
+    agent.octets()[3] > 50
+}
+
+#[test]
+fn flows_stay_in_their_region_until_its_targets_are_busy() {
+    let store = two_regions();
+    let mut fixture = Fixture::new(&store);
+    for number in (1..=3).chain(51..=53) {
+        fixture.balancer.heard(agent(number), 2, LATER);
+    }
+    let chosen = |fixture: &mut Fixture, port| {
+        let decision = fixture.client(&opening(flow(port)), LATER);
+        let chosen = forwarded(&decision).agent;
+        let waiting = if is_far(chosen) { 0 } else { 2 };
+        fixture.balancer.heard(chosen, waiting, LATER);
+        chosen
+    };
+    assert!((0..100).all(|port| !is_far(chosen(&mut fixture, port))));
+    for number in 1..=3 {
+        fixture.balancer.heard(agent(number), 9, LATER);
+    }
+    for number in 51..=53 {
+        fixture.balancer.heard(agent(number), 0, LATER);
+    }
+    assert!(is_far(chosen(&mut fixture, 500)));
+    // The other region sees it the other way round.
+    fixture.view = store.view_from("far");
+    fixture.balancer.heard(agent(1), 0, LATER);
+    assert!((600..700).all(|port| is_far(chosen(&mut fixture, port))));
+}
+
+#[test]
+fn a_region_without_targets_uses_another() {
+    let mut store = Store::with_targets(0);
+    store.target(51, SERVICE, Some(TargetState::Ready), 0);
+    store.target(52, SERVICE, Some(TargetState::Ready), 0);
+    let mut fixture = Fixture::new(&store);
+    let chosen: std::collections::HashSet<Ipv4Addr> =
+        (0..50).map(|port| forwarded(&fixture.client(&opening(flow(port)), LATER)).agent).collect();
+    assert_eq!(chosen.len(), 2);
+}
+
+#[test]
+fn a_search_asks_the_own_region_first_and_then_all_others() {
+    let mut fixture = Fixture::new(&two_regions());
+    let (visited, _) = fixture.bounce_to_the_end(&data(flow(1)), LATER);
+    let far: Vec<bool> = visited.into_iter().map(is_far).collect();
+    assert_eq!(far, [false, false, false, true, true, true]);
+}
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -8,7 +8,7 @@
     Configuration, Replica, Route, RoutePart, TargetRecord, TargetState, Update,
     VersionedConfiguration, VersionedTarget,
 };
-use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, PacketHead};
+use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, Locality, PacketHead};
 
 pub const SERVICE: &str = "sheets";
 pub const OTHER: &str = "dispatch";
@@ -98,7 +98,7 @@
         let record = state.map(|state| TargetRecord {
             service: service.to_owned(),
             address: agent(number).to_bits(),
-            zone: "a".to_owned(),
+            zone: if number < 50 { "a" } else { "b" }.to_owned(),
             slots: 4,
             state,
             warm_up_ms: 0,
@@ -114,7 +114,16 @@
     }
 
     pub fn view(&self) -> FleetView {
-        FleetView::compile(&self.replica)
+        self.view_from("near")
+    }
+
+    /// The view of a daemon in this region; targets numbered 50 and above are in
+    /// region `far`, the others in `near`.
+    pub fn view_from(&self, region: &str) -> FleetView {
+        let zones = [("a", "near"), ("b", "far")];
+        let regions = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+        let locality = Locality::new(region.to_owned(), regions.into());
+        FleetView::compile(&self.replica, &locality)
     }
 
     fn change(&self) -> Update {
--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -285,7 +285,7 @@
     fleet.balancers[0].signal(Signal::SIGHUP)?;
     fleet.wait_for("a refusal", |fleet| saw(fleet, "\"outcome\":\"refused\"")).await?;
     assert!(saw(&fleet, "peer_port"), "the refusal names the field");
-    let changed = good.replace("zone-a", "zone-b");
+    let changed = good.replace("zone = \"zone-a\"", "zone = \"zone-b\"");
     std::fs::write(&fleet.balancers[0].settings, changed)?;
     fleet.balancers[0].signal(Signal::SIGHUP)?;
     fleet.wait_for("a change", |fleet| saw(fleet, "\"outcome\":\"at_next_start\"")).await?;
