Take new seeds at once, notice a changed settings file, and receive in one place

Cause: a settings file may change without a signal, and nothing of a change was taken before the next start; the loop that receives datagrams stood four times.

Ruled out: taking addresses over at run time; sockets and identities are bound for life.

Change: the file's time of change is looked at every 5 s; seeds are applied, the rest is logged as at the next start or refused; receive() serves both roles.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -39,6 +39,12 @@
         Self { own_address, seeds, peers: BTreeMap::new() }
     }
 
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = Ipv4Addr>) {
+        let own_address = self.own_address;
+        self.seeds = seeds.into_iter().filter(|seed| *seed != own_address).collect();
+    }
+
     /// Records a digest. Returns whether its sender is new here.
     pub fn heard(&mut self, digest: &Digest, now: Millis) -> bool {
         let sender = Ipv4Addr::from_bits(digest.sender);
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -1,7 +1,7 @@
 //! The agent daemon, beside one target.
 
 use std::cell::{Cell, RefCell};
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,13 +23,11 @@
 use crate::metrics::{AgentMetrics, FleetMetrics};
 use crate::platform::Platform;
 use crate::process::{ProcessLog, Signals};
+use crate::receive::receive;
+use crate::reload::{Reloaded, SettingsWatch};
 use crate::settings::{AgentSettings, RawSettings};
 use crate::status::{Status, serve_status};
 
-/// Room for one datagram.
-const DATAGRAM_ROOM: usize = 2_048;
-/// Datagrams taken in one turn before other tasks get theirs.
-const DATAGRAMS_A_TURN: usize = 64;
 /// How often waiting opening packets are looked at.
 const OPENINGS_POLL: Duration = Duration::from_millis(60);
 /// How often digests go out and old state is dropped.
@@ -117,12 +115,19 @@
     tokio::task::spawn_local(Rc::clone(&daemon).take_output());
     tokio::task::spawn_local(Rc::clone(&daemon).watch_openings());
     tokio::task::spawn_local(Rc::clone(&daemon).tick());
-    let recheck = {
-        let file = settings_file.clone();
-        let settings = settings.clone();
-        move || RawSettings::from_file(&file)?.into_agent(&file).map(|new| new == settings)
+    let role = (settings.target, settings.target_output, settings.service.clone());
+    let watch = SettingsWatch {
+        file: settings_file,
+        current: common.clone(),
+        read: move |file: &str| {
+            let new = RawSettings::from_file(file)?.into_agent(file)?;
+            let role_unchanged = (new.target, new.target_output, new.service) == role;
+            Ok(Reloaded { common: new.common, role_unchanged })
+        },
+        node: Rc::clone(&daemon.node),
+        log: log.clone(),
     };
-    tokio::task::spawn_local(crate::reload::watch(signals.clone(), log.clone(), recheck));
+    tokio::task::spawn_local(watch.run(signals.clone()));
     info!(log, "agent: started"; "event" => "start", "zone" => &common.zone,
         "address" => common.address.to_string(), "service" => &settings.service,
         "target" => settings.target.to_string());
@@ -141,23 +146,8 @@
 
 impl<P: Platform> Daemon<P> {
     async fn take_peer_messages(self: Rc<Self>) {
-        let mut buffer = vec![0; DATAGRAM_ROOM];
-        loop {
-            let socket = self.link.socket();
-            // An error here is one of an earlier send; receiving goes on.
-            let _ = socket.readable().await;
-            for _ in 0..DATAGRAMS_A_TURN {
-                match socket.try_recv_from(&mut buffer) {
-                    Ok((length, SocketAddr::V4(sender))) => {
-                        self.peer_message(&buffer[..length], *sender.ip());
-                    }
-                    Ok(_) => {}
-                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
-                    Err(_) => {}
-                }
-            }
-            tokio::task::yield_now().await;
-        }
+        let take = |datagram: &mut [u8], sender| self.peer_message(datagram, sender);
+        receive(self.link.socket(), take, || {}).await;
     }
 
     fn peer_message(&self, datagram: &[u8], sender: Ipv4Addr) {
@@ -264,19 +254,8 @@
     }
 
     async fn take_output(self: Rc<Self>) {
-        let mut buffer = vec![0; DATAGRAM_ROOM];
-        loop {
-            let _ = self.output.readable().await;
-            for _ in 0..DATAGRAMS_A_TURN {
-                match self.output.try_recv_from(&mut buffer) {
-                    Ok((length, _)) => self.target_packet(&mut buffer[..length]),
-                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
-                    Err(_) => {}
-                }
-            }
-            self.settle_openings();
-            tokio::task::yield_now().await;
-        }
+        let take = |packet: &mut [u8], _| self.target_packet(packet);
+        receive(&self.output, take, || self.settle_openings()).await;
     }
 
     fn target_packet(&self, packet: &mut [u8]) {
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -1,7 +1,7 @@
 //! The balancer daemon.
 
 use std::cell::RefCell;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -22,14 +22,12 @@
 use crate::metrics::{BalancerMetrics, FleetMetrics, StoreMetrics};
 use crate::platform::Platform;
 use crate::process::{ProcessLog, Signals};
+use crate::receive::receive;
+use crate::reload::{Reloaded, SettingsWatch};
 use crate::settings::{BalancerSettings, RawSettings};
 use crate::status::{Status, serve_status};
 use crate::store::StoreReader;
 
-/// Room for one datagram.
-const DATAGRAM_ROOM: usize = 2_048;
-/// Datagrams taken in one turn before other tasks get theirs.
-const DATAGRAMS_A_TURN: usize = 64;
 /// How often digests go out and old state is dropped.
 const TICK: Duration = Duration::from_millis(500);
 /// How often waiting searches are looked at.
@@ -101,23 +99,22 @@
         decisions: DecisionLog::new(log.clone()),
         last_packet_at: RefCell::new(0),
     });
-    let reader = StoreReader::new(platform, &common, node, clock, store_metrics, log.clone());
-    let news = Rc::clone(&daemon);
-    tokio::task::spawn_local(reader.run(move || {
-        news.link.spread_news();
-        news.note_regained();
-    }));
-    tokio::task::spawn_local(Rc::clone(&daemon).take_client_packets());
-    tokio::task::spawn_local(Rc::clone(&daemon).take_peer_messages());
-    tokio::task::spawn_local(Rc::clone(&daemon).continue_searches());
-    tokio::task::spawn_local(Rc::clone(&daemon).tick());
-    tokio::task::spawn_local(Rc::clone(&daemon).watch_isolation(status.clone(), log.clone()));
-    let recheck = {
-        let file = settings_file.clone();
-        move || RawSettings::from_file(&file)?.into_balancer(&file).map(|new| new == settings)
+    let reader =
+        StoreReader::new(platform, &common, Rc::clone(&node), clock, store_metrics, log.clone());
+    start_tasks(&daemon, reader, status.clone(), &log);
+    let watch = SettingsWatch {
+        file: settings_file,
+        current: common.clone(),
+        read: |file: &str| {
+            let common = RawSettings::from_file(file)?.into_balancer(file)?.common;
+            Ok(Reloaded { common, role_unchanged: true })
+        },
+        node,
+        log: log.clone(),
     };
-    tokio::task::spawn_local(crate::reload::watch(signals.clone(), log.clone(), recheck));
-    info!(log, "balancer: started"; "event" => "start", "zone" => &common.zone, "address" => common.address.to_string());
+    tokio::task::spawn_local(watch.run(signals.clone()));
+    info!(log, "balancer: started"; "event" => "start", "zone" => &common.zone,
+        "address" => common.address.to_string());
     signals.stopped().await;
     status.stop();
     info!(log, "balancer: stopping"; "event" => "stop", "flows" => daemon.flow_count());
@@ -126,25 +123,31 @@
     Ok(())
 }
 
+fn start_tasks<P: Platform>(
+    daemon: &Rc<Daemon<P>>,
+    reader: StoreReader<P>,
+    status: Status,
+    log: &Logger,
+) {
+    let news = Rc::clone(daemon);
+    tokio::task::spawn_local(reader.run(move || {
+        news.link.spread_news();
+        news.note_regained();
+    }));
+    tokio::task::spawn_local(Rc::clone(daemon).take_client_packets());
+    tokio::task::spawn_local(Rc::clone(daemon).take_peer_messages());
+    tokio::task::spawn_local(Rc::clone(daemon).continue_searches());
+    tokio::task::spawn_local(Rc::clone(daemon).tick());
+    tokio::task::spawn_local(Rc::clone(daemon).watch_isolation(status, log.clone()));
+}
+
 impl<P: Platform> Daemon<P> {
     fn flow_count(&self) -> usize {
         self.core.borrow().flow_count()
     }
 
     async fn take_client_packets(self: Rc<Self>) {
-        let mut buffer = vec![0; DATAGRAM_ROOM];
-        loop {
-            // An error here is one of an earlier send; receiving goes on.
-            let _ = self.packets.readable().await;
-            for _ in 0..DATAGRAMS_A_TURN {
-                match self.packets.try_recv_from(&mut buffer) {
-                    Ok((length, _)) => self.client_packet(&buffer[..length]),
-                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
-                    Err(_) => {}
-                }
-            }
-            tokio::task::yield_now().await;
-        }
+        receive(&self.packets, |packet, _| self.client_packet(packet), || {}).await;
     }
 
     fn client_packet(&self, packet: &[u8]) {
@@ -168,22 +171,8 @@
     }
 
     async fn take_peer_messages(self: Rc<Self>) {
-        let mut buffer = vec![0; DATAGRAM_ROOM];
-        loop {
-            let socket = self.link.socket();
-            let _ = socket.readable().await;
-            for _ in 0..DATAGRAMS_A_TURN {
-                match socket.try_recv_from(&mut buffer) {
-                    Ok((length, SocketAddr::V4(sender))) => {
-                        self.peer_message(&buffer[..length], *sender.ip());
-                    }
-                    Ok(_) => {}
-                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
-                    Err(_) => {}
-                }
-            }
-            tokio::task::yield_now().await;
-        }
+        let take = |datagram: &mut [u8], sender| self.peer_message(datagram, sender);
+        receive(self.link.socket(), take, || {}).await;
     }
 
     fn peer_message(&self, datagram: &[u8], sender: Ipv4Addr) {
--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: &[Ipv4Addr]) {
+        self.peers.set_seeds(seeds.iter().copied());
+    }
+
     /// Routes and targets in force.
     pub fn view(&self) -> &FleetView {
         &self.view
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod peer_stream;
 mod platform;
 mod process;
+mod receive;
 mod reload;
 mod settings;
 mod status;
--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -289,6 +289,10 @@
     std::fs::write(&fleet.balancers[0].settings, changed)?;
     fleet.balancers[0].signal(Signal::SIGHUP)?;
     fleet.wait_for("a change", |fleet| saw(fleet, "\"outcome\":\"at_next_start\"")).await?;
+    // A file that changes without a signal is noticed, and seeds are taken at once.
+    let seeds = good.replace("seeds = [", "seeds = [\"127.0.0.1:8166\",");
+    std::fs::write(&fleet.balancers[0].settings, seeds)?;
+    fleet.wait_for("new seeds", |fleet| saw(fleet, "\"outcome\":\"applied\"")).await?;
     let address = IpAddr::V4(fleet.balancers[0].address);
     let figures = http_get(address, METRICS, "/metrics").await?;
     for name in [
