Keep membership and dissemination flat at a thousand daemons

Ruled out: a larger table alone; 7,200 agents would fill any.

Change: agents fetch the configuration and their own target's record alone, only when the configuration is newer; balancers remember balancers alone; in fleets of more than eight balancers an agent speaks to three at a tick, and connected daemons ask a silent seed at one tick in sixty. Without the store flows go by the agents' word, which stands in for the records that agents no longer pass on.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,8 +14,8 @@
 mod timing;
 
 pub use message::{
-    Digest, FetchRequest, MessageError, PeerMessage, PeerRole, ReturnReason, TargetClaim, decode,
-    encode,
+    Digest, FetchRequest, FetchScope, MessageError, PeerMessage, PeerRole, ReturnReason,
+    TargetClaim, decode, encode,
 };
 pub use model::{Configuration, Route, RoutePart, ServiceId, TargetRecord, TargetState};
 pub use peers::{PEER_LIFETIME_MS, PeerTable};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -50,6 +50,8 @@
     pub role: PeerRole,
     /// The store revision that the sender knows all changes up to.
     pub revision: u64,
+    /// The store revision of the configuration that the sender knows; 0 if none.
+    pub configuration_revision: u64,
     /// Milliseconds since the store confirmed that revision; none if never.
     pub age_ms: Option<u64>,
     /// Whether the sender reads the store for its peers.
@@ -67,6 +69,17 @@
 pub struct FetchRequest {
     /// The revision that the asker knows all changes up to.
     pub after: u64,
+    /// What the asker wants.
+    pub scope: FetchScope,
+}
+
+/// How much a daemon wants to know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum FetchScope {
+    /// Everything.
+    All,
+    /// The configuration, and the targets of the machine with this IPv4 address.
+    Machine(u32),
 }
 
 /// A datagram between daemons.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,4 +1,5 @@
-//! Which other daemons exist, learned from seeds and from each other.
+//! Which balancers exist, learned from seeds and from each other. Agents are known
+//! by the targets' records and by what they say; there may be very many of them.
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -10,15 +11,14 @@
 pub const PEER_LIFETIME_MS: Millis = 6_000;
 /// A peer that was silent for this long is asked for a digest.
 const ASK_AFTER_MS: Millis = 2_000;
-/// Most peers remembered of each role; the rest are reached through others.
-const MAXIMUM_PEERS: usize = 512;
+/// Most balancers remembered; the rest are reached through others.
+const MAXIMUM_PEERS: usize = 2_048;
 /// Most addresses that one digest names.
 const MAXIMUM_NAMED: usize = 12;
 
 /// What is known of one peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Peer {
-    role: PeerRole,
     heard_at: Option<Millis>,
     named_at: Millis,
     reading_at: Option<Millis>,
@@ -51,13 +51,14 @@
         for named in digest.balancers.iter().take(MAXIMUM_NAMED) {
             self.named(Ipv4Addr::from_bits(*named), now);
         }
-        if sender == self.own_address || self.is_full_for(sender) {
+        let is_agent = digest.role == PeerRole::Agent;
+        if is_agent || sender == self.own_address || self.is_full_for(sender) {
             return false;
         }
         let known = self.peers.get(&sender);
         let is_new = known.is_none_or(|peer| peer.heard_at.is_none());
         let reading_at = if digest.reading { Some(now) } else { None };
-        let peer = Peer { role: digest.role, heard_at: Some(now), named_at: now, reading_at };
+        let peer = Peer { heard_at: Some(now), named_at: now, reading_at };
         self.peers.insert(sender, peer);
         is_new
     }
@@ -84,12 +85,7 @@
 
     /// Balancers that were heard from, or of, lately, in order of address.
     pub fn balancers(&self) -> impl Iterator<Item = Ipv4Addr> {
-        self.with_role(PeerRole::Balancer)
-    }
-
-    /// Agents that were heard from lately, in order of address.
-    pub fn agents(&self) -> impl Iterator<Item = Ipv4Addr> {
-        self.with_role(PeerRole::Agent)
+        self.peers.keys().copied()
     }
 
     /// Seeds that were not heard from lately.
@@ -105,7 +101,7 @@
         let heard: Vec<Ipv4Addr> = self
             .peers
             .iter()
-            .filter(|(_, peer)| peer.role == PeerRole::Balancer && peer.heard_at.is_some())
+            .filter(|(_, peer)| peer.heard_at.is_some())
             .map(|(address, _)| *address)
             .collect();
         let count = heard.len().min(MAXIMUM_NAMED);
@@ -125,17 +121,11 @@
             .any(|(_, peer)| peer.reading_at.is_some_and(|at| now.saturating_sub(at) < window))
     }
 
-    fn with_role(&self, role: PeerRole) -> impl Iterator<Item = Ipv4Addr> {
-        let peers = self.peers.iter().filter(move |(_, peer)| peer.role == role);
-        peers.map(|(address, _)| *address)
-    }
-
     fn named(&mut self, address: Ipv4Addr, now: Millis) {
         if address == self.own_address || self.is_full_for(address) {
             return;
         }
-        let peer =
-            Peer { role: PeerRole::Balancer, heard_at: None, named_at: now, reading_at: None };
+        let peer = Peer { heard_at: None, named_at: now, reading_at: None };
         self.peers.entry(address).or_insert(peer);
     }
 
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -39,7 +39,7 @@
 pub struct Update {
     /// The update holds every change after this revision.
     pub after: u64,
-    /// Up to this revision.
+    /// Up to this revision; 0 if the source does not know all changes of any span.
     pub through: u64,
     /// Whether the update lists everything; what it lacks is not in the store.
     pub complete: bool,
@@ -139,7 +139,8 @@
             self.apply_target(target, now, &mut changes);
         }
         // A span that begins after what is known here leaves a gap.
-        if update.complete || update.after <= self.revision {
+        let is_gapless = update.complete || update.after <= self.revision;
+        if is_gapless && update.through > 0 {
             self.revision = self.revision.max(update.through);
             self.confirm(update.through, update.age_ms, now);
         }
@@ -176,6 +177,28 @@
         }
     }
 
+    /// The configuration if it changed after `after`, and the targets of a machine.
+    pub fn update_for_machine(&self, after: u64, machine: u32, now: Millis) -> Update {
+        let is_own = |target: &VersionedTarget| {
+            target.record.as_ref().is_some_and(|record| record.address == machine)
+        };
+        let targets = self.targets.values().map(|entry| &entry.target);
+        let targets = targets.filter(|target| is_own(target)).cloned().collect();
+        Update { targets, complete: false, ..self.update_after(after, now) }
+    }
+
+    /// The configuration alone, from a replica that does not have all targets.
+    pub fn configuration_only(&self) -> Update {
+        Update {
+            after: 0,
+            through: 0,
+            complete: false,
+            age_ms: 0,
+            configuration: self.configuration.clone(),
+            targets: Vec::new(),
+        }
+    }
+
     fn apply_configuration(
         &mut self,
         offered: Option<VersionedConfiguration>,
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -20,6 +20,7 @@
         sender: sender.to_bits(),
         role: PeerRole::Balancer,
         revision: 1,
+        configuration_revision: 1,
         age_ms: Some(0),
         reading,
         reply: false,
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -194,3 +194,29 @@
         prop_assert_eq!(follower.revision(), leader.revision());
     }
 }
+
+#[test]
+fn a_machine_gets_the_configuration_and_its_own_targets() {
+    let mut replica = Replica::new();
+    let mut own = target("own", 4, Some(TargetState::Ready));
+    own.record = Some(record(9, TargetState::Ready));
+    let targets = vec![target("other", 3, Some(TargetState::Ready)), own];
+    let update = Update { configuration: Some(configuration(2, 31)), ..listing(4, targets) };
+    replica.apply(update, 0);
+    let mut beside = Replica::new();
+    beside.apply(replica.update_for_machine(0, 9, 0), 0);
+    assert_eq!(present(&beside), vec![("own".to_owned(), 4)]);
+    assert_eq!(beside.configuration().map(|known| known.configuration.version), Some(31));
+}
+
+/// What an agent gives must not be taken for the store's whole word.
+#[test]
+fn a_configuration_alone_says_nothing_about_targets_or_freshness() {
+    let mut replica = Replica::new();
+    let update = Update { configuration: Some(configuration(2, 31)), ..listing(4, Vec::new()) };
+    replica.apply(update, 0);
+    let mut restarted = Replica::new();
+    restarted.apply(replica.configuration_only(), 10);
+    assert_eq!(restarted.configuration().map(|known| known.configuration.version), Some(31));
+    assert_eq!((restarted.revision(), restarted.age(10)), (0, None));
+}
--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node.rs
@@ -5,7 +5,8 @@
 use rand::seq::IndexedRandom;
 use slog::{Logger, info};
 use weirhinge_fleet::{
-    Change, Digest, Millis, PeerRole, PeerTable, Replica, TargetClaim, Timing, Update, reader,
+    Change, Digest, FetchRequest, FetchScope, Millis, PeerRole, PeerTable, Replica, TargetClaim,
+    Timing, Update, reader,
 };
 use weirhinge_steering::{FleetView, Locality};
 
@@ -17,8 +18,15 @@
 const FAN_OUT: usize = 6;
 /// Agents asked when the store's word became fresh.
 const AGENTS_ASKED: usize = 64;
-/// Balancers that an agent keeps in touch with.
+/// Balancers that an agent keeps in touch with, all of them in a small fleet.
 const AGENT_CONTACTS: usize = 8;
+/// Balancers, drawn anew, that an agent of a larger fleet speaks to at a tick.
+const AGENT_CONTACTS_A_TICK: usize = 3;
+/// Balancers that a daemon needs to know to be well connected.
+const ENOUGH_BALANCERS: usize = 3;
+/// A daemon that knows enough balancers asks a silent seed at one tick in so many,
+/// which joins fleets that lost each other.
+const SEED_EVERY: u32 = 60;
 /// Time after the start in which seeds are asked at every tick.
 const EAGER_MS: Millis = 3_000;
 
@@ -101,9 +109,50 @@
         self.regained_at.take()
     }
 
-    /// Everything that changed after a revision, for a peer.
-    pub fn update_after(&self, after: u64, now: Millis) -> Update {
-        self.replica.update_after(after, now)
+    /// What a peer asks for. An agent does not have all targets and gives the
+    /// configuration alone.
+    pub fn answer(&self, request: FetchRequest, now: Millis) -> Update {
+        match (self.role, request.scope) {
+            (PeerRole::Agent, _) => self.replica.configuration_only(),
+            (PeerRole::Balancer, FetchScope::All) => self.replica.update_after(request.after, now),
+            (PeerRole::Balancer, FetchScope::Machine(machine)) => {
+                self.replica.update_for_machine(request.after, machine, now)
+            }
+        }
+    }
+
+    /// What this daemon asks a peer for.
+    pub fn request(&self) -> FetchRequest {
+        let after = self.replica.revision();
+        match self.role {
+            PeerRole::Balancer => FetchRequest { after, scope: FetchScope::All },
+            PeerRole::Agent => {
+                let scope = FetchScope::Machine(self.address.to_bits());
+                // Its own target may have been recorded before the configuration.
+                let after = self.configuration_revision().min(after);
+                FetchRequest { after, scope }
+            }
+        }
+    }
+
+    fn configuration_revision(&self) -> u64 {
+        self.replica.configuration().map_or(0, |known| known.revision)
+    }
+
+    /// Whether a peer's digest tells of something that this daemon wants.
+    fn wants(&self, digest: &Digest) -> bool {
+        let newer = digest.revision > self.replica.revision();
+        let newer_configuration = digest.configuration_revision > self.configuration_revision();
+        match (self.role, digest.role) {
+            (PeerRole::Balancer, PeerRole::Balancer) => newer,
+            // Agents are asked only by those who know nothing.
+            (PeerRole::Balancer, PeerRole::Agent) => {
+                self.configuration_revision() == 0 && newer_configuration
+            }
+            (PeerRole::Agent, _) => {
+                newer_configuration || (newer && self.replica.targets().next().is_none())
+            }
+        }
     }
 
     /// What this daemon says of itself.
@@ -112,6 +161,7 @@
             sender: self.address.to_bits(),
             role: self.role,
             revision: self.replica.revision(),
+            configuration_revision: self.configuration_revision(),
             age_ms: self.replica.age(now),
             reading: self.reading,
             reply,
@@ -140,12 +190,20 @@
             (before, after) => before.is_none() && after.is_some(),
         };
         Reaction {
-            fetch: digest.revision > known,
-            reply: is_new || digest.reply || digest.revision < known,
+            fetch: self.wants(digest),
+            reply: is_new || digest.reply || self.has_news_for(digest),
             spread: fresher && self.role == PeerRole::Balancer,
         }
     }
 
+    /// Whether the sender of a digest would want what this daemon knows.
+    fn has_news_for(&self, digest: &Digest) -> bool {
+        match digest.role {
+            PeerRole::Balancer => digest.revision < self.replica.revision(),
+            PeerRole::Agent => digest.configuration_revision < self.configuration_revision(),
+        }
+    }
+
     /// Takes in what the store or a peer says. Returns whether anything changed.
     pub fn apply(&mut self, update: Update, source: &str, now: Millis) -> bool {
         let before = self.replica.revision();
@@ -189,12 +247,19 @@
         self.peers.expire(now);
         let balancers: Vec<Ipv4Addr> = self.peers.balancers().collect();
         let contacts = match self.role {
+            PeerRole::Agent if balancers.len() > AGENT_CONTACTS => AGENT_CONTACTS_A_TICK,
             PeerRole::Agent => AGENT_CONTACTS,
             PeerRole::Balancer => 2,
         };
         let mut receivers = choose(&balancers, contacts);
         let silent: Vec<Ipv4Addr> = self.peers.silent_seeds().collect();
-        let asked = if now < EAGER_MS || balancers.is_empty() { silent.len() } else { 1 };
+        let is_lonely = now < EAGER_MS || balancers.is_empty();
+        let is_connected = balancers.len() >= ENOUGH_BALANCERS;
+        let asked = match (is_lonely, is_connected) {
+            (true, _) => silent.len(),
+            (false, true) => usize::from(rand::random_ratio(1, SEED_EVERY)),
+            (false, false) => 1,
+        };
         receivers.extend(choose(&silent, asked));
         receivers.sort();
         receivers.dedup();
@@ -204,6 +269,10 @@
     }
 
     fn note_freshness(&mut self, now: Millis) {
+        // Agents decide nothing by the age of what they know.
+        if self.role == PeerRole::Agent {
+            return;
+        }
         let age = self.replica.age(now);
         let is_fresh = age.is_some_and(|age| age < self.timing.fresh_ms);
         let is_lost = age.is_none_or(|age| age >= self.timing.stale_ms);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub use agent::run as run_agent;
 pub use balancer::run as run_balancer;
+pub use fleet_node::{FleetNode, Reaction};
 pub use platform::{ListPage, Platform, RejectedItem, WatchPage};
 pub use process::{ProcessLog, Signals, run_process};
 pub use settings::{AgentSettings, BalancerSettings, CommonSettings, RawSettings};
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -49,7 +49,7 @@
             .wrap_err_with(|| format!("bind for peers at {address}"))?;
         let known = Rc::clone(&node);
         peer_stream::serve(settings.address, settings.peer_port, move |request| {
-            known.borrow().update_after(request.after, clock.now())
+            known.borrow().answer(request, clock.now())
         })
         .await
         .wrap_err_with(|| format!("listen for peers at {address}"))?;
@@ -162,8 +162,8 @@
 
     async fn fetch_from(&self, peer: Ipv4Addr) {
         let began = self.clock.now();
-        let after = self.node.borrow().revision();
-        let result = peer_stream::fetch(SocketAddrV4::new(peer, self.port), after).await;
+        let request = self.node.borrow().request();
+        let result = peer_stream::fetch(SocketAddrV4::new(peer, self.port), request).await;
         let now = self.clock.now();
         self.metrics.fetch_seconds.observe((now - began) as f64 / 1_000.0);
         match result {
--- a/crates/relay/src/peer_stream.rs
+++ b/crates/relay/src/peer_stream.rs
@@ -25,17 +25,17 @@
     reason: String,
 }
 
-/// Fetches all changes after a revision from a peer.
+/// Fetches what a peer knows.
 ///
 /// # Errors
 /// Names the step and the peer.
-pub async fn fetch(peer: SocketAddrV4, after: u64) -> Result<Update, FetchError> {
+pub async fn fetch(peer: SocketAddrV4, request: FetchRequest) -> Result<Update, FetchError> {
     let failed = |step, reason: String| FetchError { step, peer, reason };
     let exchange = async {
         let mut stream = TcpStream::connect(peer)
             .await
             .map_err(|error| failed("connect to", error.to_string()))?;
-        write_frame(&mut stream, &FetchRequest { after })
+        write_frame(&mut stream, &request)
             .await
             .map_err(|error| failed("ask", error.to_string()))?;
         let body = read_frame(&mut stream, MAXIMUM_FRAME)
--- /dev/null
+++ b/crates/relay/tests/fleet_scale.rs
@@ -0,0 +1,337 @@
+//! Membership and dissemination at the size aimed at, in simulated time: hollow
+//! daemons with the real knowledge and the real choice of peers, a store that
+//! counts its calls, datagrams that are late and lost.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::Ipv4Addr;
+
+use slog::{Discard, Logger, o};
+use weirhinge_fleet::{
+    Configuration, Digest, Millis, PeerMessage, PeerRole, TargetClaim, TargetRecord, TargetState,
+    Update, VersionedConfiguration, VersionedTarget, encode,
+};
+use weirhinge_relay::{CommonSettings, FleetNode, RawSettings};
+
+const TICK_MS: Millis = 500;
+const ONE_WAY_MS: Millis = 3;
+const READ_MS: Millis = 8;
+const FETCH_PATIENCE_MS: Millis = 150;
+/// One datagram in this many is lost.
+const LOSS: u64 = 100;
+
+enum Event {
+    Tick,
+    Poll,
+    Deliver(Box<Digest>),
+    Fetched(Box<Update>),
+    Read(u64),
+}
+
+struct Hollow {
+    node: FleetNode,
+    is_balancer: bool,
+    wanted: (u64, Millis),
+    bytes: u64,
+}
+
+struct Simulation {
+    now: Millis,
+    queue: BinaryHeap<Reverse<(Millis, u64, usize)>>,
+    events: HashMap<u64, Event>,
+    next_event: u64,
+    daemons: Vec<Hollow>,
+    by_address: HashMap<Ipv4Addr, usize>,
+    store_revision: u64,
+    store_refuses: Option<usize>,
+    calls: u64,
+    random: u64,
+}
+
+fn settings(address: Ipv4Addr) -> CommonSettings {
+    let text = |port: u16| Some(format!("{address}:{port}"));
+    let raw = RawSettings {
+        name: Some(address.to_string()),
+        zone: Some("a".to_owned()),
+        address: Some(address.to_string()),
+        packets: text(1),
+        readiness: text(2),
+        peer_port: Some(3),
+        store: text(4),
+        seeds: Some((0..3).map(|place| format!("{}:3", address_of(place))).collect()),
+        ..RawSettings::default()
+    };
+    raw.into_balancer("simulation").expect("settings").common
+}
+
+fn address_of(place: usize) -> Ipv4Addr {
+    Ipv4Addr::from_bits(0x0a00_0001 + place as u32)
+}
+
+impl Simulation {
+    fn new(balancers: usize, agents: usize) -> Self {
+        let mut simulation = Self {
+            now: 0,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            next_event: 0,
+            daemons: Vec::new(),
+            by_address: HashMap::new(),
+            store_revision: 1,
+            store_refuses: None,
+            calls: 0,
+            random: 1,
+        };
+        for place in 0..balancers + agents {
+            let is_balancer = place < balancers;
+            let role = if is_balancer { PeerRole::Balancer } else { PeerRole::Agent };
+            let log = Logger::root(Discard, o!());
+            let mut node = FleetNode::new(&settings(address_of(place)), role, log);
+            node.claim = (!is_balancer).then(|| TargetClaim {
+                service: "sheets".to_owned(),
+                alive: true,
+                waiting: 1,
+                leaving: false,
+            });
+            simulation.by_address.insert(address_of(place), place);
+            simulation.daemons.push(Hollow { node, is_balancer, wanted: (0, 0), bytes: 0 });
+            let start = simulation.draw(300);
+            simulation.schedule(start, place, Event::Tick);
+            if is_balancer {
+                simulation.schedule(start, place, Event::Poll);
+            }
+        }
+        simulation
+    }
+
+    /// A small pseudo-random number (xorshift), the same in every run.
+    fn draw(&mut self, below: u64) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random % below
+    }
+
+    fn schedule(&mut self, at: Millis, place: usize, event: Event) {
+        self.events.insert(self.next_event, event);
+        self.queue.push(Reverse((at, self.next_event, place)));
+        self.next_event += 1;
+    }
+
+    fn run_until(&mut self, end: Millis, mut done: impl FnMut(&Self) -> bool) -> Millis {
+        while let Some(Reverse((at, number, place))) = self.queue.pop() {
+            if at > end || done(self) {
+                self.queue.push(Reverse((at, number, place)));
+                break;
+            }
+            self.now = at;
+            if let Some(event) = self.events.remove(&number) {
+                self.handle(place, event);
+            }
+        }
+        self.now
+    }
+
+    fn handle(&mut self, place: usize, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Tick => {
+                let receivers = self.daemons[place].node.tick_receivers(now);
+                for (receiver, ask) in receivers {
+                    self.send_digest(place, receiver, ask);
+                }
+                self.schedule(now + TICK_MS, place, Event::Tick);
+            }
+            Event::Poll => self.poll(place),
+            Event::Deliver(digest) => self.deliver(place, &digest),
+            Event::Fetched(update) => {
+                if self.daemons[place].node.apply(*update, "peer", now) {
+                    self.spread(place);
+                }
+            }
+            Event::Read(after) => self.read(place, after),
+        }
+    }
+
+    fn poll(&mut self, place: usize) {
+        let now = self.now;
+        let node = &mut self.daemons[place].node;
+        if !node.should_read(now) {
+            node.reading = false;
+            return self.schedule(now + 40, place, Event::Poll);
+        }
+        let after = node.revision();
+        self.calls += 1;
+        if self.store_refuses == Some(place) {
+            node.reading = false;
+            return self.schedule(now + 500, place, Event::Poll);
+        }
+        let wait = if after == self.store_revision { 1_000 } else { READ_MS };
+        self.schedule(now + wait, place, Event::Read(after));
+    }
+
+    fn read(&mut self, place: usize, after: u64) {
+        let now = self.now;
+        let update = self.store_update(after);
+        let node = &mut self.daemons[place].node;
+        node.apply(update, "store", now);
+        node.reading = true;
+        self.spread(place);
+        self.schedule(now + 250, place, Event::Poll);
+    }
+
+    /// What the store says: one record an agent from the start, and a configuration
+    /// that changes with every further revision.
+    fn store_update(&self, after: u64) -> Update {
+        let through = self.store_revision;
+        let configuration =
+            Configuration { version: through, routes: Vec::new(), idle_timeout_ms: 15_000 };
+        let is_new = through > after;
+        let agents = (0..self.daemons.len()).filter(|place| !self.daemons[*place].is_balancer);
+        let targets = agents.map(|place| VersionedTarget {
+            id: format!("target-{place}"),
+            revision: 1,
+            present: true,
+            record: Some(TargetRecord {
+                service: "sheets".to_owned(),
+                address: address_of(place).to_bits(),
+                zone: "a".to_owned(),
+                slots: 5,
+                state: TargetState::Ready,
+                warm_up_ms: 0,
+            }),
+        });
+        Update {
+            after,
+            through,
+            complete: after == 0,
+            age_ms: 0,
+            configuration: is_new
+                .then_some(VersionedConfiguration { revision: through, configuration }),
+            targets: if after == 0 { targets.collect() } else { Vec::new() },
+        }
+    }
+
+    fn deliver(&mut self, place: usize, digest: &Digest) {
+        let now = self.now;
+        let daemon = &mut self.daemons[place];
+        let reaction = daemon.node.on_digest(digest, now);
+        let sender = Ipv4Addr::from_bits(digest.sender);
+        if reaction.reply {
+            self.send_digest(place, sender, false);
+        }
+        let daemon = &mut self.daemons[place];
+        let (wanted, since) = daemon.wanted;
+        let is_on_its_way =
+            digest.revision <= wanted && now.saturating_sub(since) < FETCH_PATIENCE_MS;
+        if reaction.fetch && !is_on_its_way {
+            daemon.wanted = (digest.revision, now);
+            let request = daemon.node.request();
+            let from = self.by_address[&sender];
+            let update = self.daemons[from].node.answer(request, now);
+            let mut buffer = Vec::new();
+            encode(&update, &mut buffer).expect("encodes");
+            self.daemons[from].bytes += buffer.len() as u64;
+            self.schedule(now + 4 * ONE_WAY_MS, place, Event::Fetched(Box::new(update)));
+        }
+        if reaction.spread {
+            self.spread(place);
+        }
+    }
+
+    fn spread(&mut self, place: usize) {
+        for receiver in self.daemons[place].node.news_receivers() {
+            self.send_digest(place, receiver, false);
+        }
+    }
+
+    fn send_digest(&mut self, place: usize, receiver: Ipv4Addr, ask: bool) {
+        let digest = self.daemons[place].node.digest(ask, self.now);
+        let mut buffer = Vec::new();
+        encode(&PeerMessage::Digest(digest.clone()), &mut buffer).expect("encodes");
+        // Headers of IP and UDP count as well.
+        self.daemons[place].bytes += buffer.len() as u64 + 28;
+        if self.draw(LOSS) == 0 {
+            return;
+        }
+        let to = self.by_address[&receiver];
+        let late = ONE_WAY_MS + self.draw(5);
+        self.schedule(self.now + late, to, Event::Deliver(Box::new(digest)));
+    }
+
+    fn all_balancers_know(&self, revision: u64) -> bool {
+        let mut balancers = self.daemons.iter().filter(|daemon| daemon.is_balancer);
+        balancers.all(|daemon| daemon.node.revision() >= revision)
+    }
+
+    fn everyone_knows(&self, revision: u64) -> bool {
+        self.daemons.iter().all(|daemon| daemon.node.revision() >= revision)
+    }
+
+    /// Bytes a second sent by the busiest daemon and on average since `began`, then
+    /// counts anew.
+    fn take_bytes(&mut self, began: Millis) -> (u64, u64) {
+        let seconds = ((self.now - began) / 1_000).max(1);
+        let most = self.daemons.iter().map(|daemon| daemon.bytes).max().unwrap_or(0);
+        let all: u64 = self.daemons.iter().map(|daemon| daemon.bytes).sum();
+        for daemon in &mut self.daemons {
+            daemon.bytes = 0;
+        }
+        (most / seconds, all / seconds / self.daemons.len() as u64)
+    }
+}
+
+#[test]
+fn a_thousand_daemons_follow_changes_within_three_seconds_and_six_kilobytes() {
+    let mut simulation = Simulation::new(300, 700);
+    simulation.run_until(15_000, |_| false);
+    assert!(simulation.everyone_knows(1));
+    let (most, mean) = simulation.take_bytes(0);
+    println!("start, 15 s: {most} B/s at most, {mean} B/s on average");
+    let (calls, began) = (simulation.calls, simulation.now);
+    simulation.run_until(began + 20_000, |_| false);
+    let (most, mean) = simulation.take_bytes(began);
+    let calls = simulation.calls - calls;
+    println!("quiet, 20 s: {most} B/s at most, {mean} B/s on average, {calls} calls");
+    assert!(most < 6_000, "{most} B/s of control at the busiest daemon");
+    assert!(calls < 60, "{calls} calls in 20 s");
+    let mut longest = (0, 0);
+    for _ in 0..5 {
+        simulation.store_revision += 1;
+        let (revision, began) = (simulation.store_revision, simulation.now);
+        let balancers =
+            simulation.run_until(began + 10_000, |sim| sim.all_balancers_know(revision)) - began;
+        let all = simulation.run_until(began + 10_000, |sim| sim.everyone_knows(revision)) - began;
+        longest = (longest.0.max(balancers), longest.1.max(all));
+        let now = simulation.now;
+        simulation.run_until(now + 3_000, |_| false);
+    }
+    println!("change: {} ms at all balancers, {} ms at all daemons", longest.0, longest.1);
+    // The watch of the simulated store answers after its whole wait, 1 s at worst.
+    assert!(longest.0 < 3_000, "{} ms", longest.0);
+    assert!(longest.1 < 10_000, "{} ms", longest.1);
+}
+
+#[test]
+fn a_reader_that_the_store_refuses_is_replaced_in_time() {
+    let mut simulation = Simulation::new(300, 0);
+    simulation.run_until(10_000, |_| false);
+    let reader = simulation.daemons.iter().position(|daemon| daemon.node.reading);
+    simulation.store_refuses = reader;
+    simulation.store_revision += 1;
+    let (revision, began) = (simulation.store_revision, simulation.now);
+    let took = simulation.run_until(began + 10_000, |sim| sim.all_balancers_know(revision)) - began;
+    println!("change past a refused reader: {took} ms at all balancers");
+    assert!(reader.is_some() && took < 3_000, "{took} ms");
+}
+
+#[test]
+fn membership_spreads_from_three_seeds() {
+    let mut simulation = Simulation::new(100, 200);
+    simulation.run_until(8_000, |_| false);
+    let daemons = simulation.daemons.iter_mut();
+    let contacts: Vec<usize> =
+        daemons.map(|daemon| daemon.node.tick_receivers(8_000).len()).collect();
+    assert!(contacts.iter().all(|count| *count > 0));
+    assert!(simulation.everyone_knows(1));
+}
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -163,7 +163,7 @@
         let is_silent = |candidate: &Candidate| self.statuses.is_suspect(candidate.agent, now);
         let (silent, mut answering): (Vec<_>, Vec<_>) = ready.into_iter().partition(is_silent);
         if answering.is_empty() {
-            let unrecorded = self.unrecorded(candidates, service, now);
+            let unrecorded = self.unrecorded(context, candidates, service);
             answering = rendezvous_order(flow_hash, unrecorded.iter());
             answering.retain(|candidate| !is_silent(candidate));
         }
@@ -173,11 +173,12 @@
     /// Targets without a record that may take flows where no other does.
     fn unrecorded(
         &self,
+        context: &Context<'_>,
         candidates: &[Candidate],
         service: ServiceId,
-        now: Millis,
     ) -> Vec<Candidate> {
-        let unsettled = self.is_unsettled(now);
+        let now = context.now;
+        let unsettled = !context.fresh || self.is_unsettled(now);
         let grace_ms = self.timing.vanished_grace_ms;
         let may_live = |candidate: &&Candidate| match candidate.standing {
             Standing::Vanished(at) => unsettled || now.saturating_sub(at) < grace_ms,
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -571,3 +571,13 @@
     let far: Vec<bool> = visited.into_iter().map(is_far).collect();
     assert_eq!(far, [false, false, false, true, true, true]);
 }
+
+#[test]
+fn without_the_store_flows_go_by_the_agents_word() {
+    let mut fixture = Fixture::new(&Store::with_targets(0));
+    fixture.fresh = false;
+    fixture.balancer.claimed(agent(1), &claim(SERVICE), LATER);
+    fixture.balancer.claimed(agent(2), &claim(OTHER), LATER);
+    let decision = fixture.client(&opening(flow(1)), LATER + 100);
+    assert_eq!(forwarded(&decision).agent, agent(1));
+}
