--- a/crates/steering/src/agent.rs
+++ b/crates/steering/src/agent.rs
@@ -6,6 +6,7 @@
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId};
 
 use crate::packet::{FlowKey, PacketHead};
+use crate::waiting_room::{WaitedOpening, WaitingRoom};
 
 /// Deliveries remembered to find the balancer of a bounced packet. A bounce comes
 /// back within a millisecond or so.
@@ -25,11 +26,6 @@
 const ROOM_PERCENT: u32 = 150;
 /// The same for flows of urgent routes.
 const URGENT_ROOM_PERCENT: u32 = 250;
-/// Most opening packets that wait for room.
-const WAITING_OPENINGS: usize = 128;
-/// Longest wait of an opening packet. The client gives an attempt up after 1.4 s.
-const LONGEST_WAIT_MS: Millis = 1_100;
-
 /// A client's packet on its way to the target.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival<'a> {
@@ -49,19 +45,6 @@
     pub urgent: bool,
 }
 
-/// An opening packet that waited for room.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WaitedOpening {
-    /// The packet's head.
-    pub head: PacketHead,
-    /// The packet.
-    pub packet: Vec<u8>,
-    /// The balancer that sent it.
-    pub balancer: Ipv4Addr,
-    urgent: bool,
-    arrived_at: Millis,
-}
-
 /// What to do with a packet that waited.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WaitOutcome {
@@ -169,8 +152,7 @@
     expected: u32,
     /// Those flows in the order of admission, with the time until which they count.
     expectations: VecDeque<(Millis, FlowKey)>,
-    /// Opening packets that wait for room, the newest last.
-    openings: VecDeque<WaitedOpening>,
+    openings: WaitingRoom,
     /// Requests that the target works on at once; none if not known.
     slots: Option<u32>,
     leaving: bool,
@@ -187,7 +169,7 @@
             waiting: 0,
             expected: 0,
             expectations: VecDeque::new(),
-            openings: VecDeque::new(),
+            openings: WaitingRoom::default(),
             slots: None,
             leaving: false,
         }
@@ -223,7 +205,7 @@
                 return DeliveryDecision::Return(ReturnReason::Leaving);
             }
             let is_new = !self.flows.contains_key(&arrival.head.client_flow());
-            if is_new && self.is_busy_for(arrival.urgent) {
+            if is_new && is_busy(self.slots, self.load(), arrival.urgent) {
                 return self.busy_opening(arrival, now);
             }
         }
@@ -231,61 +213,33 @@
         DeliveryDecision::Deliver { echo }
     }
 
-    /// The next waiting opening packet that has an outcome. The newest goes first:
-    /// when not all can be in time, some are (adaptive LIFO), and requests on flows
-    /// that are open already never stand behind it.
+    /// The next waiting opening packet that has an outcome.
     pub fn next_outcome(&mut self, now: Millis) -> Option<WaitOutcome> {
         self.drop_expectations(now);
-        let is_over = |opening: &WaitedOpening| {
-            self.leaving || now.saturating_sub(opening.arrived_at) >= LONGEST_WAIT_MS
-        };
-        if let Some(place) = self.openings.iter().position(is_over) {
-            return self.openings.remove(place).map(WaitOutcome::Return);
-        }
-        let urgent = self.openings.iter().rposition(|opening| opening.urgent);
-        let place = urgent.or_else(|| self.openings.len().checked_sub(1))?;
-        if self.is_busy_for(urgent.is_some()) {
-            return None;
+        if let Some(opening) = self.openings.take_over(self.leaving, now) {
+            return Some(WaitOutcome::Return(opening));
         }
-        let opening = self.openings.remove(place)?;
+        let load = self.load();
+        let slots = self.slots;
+        let opening = self.openings.take_first(|urgent| !is_busy(slots, load, urgent))?;
         let echo = self.admit(&opening.head, opening.balancer, false, now);
         Some(WaitOutcome::Deliver(opening, echo))
     }
 
     fn busy_opening(&mut self, arrival: &Arrival<'_>, now: Millis) -> DeliveryDecision {
-        if self
-            .openings
-            .iter()
-            .any(|opening| opening.head.client_flow() == arrival.head.client_flow())
-        {
+        if self.openings.has(&arrival.head.client_flow()) {
             return DeliveryDecision::WaitsAlready;
         }
-        if !arrival.may_wait || self.openings.len() >= WAITING_OPENINGS {
+        if !arrival.may_wait || self.openings.is_full() {
             return DeliveryDecision::Return(ReturnReason::Busy);
         }
-        let opening = WaitedOpening {
-            head: *arrival.head,
-            packet: arrival.packet.to_vec(),
-            balancer: arrival.balancer,
-            urgent: arrival.urgent,
-            arrived_at: now,
-        };
-        // A copy belongs to a flow that is late already.
-        if arrival.head.acknowledgment > 0 {
-            self.openings.push_front(opening);
-        } else {
-            self.openings.push_back(opening);
-        }
+        self.openings.add(arrival, now);
         DeliveryDecision::Wait
     }
 
-    /// Whether new flows must wait. A short queue at the target keeps it at work, a
-    /// longer one only ages; urgent flows may make it longer, as requests on flows
-    /// that are open already cannot be kept from going before them.
-    fn is_busy_for(&self, urgent: bool) -> bool {
-        let percent = if urgent { URGENT_ROOM_PERCENT } else { ROOM_PERCENT };
-        let is_full = |slots: u32| (self.waiting + self.expected) * 100 >= slots * percent;
-        self.slots.is_some_and(is_full)
+    /// Requests in hand and those that admitted flows are about to bring.
+    fn load(&self) -> u32 {
+        self.waiting + self.expected
     }
 
     fn admit(&mut self, head: &PacketHead, balancer: Ipv4Addr, search: bool, now: Millis) -> u32 {
@@ -410,3 +364,12 @@
         }
     }
 }
+
+/// Whether new flows must wait. A short queue at the target keeps it at work, a
+/// longer one only ages; urgent flows may make it longer, as requests on flows that
+/// are open already cannot be kept from going before them. A target of unknown size
+/// is never busy.
+fn is_busy(slots: Option<u32>, load: u32, urgent: bool) -> bool {
+    let percent = if urgent { URGENT_ROOM_PERCENT } else { ROOM_PERCENT };
+    slots.is_some_and(|slots| load * 100 >= slots * percent)
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -15,10 +15,10 @@
 mod pending_search;
 mod selection;
 mod view;
+mod waiting_room;
 
 pub use agent::{
     Agent, Arrival, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, WaitOutcome,
-    WaitedOpening,
 };
 pub use agent_status::AgentStatuses;
 pub use balancer::{
@@ -28,3 +28,4 @@
 pub use flow_table::{FlowEntry, FlowStage, FlowTable};
 pub use packet::{Flags, FlowKey, MalformedPacket, PacketHead};
 pub use view::{Candidate, FleetView, Locality, RouteChoice, Standing, VersionLabel};
+pub use waiting_room::WaitedOpening;
