Fix the seeds of the thousand simulated daemons

Cause: the hollow daemons drew their peers from the system's randomness, so that two runs of the test did not play the same.

Ruled out: nothing; the daemons' own choice stays random.

Change: FleetNode takes a seed in tests.

--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node.rs
@@ -1,8 +1,11 @@
 //! What this daemon knows, and how it keeps in step with its peers.
 
+use std::cell::RefCell;
 use std::net::Ipv4Addr;
 
+use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
 use slog::{Logger, info};
 use weirhinge_fleet::{
     Change, Digest, FetchRequest, FetchScope, Millis, PeerRole, PeerTable, Replica, TargetClaim,
@@ -52,6 +55,7 @@
     regained_at: Option<Millis>,
     timing: Timing,
     locality: Locality,
+    random: RefCell<StdRng>,
     /// Whether this daemon reads the store for the others.
     pub reading: bool,
     /// What an agent says about its target.
@@ -62,6 +66,11 @@
 impl FleetNode {
     /// A daemon that knows its seeds alone.
     pub fn new(settings: &CommonSettings, role: PeerRole, log: Logger) -> Self {
+        Self::with_seed(settings, role, log, rand::random())
+    }
+
+    /// The same with a fixed seed for the choice of peers.
+    pub fn with_seed(settings: &CommonSettings, role: PeerRole, log: Logger, seed: u64) -> Self {
         let address = settings.address;
         Self {
             address,
@@ -73,6 +82,7 @@
             regained_at: None,
             timing: settings.timing,
             locality: settings.locality.clone(),
+            random: RefCell::new(StdRng::seed_from_u64(seed)),
             reading: false,
             claim: None,
             log,
@@ -165,7 +175,7 @@
             age_ms: self.replica.age(now),
             reading: self.reading,
             reply,
-            balancers: self.peers.named_in_digest(rand::random_range(0..1_024)),
+            balancers: self.peers.named_in_digest(self.random.borrow_mut().random_range(0..1_024)),
             target: self.claim.clone(),
         }
     }
@@ -233,12 +243,12 @@
     /// Peers that get news at once.
     pub fn news_receivers(&self) -> Vec<Ipv4Addr> {
         let balancers: Vec<Ipv4Addr> = self.peers.balancers().collect();
-        choose(&balancers, FAN_OUT)
+        self.choose(&balancers, FAN_OUT)
     }
 
     /// Agents of known targets, to be asked what stands beside them.
     pub fn agents_to_ask(&self) -> Vec<Ipv4Addr> {
-        choose(&self.view.agents(), AGENTS_ASKED)
+        self.choose(&self.view.agents(), AGENTS_ASKED)
     }
 
     /// Peers that get this daemon's digest at a tick, each with whether it is asked
@@ -251,16 +261,16 @@
             PeerRole::Agent => AGENT_CONTACTS,
             PeerRole::Balancer => 2,
         };
-        let mut receivers = choose(&balancers, contacts);
+        let mut receivers = self.choose(&balancers, contacts);
         let silent: Vec<Ipv4Addr> = self.peers.silent_seeds().collect();
         let is_lonely = now < EAGER_MS || balancers.is_empty();
         let is_connected = balancers.len() >= ENOUGH_BALANCERS;
         let asked = match (is_lonely, is_connected) {
             (true, _) => silent.len(),
-            (false, true) => usize::from(rand::random_ratio(1, SEED_EVERY)),
+            (false, true) => usize::from(self.random.borrow_mut().random_ratio(1, SEED_EVERY)),
             (false, false) => 1,
         };
-        receivers.extend(choose(&silent, asked));
+        receivers.extend(self.choose(&silent, asked));
         receivers.sort();
         receivers.dedup();
         let knows_nothing = self.replica.revision() == 0;
@@ -288,6 +298,10 @@
         }
     }
 
+    fn choose(&self, addresses: &[Ipv4Addr], count: usize) -> Vec<Ipv4Addr> {
+        addresses.sample(&mut *self.random.borrow_mut(), count).copied().collect()
+    }
+
     /// Notices that time alone made the knowledge old.
     pub fn check_freshness(&mut self, now: Millis) {
         self.note_freshness(now);
@@ -315,7 +329,3 @@
         }
     }
 }
-
-fn choose(addresses: &[Ipv4Addr], count: usize) -> Vec<Ipv4Addr> {
-    addresses.sample(&mut rand::rng(), count).copied().collect()
-}
--- a/crates/relay/tests/fleet_scale.rs
+++ b/crates/relay/tests/fleet_scale.rs
@@ -86,7 +86,8 @@
             let is_balancer = place < balancers;
             let role = if is_balancer { PeerRole::Balancer } else { PeerRole::Agent };
             let log = Logger::root(Discard, o!());
-            let mut node = FleetNode::new(&settings(address_of(place)), role, log);
+            let mut node =
+                FleetNode::with_seed(&settings(address_of(place)), role, log, place as u64);
             node.claim = (!is_balancer).then(|| TargetClaim {
                 service: "sheets".to_owned(),
                 alive: true,
