Remove what the relay does not use, and correct each line's time once

Cause: read over before landing.

Ruled out: joining the set-up of the two daemons, which is mostly declarations.

Change: the dead parts go; one closure corrects a line's time; lose_all_flows in the tests, whose assertions stay as they are.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -63,11 +63,6 @@
         is_new
     }
 
-    /// Forgets a peer that says it stops.
-    pub fn left(&mut self, address: Ipv4Addr) {
-        self.peers.remove(&address);
-    }
-
     /// Whether a peer was silent so long that it is to be asked for a digest. Peers
     /// that have no news say nothing by themselves.
     pub fn is_due(&self, address: Ipv4Addr, now: Millis) -> bool {
--- a/crates/observe/src/story.rs
+++ b/crates/observe/src/story.rs
@@ -109,29 +109,22 @@
     pub fn tell(&self, subject: &Subject) -> Vec<StoryLine> {
         let offsets = self.clock_offsets();
         let corrected = |line: &LogLine| line.at_ms - offsets.get(&line.node).unwrap_or(&0);
-        let is_wanted: Box<dyn Fn(&LogLine) -> bool> = match subject {
+        let is_wanted: Box<dyn Fn(&LogLine) -> bool + '_> = match subject {
             Subject::Flow(flow) => Box::new(move |line| line.text("flow") == Some(flow)),
             Subject::Node(node) => Box::new(move |line| line.node == *node),
             Subject::Request(id) => {
                 let (flows, from, to) = self.span_of(id, &corrected);
+                let corrected = &corrected;
                 Box::new(move |line: &LogLine| {
-                    let at = line.at_ms - offsets.get(&line.node).unwrap_or(&0);
                     let on_flow = line.text("flow").is_some_and(|flow| flows.contains(flow));
                     let other = line.event == REQUEST && line.text("request") != Some(id);
-                    on_flow && !other && (from..=to).contains(&at)
+                    on_flow && !other && (from..=to).contains(&corrected(line))
                 })
             }
         };
-        let offsets = self.clock_offsets();
-        let mut told: Vec<StoryLine> = self
-            .lines
-            .iter()
-            .filter(|line| is_wanted(line))
-            .map(|line| StoryLine {
-                at_ms: line.at_ms - offsets.get(&line.node).unwrap_or(&0),
-                line: line.clone(),
-            })
-            .collect();
+        let wanted = self.lines.iter().filter(|line| is_wanted(line));
+        let mut told: Vec<StoryLine> =
+            wanted.map(|line| StoryLine { at_ms: corrected(line), line: line.clone() }).collect();
         told.sort_by_key(|told| told.at_ms);
         told
     }
--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -60,6 +60,14 @@
     Ok(())
 }
 
+/// All targets start again without their flows.
+fn lose_all_flows(fleet: &Fleet) {
+    for target in &fleet.targets {
+        target.crash();
+        target.revive();
+    }
+}
+
 fn no_packet_was_changed(fleet: &Fleet) {
     assert_eq!(fleet.client.forged(), 0);
     for target in &fleet.targets {
@@ -263,10 +271,7 @@
 async fn a_flow_that_no_target_holds_is_reset_before_its_deadline() -> eyre::Result<()> {
     let fleet = start(&plan()).await?;
     let (mut flow, _) = open_flows(&fleet, 1).await?.remove(0);
-    for target in &fleet.targets {
-        target.crash();
-        target.revive();
-    }
+    lose_all_flows(&fleet);
     let began = Instant::now();
     assert_eq!(flow.request("lost", DEADLINE).await, Err(FlowError::Reset));
     assert!(began.elapsed() < DEADLINE);
@@ -336,10 +341,7 @@
 async fn a_failed_request_is_explained_from_its_identifier() -> eyre::Result<()> {
     let fleet = start(&plan()).await?;
     let (mut flow, _) = open_flows(&fleet, 1).await?.remove(0);
-    for target in &fleet.targets {
-        target.crash();
-        target.revive();
-    }
+    lose_all_flows(&fleet);
     assert_eq!(flow.request("complaint-7", DEADLINE).await, Err(FlowError::Reset));
     tokio::time::sleep(Duration::from_millis(500)).await;
     let output = std::process::Command::new(env!("CARGO_BIN_EXE_weirhinge"))
