Answer searches for held flows at once

Ruled out: a wrong order (the holder was first), a lost packet (the holder's agent logged the arrival).

Change: an agent that knows that its target holds the flow says so when the search arrives. A bounce still corrects it.

--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -176,7 +176,12 @@
         let now = self.clock.now();
         let decision = self.core.borrow_mut().delivery(arrival, now);
         match decision {
-            DeliveryDecision::Deliver { echo } => self.hand_labelled(arrival.packet, echo),
+            DeliveryDecision::Deliver { echo, notice } => {
+                self.hand_labelled(arrival.packet, echo);
+                if let Some(notice) = notice {
+                    self.send_notice(&notice, now);
+                }
+            }
             DeliveryDecision::Return(reason) => {
                 self.return_packet(arrival.head, arrival.packet, arrival.balancer, reason, now);
             }
--- a/crates/steering/src/agent.rs
+++ b/crates/steering/src/agent.rs
@@ -61,6 +61,9 @@
     Deliver {
         /// The label, which a bounced packet brings back.
         echo: u32,
+        /// What to tell the balancer at once, if it searches for a flow that the
+        /// target is known to hold.
+        notice: Option<HoldsNotice>,
     },
     /// Send it back to the balancer.
     Return(ReturnReason),
@@ -123,10 +126,18 @@
     expected: bool,
     /// The balancer does not know yet that the target holds the flow.
     report: bool,
+    /// The target sent more than an answer to an opening packet.
+    confirmed: bool,
     used_at: Millis,
 }
 
 impl Flow {
+    /// Whether the target holds the flow as far as can be told: it wrote on it, or
+    /// took data of it that no search brought. A bounce removes the entry.
+    fn is_held(&self) -> bool {
+        self.confirmed || (self.delivered_to.is_some() && !self.report)
+    }
+
     /// Notes the packet's data. Returns whether any of it is new.
     fn takes_new_data(&mut self, head: &PacketHead) -> bool {
         let end = head.sequence.wrapping_add(u32::from(head.length));
@@ -209,8 +220,11 @@
                 return self.busy_opening(arrival, now);
             }
         }
-        let echo = self.admit(arrival.head, arrival.balancer, arrival.search, now);
-        DeliveryDecision::Deliver { echo }
+        let notice = self.search_notice(arrival);
+        // A balancer that is told now need not be told when the target answers.
+        let search = arrival.search && notice.is_none();
+        let echo = self.admit(arrival.head, arrival.balancer, search, now);
+        DeliveryDecision::Deliver { echo, notice }
     }
 
     /// The next waiting opening packet that has an outcome.
@@ -226,6 +240,19 @@
         Some(WaitOutcome::Deliver(opening, echo))
     }
 
+    /// The answer to a search for a flow that the target holds as far as this agent
+    /// knows. The target itself may take longer to answer than a balancer waits
+    /// before it looks elsewhere; if it lost the flow, its bounce corrects this.
+    fn search_notice(&self, arrival: &Arrival<'_>) -> Option<HoldsNotice> {
+        let flow = arrival.head.client_flow();
+        let entry = self.flows.get(&flow).filter(|_| arrival.search)?;
+        entry.is_held().then_some(HoldsNotice {
+            balancer: arrival.balancer,
+            flow,
+            confirmed: true,
+        })
+    }
+
     fn busy_opening(&mut self, arrival: &Arrival<'_>, now: Millis) -> DeliveryDecision {
         if self.openings.has(&arrival.head.client_flow()) {
             return DeliveryDecision::WaitsAlready;
@@ -284,6 +311,7 @@
         let notice = HoldsNotice { balancer: entry.balancer, flow, confirmed: !answers_opening };
         let is_due = answers_opening || entry.report;
         entry.report &= answers_opening;
+        entry.confirmed |= !answers_opening;
         if head.flags.rst {
             self.forget(&flow);
         }
@@ -336,6 +364,7 @@
             delivered_to: None,
             expected: is_expected,
             report: search,
+            confirmed: false,
             used_at: now,
         });
         entry.balancer = balancer;
--- a/crates/steering/tests/agent.rs
+++ b/crates/steering/tests/agent.rs
@@ -29,7 +29,7 @@
 
 fn deliver(agent: &mut Agent, head: &PacketHead, now: u64) -> u32 {
     match agent.delivery(&arrival(head), now) {
-        DeliveryDecision::Deliver { echo } => echo,
+        DeliveryDecision::Deliver { echo, .. } => echo,
         other => panic!("expected a delivery, got {other:?}"),
     }
 }
@@ -75,7 +75,7 @@
     let first = deliver(&mut beside, &data(flow(1)), 0);
     let head = data(flow(2));
     let second = Arrival { balancer: agent(101), ..arrival(&head) };
-    let DeliveryDecision::Deliver { echo: second } = beside.delivery(&second, 0) else {
+    let DeliveryDecision::Deliver { echo: second, .. } = beside.delivery(&second, 0) else {
         panic!("expected a delivery");
     };
     let bounced = |port, echo| {
@@ -114,6 +114,48 @@
     assert_eq!(beside.output(&answer(flow(1)), 3), OutputDecision::ToClient { notice: None });
 }
 
+/// What the agent tells a balancer that searches for the packet's flow.
+fn search(agent: &mut Agent, head: &PacketHead, now: u64) -> Option<HoldsNotice> {
+    match agent.delivery(&Arrival { search: true, ..arrival(head) }, now) {
+        DeliveryDecision::Deliver { notice, .. } => notice,
+        other => panic!("expected a delivery, got {other:?}"),
+    }
+}
+
+#[test]
+fn a_search_for_a_held_flow_is_answered_before_the_target_answers() {
+    let mut beside = new_agent();
+    deliver(&mut beside, &opening(flow(1)), 0);
+    deliver(&mut beside, &request(1, 1), 10);
+    let notice = search(&mut beside, &request(1, 2), 20);
+    assert_eq!(
+        notice,
+        Some(HoldsNotice { balancer: agent(100), flow: flow(1), confirmed: true })
+    );
+    // Known for what the target wrote, too; the flow was not seen to open here.
+    let mut started_again = new_agent();
+    assert_eq!(search(&mut started_again, &request(1, 2), 0), None);
+    started_again.output(&answer(flow(1)), 5);
+    assert!(search(&mut started_again, &request(1, 3), 10).is_some());
+}
+
+#[test]
+fn a_search_for_a_flow_that_may_not_be_held_is_left_to_the_target() {
+    let mut beside = new_agent();
+    assert_eq!(search(&mut beside, &request(1, 1), 0), None);
+    // The first packet's bounce may still be on its way.
+    assert_eq!(search(&mut beside, &request(1, 1), 1), None);
+    // An opened flow may have been taken by another target.
+    deliver(&mut beside, &opening(flow(2)), 2);
+    assert_eq!(search(&mut beside, &request(2, 1), 3), None);
+    // A bounce shows that the target lost the flow.
+    deliver(&mut beside, &opening(flow(3)), 4);
+    let echo = deliver(&mut beside, &request(3, 1), 5);
+    let bounced = Flags { bounced: true, ..Flags::default() };
+    beside.output(&PacketHead { echo, ..packet(flow(3), bounced, 0) }, 6);
+    assert_eq!(search(&mut beside, &request(3, 1), 7), None);
+}
+
 #[test]
 fn a_flow_that_was_searched_for_is_confirmed_once() {
     let mut beside = new_agent();
