Pass searching packets from agent to agent

Cause: after a total loss each balancer of 0.012 cores searched for hundreds of flows by 200 to 300 returns and sends a second for ten seconds; agents had lost their tables too, so that a holder whose answer took more than 120 ms was passed by. Ruled out: overloaded targets (strong balancers of the same zones had no search left after 3 s).

Change: a searching packet carries the next seven agents and each passes it on when its target bounces it; the balancer sends one packet and hears one answer. After a silence it asks one by one as before. An agent whose target wrote since the packet was handed over and did not bounce it within 30 ms tells the balancer that it holds the flow. A packet for a closed port goes on at once instead of being lost. The protocol between daemons becomes version 2.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use message::{
     Digest, FetchRequest, FetchScope, MessageError, PeerMessage, PeerRole, ReturnReason,
-    TargetClaim, decode, encode,
+    SearchPath, TargetClaim, decode, encode,
 };
 pub use model::{Configuration, Route, RoutePart, ServiceId, TargetRecord, TargetState};
 pub use peers::{PEER_LIFETIME_MS, PeerTable};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -3,7 +3,7 @@
 use musli::{Decode, Encode};
 
 /// First byte of every datagram between daemons.
-const PROTOCOL_VERSION: u8 = 1;
+const PROTOCOL_VERSION: u8 = 2;
 
 /// Why a datagram from a peer was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -91,8 +91,8 @@
     Forward {
         /// Hash of the service's name; the agent checks it.
         service: u64,
-        /// Whether the sender only guesses that this target holds the flow.
-        search: bool,
+        /// Set if it is not known whether this target holds the flow.
+        search: Option<SearchPath>,
         /// Whether an opening packet may wait at the agent until the target has
         /// room; otherwise it comes back at once from a busy target.
         may_wait: bool,
@@ -131,6 +131,16 @@
     },
 }
 
+/// The way of a packet that looks for the target which holds its flow.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct SearchPath {
+    /// IPv4 address of the balancer that searches and is told the outcome.
+    pub balancer: u32,
+    /// IPv4 addresses of the agents that get the packet in turn if this one's
+    /// target sends it back. The last one returns it to the balancer.
+    pub next: Vec<u32>,
+}
+
 /// Why a packet came back from a target's machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum ReturnReason {
--- a/crates/relay/src/agent.rs
+++ b/crates/relay/src/agent.rs
@@ -1,6 +1,7 @@
 //! The agent daemon, beside one target.
 
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -158,9 +159,11 @@
                     Ok(head) => self.deliver(&Arrival {
                         head: &head,
                         packet,
-                        balancer: sender,
+                        balancer: search
+                            .as_ref()
+                            .map_or(sender, |path| Ipv4Addr::from_bits(path.balancer)),
                         service: ServiceId(service),
-                        search,
+                        search: search.as_ref().map(|path| path.next.as_slice()),
                         may_wait,
                         urgent,
                     }),
@@ -177,7 +180,7 @@
         let decision = self.core.borrow_mut().delivery(arrival, now);
         match decision {
             DeliveryDecision::Deliver { echo, notice } => {
-                self.hand_labelled(arrival.packet, echo);
+                self.hand_labelled(arrival.head, arrival.packet, echo, now);
                 if let Some(notice) = notice {
                     self.send_notice(&notice, now);
                 }
@@ -203,7 +206,7 @@
             match outcome {
                 None => return,
                 Some(WaitOutcome::Deliver(opening, echo)) => {
-                    self.hand_labelled(&opening.packet, echo);
+                    self.hand_labelled(&opening.head, &opening.packet, echo, now);
                 }
                 Some(WaitOutcome::Return(opening)) => {
                     let reason = ReturnReason::Busy;
@@ -214,19 +217,27 @@
         }
     }
 
-    fn hand_labelled(&self, packet: &[u8], echo: u32) {
-        let mut packet = packet.to_vec();
-        self.platform.write_echo(&mut packet, echo);
-        self.hand_to_target(&packet);
+    fn hand_labelled(&self, head: &PacketHead, packet: &[u8], echo: u32, now: Millis) {
+        let mut labelled = packet.to_vec();
+        self.platform.write_echo(&mut labelled, echo);
+        if !self.hand_to_target(&labelled) {
+            // Its port is closed: the packet is as good for another target as one
+            // that the target itself sends back.
+            let decision = self.core.borrow_mut().not_taken(&head.client_flow(), echo);
+            self.carry_on(decision, head, packet, now);
+        }
     }
 
-    fn hand_to_target(&self, packet: &[u8]) {
+    /// Whether the target's port is not known to be closed; an error is that of an
+    /// earlier packet.
+    fn hand_to_target(&self, packet: &[u8]) -> bool {
         match self.target.try_send(packet) {
             Ok(_) => {
                 self.metrics.delivered.inc();
                 if self.target_gone.replace(false) {
                     info!(self.log, "agent: target regained"; "event" => "target_regained");
                 }
+                true
             }
             Err(error) => {
                 self.metrics.dropped.increment("target_gone");
@@ -234,6 +245,7 @@
                     info!(self.log, "agent: target lost"; "event" => "target_lost",
                         "reason" => error.to_string());
                 }
+                error.kind() != ErrorKind::ConnectionRefused
             }
         }
     }
@@ -260,7 +272,11 @@
 
     async fn take_output(self: Rc<Self>) {
         let take = |packet: &mut [u8], _| self.target_packet(packet);
-        receive(&self.output, take, || self.settle_openings()).await;
+        let turn = || {
+            self.settle_openings();
+            self.report_found();
+        };
+        receive(&self.output, take, turn).await;
     }
 
     fn target_packet(&self, packet: &mut [u8]) {
@@ -280,14 +296,48 @@
                     self.send_notice(&notice, now);
                 }
             }
-            OutputDecision::Return { balancer } => {
+            onward => {
                 self.platform.restore_bounced(packet);
-                self.return_packet(&head, packet, balancer, ReturnReason::Bounced, now);
+                self.carry_on(onward, &head, packet, now);
+            }
+        }
+    }
+
+    /// Sends a packet that the target did not take where it goes next.
+    fn carry_on(&self, decision: OutputDecision, head: &PacketHead, packet: &[u8], now: Millis) {
+        match decision {
+            OutputDecision::Return { balancer } => {
+                self.return_packet(head, packet, balancer, ReturnReason::Bounced, now);
+            }
+            OutputDecision::PassOn { agent, path } => {
+                self.metrics.returned.increment("passed_on");
+                self.decisions.passed_on(&head.client_flow(), agent, path.next.len(), now);
+                let message = PeerMessage::Forward {
+                    service: ServiceId::of(&self.service).0,
+                    search: Some(path),
+                    may_wait: false,
+                    urgent: false,
+                    packet,
+                };
+                self.link.send(agent, &message);
             }
+            OutputDecision::ToClient { .. } => {}
             OutputDecision::Drop(_) => self.metrics.dropped.increment("unknown_delivery"),
         }
     }
 
+    /// Tells balancers that searched what the target was found to hold.
+    fn report_found(&self) {
+        let now = self.clock.now();
+        loop {
+            let found = self.core.borrow_mut().next_found(now);
+            match found {
+                Some(notice) => self.send_notice(&notice, now),
+                None => return,
+            }
+        }
+    }
+
     fn send_notice(&self, notice: &HoldsNotice, now: Millis) {
         let waiting = self.core.borrow().waiting();
         self.decisions.answered(&notice.flow, notice.confirmed, waiting, now);
@@ -306,6 +356,7 @@
         loop {
             tokio::time::sleep(OPENINGS_POLL).await;
             self.settle_openings();
+            self.report_found();
         }
     }
 
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -8,7 +8,7 @@
 use eyre::WrapErr;
 use slog::{Logger, info};
 use tokio::net::UdpSocket;
-use weirhinge_fleet::{Millis, PeerMessage, PeerRole, decode};
+use weirhinge_fleet::{Millis, PeerMessage, PeerRole, SearchPath, decode};
 use weirhinge_observe::Metrics;
 use weirhinge_steering::{
     Balancer, ClientPacket, Context, Decision, DropReason, FlowKey, Forward, ForwardReason,
@@ -52,6 +52,7 @@
     core: RefCell<Balancer>,
     packets: UdpSocket,
     link: Rc<PeerLink>,
+    address: Ipv4Addr,
     client_port: u16,
     metrics: BalancerMetrics,
     decisions: DecisionLog,
@@ -94,6 +95,7 @@
         core: RefCell::new(Balancer::new(common.timing)),
         packets,
         link: Rc::clone(&link),
+        address: common.address,
         client_port: common.packets.port(),
         metrics: balancer_metrics,
         decisions: DecisionLog::new(log.clone()),
@@ -230,7 +232,7 @@
                 self.log_forwarded(&flow, &forward, now);
                 let message = PeerMessage::Forward {
                     service: forward.service.0,
-                    search: forward.is_search(),
+                    search: forward.is_search().then(|| self.search_path(&forward)),
                     may_wait: forward.may_wait(),
                     urgent: forward.urgent,
                     packet,
@@ -253,6 +255,11 @@
         }
     }
 
+    fn search_path(&self, forward: &Forward) -> SearchPath {
+        let next = forward.next.iter().map(|agent| agent.to_bits()).collect();
+        SearchPath { balancer: self.address.to_bits(), next }
+    }
+
     fn log_forwarded(&self, flow: &FlowKey, forward: &Forward, now: Millis) {
         match forward.reason {
             ForwardReason::Held => {}
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -1,6 +1,7 @@
 //! Log lines of packet decisions, bounded in number.
 
 use std::cell::Cell;
+use std::net::Ipv4Addr;
 
 use slog::{Logger, info};
 use weirhinge_fleet::Millis;
@@ -45,7 +46,7 @@
     /// The flow.
     pub flow: &'a FlowKey,
     /// The agent.
-    pub agent: std::net::Ipv4Addr,
+    pub agent: Ipv4Addr,
     /// Why.
     pub reason: &'static str,
     /// What was weighed, if a target was chosen by load.
@@ -150,6 +151,14 @@
         }
     }
 
+    /// A packet that looks for its target went on to the next agent.
+    pub fn passed_on(&self, flow: &FlowKey, agent: Ipv4Addr, left: usize, now: Millis) {
+        if self.returns.allows("passed_on", &self.log, now) {
+            info!(self.log, "agent: search passed on"; "event" => "passed_on",
+                "flow" => flow_text(flow), "agent" => agent.to_string(), "left" => left);
+        }
+    }
+
     /// An opening packet waits for room at the target.
     pub fn waits(&self, flow: &FlowKey, waiting: u32, now: Millis) {
         if self.returns.allows("waits", &self.log, now) {
--- /dev/null
+++ b/crates/steering/src/agent/decision.rs
@@ -0,0 +1,98 @@
+//! What an agent decides about packets, and why.
+
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::{ReturnReason, SearchPath, ServiceId};
+
+use crate::packet::{FlowKey, PacketHead};
+use crate::waiting_room::WaitedOpening;
+
+/// A client's packet on its way to the target.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival<'a> {
+    /// The packet's head.
+    pub head: &'a PacketHead,
+    /// The packet.
+    pub packet: &'a [u8],
+    /// The balancer that the client's router handed it to.
+    pub balancer: Ipv4Addr,
+    /// The service that the balancer meant.
+    pub service: ServiceId,
+    /// Set if it is not known whether the target holds the flow: the agents (IPv4
+    /// addresses) that get the packet in turn if the target sends it back.
+    pub search: Option<&'a [u32]>,
+    /// Whether an opening packet may wait until the target has room.
+    pub may_wait: bool,
+    /// Whether an opening packet goes before others.
+    pub urgent: bool,
+}
+
+/// What to do with a packet that waited.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WaitOutcome {
+    /// Hand it to the target under this label.
+    Deliver(WaitedOpening, u32),
+    /// Send it back to its balancer.
+    Return(WaitedOpening),
+}
+
+/// What to do with a packet for the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeliveryDecision {
+    /// Hand it to the target under this label.
+    Deliver {
+        /// The label, which a bounced packet brings back.
+        echo: u32,
+        /// What to tell the balancer at once, if it searches for a flow that the
+        /// target is known to hold.
+        notice: Option<HoldsNotice>,
+    },
+    /// Send it back to the balancer.
+    Return(ReturnReason),
+    /// It waits here until the target has room.
+    Wait,
+    /// A copy of it waits here already.
+    WaitsAlready,
+}
+
+/// Tells a balancer that the target holds a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HoldsNotice {
+    /// The balancer that sent the flow's latest packet.
+    pub balancer: Ipv4Addr,
+    /// The flow.
+    pub flow: FlowKey,
+    /// Whether the target sent more than an answer to an opening packet.
+    pub confirmed: bool,
+}
+
+/// Why a packet of the target was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutputDrop {
+    /// A bounced packet whose delivery is not remembered.
+    UnknownDelivery,
+}
+
+/// What to do with a packet that the target sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OutputDecision {
+    /// Send it to the client.
+    ToClient {
+        /// What to tell a balancer.
+        notice: Option<HoldsNotice>,
+    },
+    /// Send it back to the balancer that it came from.
+    Return {
+        /// The balancer.
+        balancer: Ipv4Addr,
+    },
+    /// Send it on to the next agent whose target may hold its flow.
+    PassOn {
+        /// The agent.
+        agent: Ipv4Addr,
+        /// The rest of the packet's way.
+        path: SearchPath,
+    },
+    /// Do nothing.
+    Drop(OutputDrop),
+}
--- /dev/null
+++ b/crates/steering/src/agent/deliveries.rs
@@ -0,0 +1,58 @@
+//! The packets lately handed to the target, found again by their label.
+
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::SearchPath;
+
+use super::decision::OutputDecision;
+
+/// Deliveries remembered to find the balancer of a bounced packet. A bounce comes
+/// back within a millisecond or so.
+const REMEMBERED: usize = 2_048;
+
+#[derive(Clone, Debug)]
+struct Delivery {
+    echo: u32,
+    balancer: Ipv4Addr,
+    /// Agents that a searching packet goes to next; empty for all others, and then
+    /// without an allocation.
+    next: Vec<u32>,
+}
+
+/// The latest deliveries.
+#[derive(Clone, Debug)]
+pub(super) struct Deliveries {
+    places: Vec<Option<Delivery>>,
+    next_echo: u32,
+}
+
+impl Deliveries {
+    /// Remembers a packet. Returns its label.
+    pub(super) fn remember(&mut self, balancer: Ipv4Addr, search: Option<&[u32]>) -> u32 {
+        let echo = self.next_echo;
+        // 0 is what clients and targets write themselves.
+        self.next_echo = self.next_echo.checked_add(1).unwrap_or(1);
+        let next = search.map(<[u32]>::to_vec).unwrap_or_default();
+        self.places[echo as usize % REMEMBERED] = Some(Delivery { echo, balancer, next });
+        echo
+    }
+
+    /// Where the packet with this label goes when the target did not take it; none
+    /// if the label is not remembered.
+    pub(super) fn onward(&mut self, echo: u32) -> Option<OutputDecision> {
+        let place = &mut self.places[echo as usize % REMEMBERED];
+        let delivery = place.take_if(|delivery| delivery.echo == echo)?;
+        let balancer = delivery.balancer;
+        let Some((agent, rest)) = delivery.next.split_first() else {
+            return Some(OutputDecision::Return { balancer });
+        };
+        let path = SearchPath { balancer: balancer.to_bits(), next: rest.to_vec() };
+        Some(OutputDecision::PassOn { agent: Ipv4Addr::from_bits(*agent), path })
+    }
+}
+
+impl Default for Deliveries {
+    fn default() -> Self {
+        Self { places: vec![None; REMEMBERED], next_echo: 1 }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/agent/flow.rs
@@ -0,0 +1,45 @@
+//! What an agent knows of one flow at its target.
+
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::Millis;
+
+use crate::packet::PacketHead;
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Flow {
+    pub(super) balancer: Ipv4Addr,
+    /// When a request was delivered to which nothing was answered yet.
+    pub(super) waiting_since: Option<Millis>,
+    /// Where the client's data delivered so far ends. Data before it was sent
+    /// again and asks for nothing new.
+    pub(super) delivered_to: Option<u32>,
+    /// The flow was admitted and its first request is yet to come.
+    pub(super) expected: bool,
+    /// Since when a balancer searches that does not know yet whether the target
+    /// holds the flow.
+    pub(super) searched_since: Option<Millis>,
+    /// The target sent more than an answer to an opening packet.
+    pub(super) confirmed: bool,
+    pub(super) used_at: Millis,
+}
+
+impl Flow {
+    /// Whether the target holds the flow as far as can be told: it wrote on it, or
+    /// took data of it that no search brought. A bounce removes the entry.
+    pub(super) fn is_held(&self) -> bool {
+        self.confirmed || (self.delivered_to.is_some() && self.searched_since.is_none())
+    }
+
+    /// Notes the packet's data. Returns whether any of it is new.
+    pub(super) fn takes_new_data(&mut self, head: &PacketHead) -> bool {
+        let end = head.sequence.wrapping_add(u32::from(head.length));
+        // Sequence numbers wrap: half of the range counts as ahead.
+        let is_ahead = |known: u32| end.wrapping_sub(known) as i32 > 0;
+        let is_new = head.length > 0 && self.delivered_to.is_none_or(is_ahead);
+        if is_new {
+            self.delivered_to = Some(end);
+        }
+        is_new
+    }
+}
--- a/crates/steering/src/agent.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -1,16 +1,23 @@
 //! An agent's decisions about packets to and from the target beside it.
 
+mod decision;
+mod deliveries;
+mod flow;
+
 use std::collections::{HashMap, VecDeque};
 use std::net::Ipv4Addr;
 
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId};
 
+pub use decision::{
+    Arrival, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, WaitOutcome,
+};
+
 use crate::packet::{FlowKey, PacketHead};
-use crate::waiting_room::{WaitedOpening, WaitingRoom};
+use crate::waiting_room::WaitingRoom;
+use deliveries::Deliveries;
+use flow::Flow;
 
-/// Deliveries remembered to find the balancer of a bounced packet. A bounce comes
-/// back within a millisecond or so.
-const REMEMBERED_DELIVERIES: usize = 2_048;
 /// Most flows that an agent follows; the target itself holds fewer.
 const FLOW_CAPACITY: usize = 8_192;
 /// A flow that rested for this long is no longer followed.
@@ -26,137 +33,22 @@
 const ROOM_PERCENT: u32 = 150;
 /// The same for flows of urgent routes.
 const URGENT_ROOM_PERCENT: u32 = 250;
-/// A client's packet on its way to the target.
-#[derive(Clone, Copy, Debug)]
-pub struct Arrival<'a> {
-    /// The packet's head.
-    pub head: &'a PacketHead,
-    /// The packet.
-    pub packet: &'a [u8],
-    /// The balancer that sent it.
-    pub balancer: Ipv4Addr,
-    /// The service that the balancer meant.
-    pub service: ServiceId,
-    /// Whether the balancer only guesses that the target holds the flow.
-    pub search: bool,
-    /// Whether an opening packet may wait until the target has room.
-    pub may_wait: bool,
-    /// Whether an opening packet goes before others.
-    pub urgent: bool,
-}
-
-/// What to do with a packet that waited.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum WaitOutcome {
-    /// Hand it to the target under this label.
-    Deliver(WaitedOpening, u32),
-    /// Send it back to its balancer.
-    Return(WaitedOpening),
-}
-
-/// What to do with a packet for the target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DeliveryDecision {
-    /// Hand it to the target under this label.
-    Deliver {
-        /// The label, which a bounced packet brings back.
-        echo: u32,
-        /// What to tell the balancer at once, if it searches for a flow that the
-        /// target is known to hold.
-        notice: Option<HoldsNotice>,
-    },
-    /// Send it back to the balancer.
-    Return(ReturnReason),
-    /// It waits here until the target has room.
-    Wait,
-    /// A copy of it waits here already.
-    WaitsAlready,
-}
-
-/// Tells a balancer that the target holds a flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HoldsNotice {
-    /// The balancer that sent the flow's latest packet.
-    pub balancer: Ipv4Addr,
-    /// The flow.
-    pub flow: FlowKey,
-    /// Whether the target sent more than an answer to an opening packet.
-    pub confirmed: bool,
-}
-
-/// Why a packet of the target was dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OutputDrop {
-    /// A bounced packet whose delivery is not remembered.
-    UnknownDelivery,
-}
-
-/// What to do with a packet that the target sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OutputDecision {
-    /// Send it to the client.
-    ToClient {
-        /// What to tell a balancer.
-        notice: Option<HoldsNotice>,
-    },
-    /// Send it back to the balancer that it came from.
-    Return {
-        /// The balancer.
-        balancer: Ipv4Addr,
-    },
-    /// Do nothing.
-    Drop(OutputDrop),
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Delivery {
-    echo: u32,
-    balancer: Ipv4Addr,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Flow {
-    balancer: Ipv4Addr,
-    /// When a request was delivered to which nothing was answered yet.
-    waiting_since: Option<Millis>,
-    /// Where the client's data delivered so far ends. Data before it was sent
-    /// again and asks for nothing new.
-    delivered_to: Option<u32>,
-    /// The flow was admitted and its first request is yet to come.
-    expected: bool,
-    /// The balancer does not know yet that the target holds the flow.
-    report: bool,
-    /// The target sent more than an answer to an opening packet.
-    confirmed: bool,
-    used_at: Millis,
-}
-
-impl Flow {
-    /// Whether the target holds the flow as far as can be told: it wrote on it, or
-    /// took data of it that no search brought. A bounce removes the entry.
-    fn is_held(&self) -> bool {
-        self.confirmed || (self.delivered_to.is_some() && !self.report)
-    }
-
-    /// Notes the packet's data. Returns whether any of it is new.
-    fn takes_new_data(&mut self, head: &PacketHead) -> bool {
-        let end = head.sequence.wrapping_add(u32::from(head.length));
-        // Sequence numbers wrap: half of the range counts as ahead.
-        let is_ahead = |known: u32| end.wrapping_sub(known) as i32 > 0;
-        let is_new = head.length > 0 && self.delivered_to.is_none_or(is_ahead);
-        if is_new {
-            self.delivered_to = Some(end);
-        }
-        is_new
-    }
-}
-
+/// Time in which a target sends back a packet that it does not hold the flow of,
+/// with room for a busy machine.
+const BOUNCE_MS: Millis = 30;
+/// What the target wrote this long after a packet was handed to it shows that it
+/// saw the packet: it takes packets in their order.
+const SEEN_MS: Millis = 2;
+/// A target that wrote nothing for this long since a searching packet may stand
+/// still; the balancer has looked elsewhere since.
+const SEARCH_LIFETIME_MS: Millis = 120;
+/// Most searches followed at a time.
+const SEARCH_CAPACITY: usize = 1_024;
 /// The state of an agent.
 #[derive(Clone, Debug)]
 pub struct Agent {
     service: ServiceId,
-    deliveries: Vec<Option<Delivery>>,
-    next_echo: u32,
+    deliveries: Deliveries,
     flows: HashMap<FlowKey, Flow>,
     waiting: u32,
     /// Admitted flows whose first request is yet to come.
@@ -164,6 +56,10 @@
     /// Those flows in the order of admission, with the time until which they count.
     expectations: VecDeque<(Millis, FlowKey)>,
     openings: WaitingRoom,
+    /// Searches that the target did not answer yet, in the order of delivery.
+    searches: VecDeque<(Millis, FlowKey)>,
+    /// When the target last wrote anything.
+    wrote_at: Option<Millis>,
     /// Requests that the target works on at once; none if not known.
     slots: Option<u32>,
     leaving: bool,
@@ -174,13 +70,14 @@
     pub fn new(service: ServiceId) -> Self {
         Self {
             service,
-            deliveries: vec![None; REMEMBERED_DELIVERIES],
-            next_echo: 1,
+            deliveries: Deliveries::default(),
             flows: HashMap::new(),
             waiting: 0,
             expected: 0,
             expectations: VecDeque::new(),
             openings: WaitingRoom::default(),
+            searches: VecDeque::new(),
+            wrote_at: None,
             slots: None,
             leaving: false,
         }
@@ -222,8 +119,9 @@
         }
         let notice = self.search_notice(arrival);
         // A balancer that is told now need not be told when the target answers.
-        let search = arrival.search && notice.is_none();
-        let echo = self.admit(arrival.head, arrival.balancer, search, now);
+        let searched = arrival.search.is_some() && notice.is_none();
+        self.follow(arrival.head, arrival.balancer, searched, now);
+        let echo = self.deliveries.remember(arrival.balancer, arrival.search);
         DeliveryDecision::Deliver { echo, notice }
     }
 
@@ -236,7 +134,8 @@
         let load = self.load();
         let slots = self.slots;
         let opening = self.openings.take_first(|urgent| !is_busy(slots, load, urgent))?;
-        let echo = self.admit(&opening.head, opening.balancer, false, now);
+        self.follow(&opening.head, opening.balancer, false, now);
+        let echo = self.deliveries.remember(opening.balancer, None);
         Some(WaitOutcome::Deliver(opening, echo))
     }
 
@@ -245,12 +144,8 @@
     /// before it looks elsewhere; if it lost the flow, its bounce corrects this.
     fn search_notice(&self, arrival: &Arrival<'_>) -> Option<HoldsNotice> {
         let flow = arrival.head.client_flow();
-        let entry = self.flows.get(&flow).filter(|_| arrival.search)?;
-        entry.is_held().then_some(HoldsNotice {
-            balancer: arrival.balancer,
-            flow,
-            confirmed: true,
-        })
+        let entry = self.flows.get(&flow).filter(|_| arrival.search.is_some())?;
+        entry.is_held().then_some(HoldsNotice { balancer: arrival.balancer, flow, confirmed: true })
     }
 
     fn busy_opening(&mut self, arrival: &Arrival<'_>, now: Millis) -> DeliveryDecision {
@@ -269,11 +164,6 @@
         self.waiting + self.expected
     }
 
-    fn admit(&mut self, head: &PacketHead, balancer: Ipv4Addr, search: bool, now: Millis) -> u32 {
-        self.follow(head, balancer, search, now);
-        self.remember(balancer)
-    }
-
     fn drop_expectations(&mut self, now: Millis) {
         while let Some((until, flow)) = self.expectations.front().copied() {
             if until > now {
@@ -295,8 +185,9 @@
 
     /// Decides about a packet that the target sent.
     pub fn output(&mut self, head: &PacketHead, now: Millis) -> OutputDecision {
+        self.wrote_at = Some(now);
         if head.flags.bounced {
-            return self.bounced(head);
+            return self.not_taken(&head.client_flow(), head.echo);
         }
         let flow = head.target_flow();
         let Some(entry) = self.flows.get_mut(&flow) else {
@@ -309,9 +200,11 @@
         }
         let answers_opening = head.flags.syn && head.flags.ack;
         let notice = HoldsNotice { balancer: entry.balancer, flow, confirmed: !answers_opening };
-        let is_due = answers_opening || entry.report;
-        entry.report &= answers_opening;
-        entry.confirmed |= !answers_opening;
+        let is_due = answers_opening || entry.searched_since.is_some();
+        if !answers_opening {
+            entry.searched_since = None;
+            entry.confirmed = true;
+        }
         if head.flags.rst {
             self.forget(&flow);
         }
@@ -334,24 +227,37 @@
         });
     }
 
-    fn bounced(&mut self, head: &PacketHead) -> OutputDecision {
-        self.forget(&head.client_flow());
-        let place = head.echo as usize % REMEMBERED_DELIVERIES;
-        match self.deliveries[place].filter(|delivery| delivery.echo == head.echo) {
-            Some(delivery) => OutputDecision::Return { balancer: delivery.balancer },
-            None => OutputDecision::Drop(OutputDrop::UnknownDelivery),
-        }
+    /// Decides about a packet that the target did not take: it bounced, or the
+    /// target's port is closed.
+    pub fn not_taken(&mut self, flow: &FlowKey, echo: u32) -> OutputDecision {
+        self.forget(flow);
+        let onward = self.deliveries.onward(echo);
+        onward.unwrap_or(OutputDecision::Drop(OutputDrop::UnknownDelivery))
     }
 
-    fn remember(&mut self, balancer: Ipv4Addr) -> u32 {
-        let echo = self.next_echo;
-        // 0 is what clients and targets write themselves.
-        self.next_echo = self.next_echo.checked_add(1).unwrap_or(1);
-        self.deliveries[echo as usize % REMEMBERED_DELIVERIES] = Some(Delivery { echo, balancer });
-        echo
+    /// The next search whose packet the target has seen and not sent back: it holds
+    /// the flow, though its answer may take longer than balancers wait.
+    pub fn next_found(&mut self, now: Millis) -> Option<HoldsNotice> {
+        while let Some((delivered_at, flow)) = self.searches.front().copied() {
+            if now < delivered_at + BOUNCE_MS {
+                return None;
+            }
+            let is_seen = self.wrote_at.is_some_and(|at| at >= delivered_at + SEEN_MS);
+            if !is_seen && now < delivered_at + SEARCH_LIFETIME_MS {
+                return None;
+            }
+            self.searches.pop_front();
+            let entry = self.flows.get_mut(&flow);
+            let same = entry.filter(|entry| entry.searched_since == Some(delivered_at));
+            if let Some(entry) = same.filter(|_| is_seen) {
+                entry.searched_since = None;
+                return Some(HoldsNotice { balancer: entry.balancer, flow, confirmed: true });
+            }
+        }
+        None
     }
 
-    fn follow(&mut self, head: &PacketHead, balancer: Ipv4Addr, search: bool, now: Millis) {
+    fn follow(&mut self, head: &PacketHead, balancer: Ipv4Addr, searched: bool, now: Millis) {
         let flow = head.client_flow();
         let is_new = !self.flows.contains_key(&flow);
         if is_new && self.flows.len() >= FLOW_CAPACITY {
@@ -363,13 +269,18 @@
             waiting_since: None,
             delivered_to: None,
             expected: is_expected,
-            report: search,
+            searched_since: None,
             confirmed: false,
             used_at: now,
         });
         entry.balancer = balancer;
         entry.used_at = now;
-        entry.report |= search;
+        if searched && entry.searched_since.is_none() {
+            entry.searched_since = Some(now);
+            if self.searches.len() < SEARCH_CAPACITY {
+                self.searches.push_back((now, flow));
+            }
+        }
         if entry.takes_new_data(head) && entry.waiting_since.is_none() {
             entry.waiting_since = Some(now);
             self.waiting += 1;
--- a/crates/steering/src/balancer/decision.rs
+++ b/crates/steering/src/balancer/decision.rs
@@ -113,6 +113,8 @@
     pub urgent: bool,
     /// Why this agent.
     pub reason: ForwardReason,
+    /// The agents that a searching packet visits in turn after this one.
+    pub next: Vec<Ipv4Addr>,
     /// What was weighed, if a target was chosen by load.
     pub inputs: Option<SelectionInputs>,
 }
@@ -148,6 +150,23 @@
 impl Decision {
     /// Forwards a packet to an agent that was not chosen by load.
     pub(super) fn forward(agent: Ipv4Addr, service: ServiceId, reason: ForwardReason) -> Self {
-        Decision::Forward(Forward { agent, service, urgent: false, reason, inputs: None })
+        let (next, inputs) = (Vec::new(), None);
+        Decision::Forward(Forward { agent, service, urgent: false, reason, next, inputs })
+    }
+
+    /// Sends a searching packet to the first of these agents, which passes it on to
+    /// the others in turn. Without any, drops it.
+    pub(super) fn search(asked: &[Ipv4Addr], service: ServiceId) -> Self {
+        let Some((agent, next)) = asked.split_first() else {
+            return Decision::Drop(DropReason::NobodyHoldsYet);
+        };
+        Decision::Forward(Forward {
+            agent: *agent,
+            service,
+            urgent: false,
+            reason: ForwardReason::Search,
+            next: next.to_vec(),
+            inputs: None,
+        })
     }
 }
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -176,7 +176,7 @@
             FlowStage::Searching if search::is_stalled(entry, context.now) => {
                 return self.search_past_silence(context, head);
             }
-            FlowStage::Searching => ForwardReason::Search,
+            FlowStage::Searching => return self.join_search(context, &flow),
             FlowStage::Opening | FlowStage::Held => ForwardReason::Held,
         };
         let service = service_of(context.view, &flow, agent);
@@ -207,7 +207,7 @@
             }
             FlowStage::Unheld => Some(Decision::Drop(DropReason::NobodyHoldsYet)),
             _ => {
-                entry.note_tried(from);
+                entry.note_returned(from);
                 entry.stage = stage;
                 None
             }
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -129,7 +129,8 @@
         self.go_to(flow, chosen.agent, FlowStage::Opening, now);
         let urgent = route.is_urgent();
         let agent = chosen.agent;
-        Decision::Forward(Forward { agent, service, urgent, reason, inputs: Some(inputs) })
+        let (next, inputs) = (Vec::new(), Some(inputs));
+        Decision::Forward(Forward { agent, service, urgent, reason, next, inputs })
     }
 
     /// The outcome for an opening packet that no untried target can get.
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -4,8 +4,8 @@
 
 use weirhinge_fleet::{Millis, ServiceId};
 
-use super::decision::{Decision, DropReason, ForwardReason, ResetReason};
-use super::{Balancer, ClientPacket, Context};
+use super::decision::{Decision, DropReason, ResetReason};
+use super::{Balancer, ClientPacket, Context, service_of};
 use crate::flow_table::{FlowEntry, FlowStage};
 use crate::packet::{FlowKey, PacketHead};
 use crate::selection::rendezvous_order;
@@ -13,6 +13,8 @@
 
 /// A search that got no answer from a target for this long tries the next one.
 const SEARCH_STEP_MS: Millis = 120;
+/// Most agents that a searching packet visits in turn before it comes back.
+const ASKED_IN_TURN: usize = 8;
 /// A flow is given up when every target sent its packet back twice, at least this
 /// far apart, so that a target that was not known the first time is.
 const GIVE_UP_AFTER_MS: Millis = 100;
@@ -42,12 +44,27 @@
         };
         let tried = self.flows.tried(&flow);
         let order = self.search_order(context, route.services(), flow.hash());
-        let next = order.into_iter().find(|place| !tried.contains(&place.agent));
-        let Some(place) = next else {
+        let untried = order.into_iter().filter(|place| !tried.contains(&place.agent));
+        let untried: Vec<SearchPlace> = untried.collect();
+        let Some(first) = untried.first() else {
             return self.search_failed(context, &flow, head);
         };
-        self.go_to(flow, place.agent, FlowStage::Searching, context.now);
-        Decision::forward(place.agent, place.service, ForwardReason::Search)
+        let (agent, service) = (first.agent, first.service);
+        self.go_to(flow, agent, FlowStage::Searching, context.now);
+        let Some(entry) = self.flows.get_mut(&flow) else {
+            return Decision::search(&[agent], service);
+        };
+        entry.asked = asked_in_turn(&untried, entry.one_by_one);
+        Decision::search(&entry.asked, service)
+    }
+
+    /// Sends a further packet of a flow the way of the search under way.
+    pub(super) fn join_search(&mut self, context: &Context<'_>, flow: &FlowKey) -> Decision {
+        let Some(entry) = self.flows.get_mut(flow) else {
+            return Decision::Drop(DropReason::NobodyHoldsYet);
+        };
+        let service = service_of(context.view, flow, entry.agent);
+        Decision::search(&entry.asked, service)
     }
 
     /// Goes past a target that did not answer.
@@ -62,6 +79,8 @@
         };
         let may_hold = !self.may_be_gone(context.view, &flow, silent, context.now);
         if let Some(entry) = self.flows.get_mut(&flow) {
+            // Any of those asked in turn may be the one that does not answer.
+            entry.one_by_one |= entry.asked.len() > 1;
             entry.note_tried(silent);
             entry.search_met_silence |= may_hold;
         }
@@ -166,6 +185,8 @@
             return Decision::Drop(DropReason::NobodyHoldsYet);
         };
         entry.tried.clear();
+        entry.asked.clear();
+        entry.one_by_one = false;
         entry.stage = FlowStage::Unheld;
         // A target that did not answer may hold the flow.
         if std::mem::take(&mut entry.search_met_silence) {
@@ -182,6 +203,14 @@
     }
 }
 
+/// The agents to ask next, in turn: the first, and those after it that are not
+/// known to be silent.
+fn asked_in_turn(untried: &[SearchPlace], one_by_one: bool) -> Vec<Ipv4Addr> {
+    let length = if one_by_one { 1 } else { ASKED_IN_TURN };
+    let answering = untried.iter().take(length).take_while(|place| !place.is_silent).count();
+    untried.iter().take(answering.max(1)).map(|place| place.agent).collect()
+}
+
 /// Whether the target asked last has had its time to answer.
 pub(super) fn is_stalled(entry: &FlowEntry, now: Millis) -> bool {
     now.saturating_sub(entry.tried_at) >= SEARCH_STEP_MS
--- a/crates/steering/src/flow_table.rs
+++ b/crates/steering/src/flow_table.rs
@@ -34,6 +34,11 @@
     /// Agents whose targets did not take the flow's packets. Empty for nearly all
     /// flows, and then without an allocation.
     pub tried: Vec<Ipv4Addr>,
+    /// The agents that a searching packet visits in turn, `agent` first. Empty
+    /// while nothing is searched for.
+    pub asked: Vec<Ipv4Addr>,
+    /// Whether the search asks one agent at a time, as one in a row did not answer.
+    pub one_by_one: bool,
     /// When a search first found that no target held the flow.
     pub unheld_since: Option<Millis>,
     /// Whether the search now under way met a target that did not answer.
@@ -53,6 +58,8 @@
             used_at: now,
             tried_at: now,
             tried: Vec::new(),
+            asked: Vec::new(),
+            one_by_one: false,
             unheld_since: None,
             search_met_silence: false,
             busy_returns: 0,
@@ -65,10 +72,23 @@
         self.agent = agent;
         self.stage = FlowStage::Held;
         self.tried.clear();
+        self.asked.clear();
+        self.one_by_one = false;
         self.unheld_since = None;
         self.search_met_silence = false;
     }
 
+    /// Notes that an agent's target did not take the flow, nor did those that the
+    /// packet visited before it.
+    pub fn note_returned(&mut self, agent: Ipv4Addr) {
+        if let Some(place) = self.asked.iter().position(|asked| *asked == agent) {
+            for visited in self.asked.drain(..=place).collect::<Vec<_>>() {
+                self.note_tried(visited);
+            }
+        }
+        self.note_tried(agent);
+    }
+
     /// Notes that an agent's target did not take the flow.
     pub fn note_tried(&mut self, agent: Ipv4Addr) {
         if !self.tried.contains(&agent) {
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -476,6 +476,53 @@
     assert!(fixture.balancer.due_searches(LATER + 400).is_empty());
 }
 
+/// All agents of a forwarded packet, the first one first.
+fn path(decision: &Decision) -> Vec<Ipv4Addr> {
+    let forward = forwarded(decision);
+    [vec![forward.agent], forward.next.clone()].concat()
+}
+
+#[test]
+fn a_searching_packet_visits_eight_targets_before_it_comes_back() {
+    let mut fixture = Fixture::new(&Store::with_targets(20));
+    let head = data(flow(1));
+    let first = path(&fixture.client(&head, LATER));
+    assert_eq!(first.len(), 8);
+    // A further packet goes the same way.
+    assert_eq!(path(&fixture.client(&head, LATER + 1)), first);
+    let second = path(&fixture.bounced(&head, first[7], LATER + 10));
+    let third = path(&fixture.bounced(&head, second[7], LATER + 20));
+    let mut asked = [first, second, third].concat();
+    assert_eq!(asked.len(), 20);
+    asked.sort();
+    asked.dedup();
+    assert_eq!(asked.len(), 20, "nobody is asked twice");
+}
+
+#[test]
+fn after_a_silence_targets_are_asked_one_by_one() {
+    let mut fixture = Fixture::new(&Store::with_targets(4));
+    let head = data(flow(1));
+    let asked = path(&fixture.client(&head, LATER));
+    let mut now = LATER;
+    for expected in &asked[1..] {
+        now += 130;
+        assert_eq!(path(&fixture.search_again(&head, now)), vec![*expected]);
+    }
+}
+
+#[test]
+fn a_silent_target_is_asked_alone_and_last() {
+    let mut fixture = Fixture::new(&Store::with_targets(4));
+    let silent = forwarded(&fixture.client(&opening(flow(9)), LATER)).agent;
+    let now = LATER + 200;
+    let asked = path(&fixture.client(&data(flow(1)), now));
+    assert_eq!(asked.len(), 3);
+    assert!(!asked.contains(&silent));
+    let last = fixture.bounced(&data(flow(1)), asked[2], now);
+    assert_eq!(path(&last), vec![silent]);
+}
+
 /// A copy used to go to another busy target, and its return refused the flow that
 /// waited.
 #[test]
