Hear peers before clients, and drop packets that waited too long

Ruled out: searches passing their holders (mended before), overloaded targets.

Change: one loop drains what peers say, then decides about eight clients' packets; the others wait in a bounded backlog, oldest first, and those that waited for 180 ms are dropped and counted, as both ends have sent them again by then.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -39,6 +39,13 @@
         self.family.get_or_create(&vec![("reason", reason)]).inc();
     }
 
+    /// Counts several occurrences for a reason.
+    pub fn add(&self, reason: &'static str, count: u64) {
+        if count > 0 {
+            self.family.get_or_create(&vec![("reason", reason)]).inc_by(count);
+        }
+    }
+
     /// The count for a reason.
     pub fn get(&self, reason: &'static str) -> u64 {
         self.family.get_or_create(&vec![("reason", reason)]).get()
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -15,6 +15,7 @@
     PacketHead,
 };
 
+use crate::backlog::Backlog;
 use crate::clock::Clock;
 use crate::events::{Basis, DecisionLog, Forwarded};
 use crate::fleet_node::FleetNode;
@@ -22,7 +23,7 @@
 use crate::metrics::{BalancerMetrics, FleetMetrics, StoreMetrics};
 use crate::platform::Platform;
 use crate::process::{ProcessLog, Signals};
-use crate::receive::receive;
+use crate::receive::{DATAGRAM_ROOM, receive_ready};
 use crate::reload::{Reloaded, SettingsWatch};
 use crate::settings::{BalancerSettings, RawSettings};
 use crate::status::{Status, serve_status};
@@ -45,11 +46,17 @@
 /// How often a stopping balancer looks whether packets still come.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
+/// Datagrams taken from a socket in one turn.
+const DATAGRAMS_A_TURN: usize = 256;
+/// Clients' packets decided about in one turn, before peers are heard again.
+const PACKETS_A_TURN: usize = 8;
+
 struct Daemon<P> {
     platform: P,
     clock: Clock,
     node: Rc<RefCell<FleetNode>>,
     core: RefCell<Balancer>,
+    backlog: RefCell<Backlog>,
     packets: UdpSocket,
     link: Rc<PeerLink>,
     address: Ipv4Addr,
@@ -93,6 +100,7 @@
         clock,
         node: Rc::clone(&node),
         core: RefCell::new(Balancer::new(common.timing)),
+        backlog: RefCell::default(),
         packets,
         link: Rc::clone(&link),
         address: common.address,
@@ -136,8 +144,7 @@
         news.link.spread_news();
         news.note_regained();
     }));
-    tokio::task::spawn_local(Rc::clone(daemon).take_client_packets());
-    tokio::task::spawn_local(Rc::clone(daemon).take_peer_messages());
+    tokio::task::spawn_local(Rc::clone(daemon).take_datagrams());
     tokio::task::spawn_local(Rc::clone(daemon).continue_searches());
     tokio::task::spawn_local(Rc::clone(daemon).tick());
     tokio::task::spawn_local(Rc::clone(daemon).watch_isolation(status, log.clone()));
@@ -148,8 +155,44 @@
         self.core.borrow().flow_count()
     }
 
-    async fn take_client_packets(self: Rc<Self>) {
-        receive(&self.packets, |packet, _| self.client_packet(packet), || {}).await;
+    /// Takes what peers say before clients' packets: it tells where those go, and
+    /// unread it looks as if the peers were silent.
+    async fn take_datagrams(self: Rc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_ROOM];
+        loop {
+            if self.backlog.borrow().is_empty() {
+                // An error here is one of an earlier send; receiving goes on.
+                tokio::select! {
+                    _ = self.link.socket().readable() => {}
+                    _ = self.packets.readable() => {}
+                }
+            }
+            let take = |datagram: &mut [u8], sender| self.peer_message(datagram, sender);
+            receive_ready(self.link.socket(), &mut buffer, DATAGRAMS_A_TURN, take);
+            self.take_client_packets(&mut buffer);
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Decides about a few clients' packets and lets the others wait.
+    fn take_client_packets(&self, buffer: &mut [u8]) {
+        let now = self.clock.now();
+        let mut left = PACKETS_A_TURN;
+        while left > 0 {
+            let Some(packet) = self.backlog.borrow_mut().next(now) else { break };
+            left -= 1;
+            self.client_packet(&packet);
+        }
+        receive_ready(&self.packets, buffer, DATAGRAMS_A_TURN, |packet, _| {
+            if left > 0 {
+                left -= 1;
+                self.client_packet(packet);
+            } else {
+                self.backlog.borrow_mut().push(packet, now);
+            }
+        });
+        let dropped = self.backlog.borrow_mut().take_dropped();
+        self.metrics.dropped.add("waited_too_long", dropped);
     }
 
     fn client_packet(&self, packet: &[u8]) {
@@ -172,11 +215,6 @@
         self.carry_out(decision, &head, packet, now);
     }
 
-    async fn take_peer_messages(self: Rc<Self>) {
-        let take = |datagram: &mut [u8], sender| self.peer_message(datagram, sender);
-        receive(self.link.socket(), take, || {}).await;
-    }
-
     fn peer_message(&self, datagram: &[u8], sender: Ipv4Addr) {
         let now = self.clock.now();
         let message: PeerMessage<'_> = match decode(datagram) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 //! How the outside speaks is behind the typed seam [`Platform`].
 
 mod agent;
+mod backlog;
 mod balancer;
 mod clock;
 mod events;
@@ -22,6 +23,7 @@
 mod store;
 
 pub use agent::run as run_agent;
+pub use backlog::Backlog;
 pub use balancer::run as run_balancer;
 pub use fleet_node::{FleetNode, Reaction};
 pub use platform::{ListPage, Platform, RejectedItem, WatchPage};
--- a/crates/relay/src/receive.rs
+++ b/crates/relay/src/receive.rs
@@ -1,4 +1,4 @@
-//! The loop that takes datagrams from a socket.
+//! Takes datagrams from sockets.
 
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 /// Room for one datagram.
-const DATAGRAM_ROOM: usize = 2_048;
+pub const DATAGRAM_ROOM: usize = 2_048;
 /// Datagrams taken in one turn before other tasks get theirs.
 const DATAGRAMS_A_TURN: usize = 64;
 
@@ -17,14 +17,24 @@
     loop {
         // An error here is one of an earlier send; receiving goes on.
         let _ = socket.readable().await;
-        for _ in 0..DATAGRAMS_A_TURN {
-            match socket.try_recv_from(&mut buffer) {
-                Ok((length, SocketAddr::V4(sender))) => take(&mut buffer[..length], *sender.ip()),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-                Ok(_) | Err(_) => {}
-            }
-        }
+        receive_ready(socket, &mut buffer, DATAGRAMS_A_TURN, &take);
         turn();
         tokio::task::yield_now().await;
     }
 }
+
+/// Hands the datagrams that have arrived, at most `limit` of them, to `take`.
+pub fn receive_ready(
+    socket: &UdpSocket,
+    buffer: &mut [u8],
+    limit: usize,
+    mut take: impl FnMut(&mut [u8], Ipv4Addr),
+) {
+    for _ in 0..limit {
+        match socket.try_recv_from(buffer) {
+            Ok((length, SocketAddr::V4(sender))) => take(&mut buffer[..length], *sender.ip()),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+            Ok(_) | Err(_) => {}
+        }
+    }
+}
