Hand packets of unknown flows to strong balancers of the zone when pressed

Ruled out: leaving the routers by readiness (a zone with less than half its balancers in uses all of them, and the one that has to stay would get more than now); handing everything off at all times (a strong balancer's death would then cost half a zone).

Change: settings and digests state the processor time of a daemon. A balancer whose clients' packets have to wait hands those of flows that it does not know to a balancer of its zone with at least three times its time, the same one for all packets of a flow, while that one answers. A stopping balancer says so to its zone. The balancer's module is split into intake, watch and the rest.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,7 +17,7 @@
     Digest, FetchRequest, FetchScope, MessageError, PeerMessage, PeerRole, ReturnReason,
     SearchPath, TargetClaim, decode, encode,
 };
-pub use model::{Configuration, Route, RoutePart, ServiceId, TargetRecord, TargetState};
+pub use model::{Configuration, Route, RoutePart, ServiceId, TargetRecord, TargetState, ZoneId};
 pub use peers::{PEER_LIFETIME_MS, PeerTable};
 pub use replica::{Change, Replica, TargetEntry, Update, VersionedConfiguration, VersionedTarget};
 pub use timing::{Bounds, Timing};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -2,6 +2,8 @@
 
 use musli::{Decode, Encode};
 
+use crate::model::ZoneId;
+
 /// First byte of every datagram between daemons.
 const PROTOCOL_VERSION: u8 = 2;
 
@@ -48,6 +50,13 @@
     pub sender: u32,
     /// What the sender does.
     pub role: PeerRole,
+    /// Where the sender runs.
+    pub zone: ZoneId,
+    /// Processor time that the sender may use, in thousandths of a processor; none
+    /// if it does not know.
+    pub capacity: Option<u32>,
+    /// Whether the sender is about to stop.
+    pub stopping: bool,
     /// The store revision that the sender knows all changes up to.
     pub revision: u64,
     /// The store revision of the configuration that the sender knows; 0 if none.
@@ -102,6 +111,12 @@
         #[musli(bytes)]
         packet: &'a [u8],
     },
+    /// A client's packet from a balancer that has no time to decide about it.
+    HandOff {
+        /// The packet as the client wrote it.
+        #[musli(bytes)]
+        packet: &'a [u8],
+    },
     /// A packet that the target did not take, on its way back.
     Returned {
         /// Why the target did not take it.
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -14,12 +14,28 @@
 impl ServiceId {
     /// The identifier of the service with this name.
     pub fn of(name: &str) -> Self {
-        let mut hasher = SipHasher13::new();
-        hasher.write(name.as_bytes());
-        Self(hasher.finish())
+        Self(hash_name(name))
     }
 }
 
+/// Identifies a zone by a hash of its name; all daemons compute the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Encode, Decode)]
+#[musli(packed)]
+pub struct ZoneId(pub u64);
+
+impl ZoneId {
+    /// The identifier of the zone with this name.
+    pub fn of(name: &str) -> Self {
+        Self(hash_name(name))
+    }
+}
+
+fn hash_name(name: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
+
 /// One service's part of a route's new flows.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct RoutePart {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -6,6 +6,7 @@
 
 use crate::Millis;
 use crate::message::{Digest, PeerRole};
+use crate::model::ZoneId;
 
 /// A peer that was silent for this long is taken for gone.
 pub const PEER_LIFETIME_MS: Millis = 6_000;
@@ -22,6 +23,9 @@
     heard_at: Option<Millis>,
     named_at: Millis,
     reading_at: Option<Millis>,
+    zone: ZoneId,
+    capacity: Option<u32>,
+    stopping: bool,
 }
 
 /// The peers of this daemon.
@@ -58,7 +62,14 @@
         let known = self.peers.get(&sender);
         let is_new = known.is_none_or(|peer| peer.heard_at.is_none());
         let reading_at = if digest.reading { Some(now) } else { None };
-        let peer = Peer { heard_at: Some(now), named_at: now, reading_at };
+        let peer = Peer {
+            heard_at: Some(now),
+            named_at: now,
+            reading_at,
+            zone: digest.zone,
+            capacity: digest.capacity,
+            stopping: digest.stopping,
+        };
         self.peers.insert(sender, peer);
         is_new
     }
@@ -116,11 +127,34 @@
             .any(|(_, peer)| peer.reading_at.is_some_and(|at| now.saturating_sub(at) < window))
     }
 
+    /// Balancers of a zone with at least this capacity that are not about to stop,
+    /// each with the time at which it was last heard.
+    pub fn capable(&self, zone: ZoneId, capacity: u32) -> impl Iterator<Item = (Ipv4Addr, Millis)> {
+        self.peers.iter().filter_map(move |(address, peer)| {
+            let is_capable = peer.capacity.is_some_and(|known| known >= capacity);
+            let heard_at = peer.heard_at?;
+            (is_capable && peer.zone == zone && !peer.stopping).then_some((*address, heard_at))
+        })
+    }
+
+    /// Balancers that were heard from in a zone.
+    pub fn in_zone(&self, zone: ZoneId) -> impl Iterator<Item = Ipv4Addr> {
+        let heard = self.peers.iter().filter(|(_, peer)| peer.heard_at.is_some());
+        heard.filter(move |(_, peer)| peer.zone == zone).map(|(address, _)| *address)
+    }
+
     fn named(&mut self, address: Ipv4Addr, now: Millis) {
         if address == self.own_address || self.is_full_for(address) {
             return;
         }
-        let peer = Peer { heard_at: None, named_at: now, reading_at: None };
+        let peer = Peer {
+            heard_at: None,
+            named_at: now,
+            reading_at: None,
+            zone: ZoneId::default(),
+            capacity: None,
+            stopping: false,
+        };
         self.peers.entry(address).or_insert(peer);
     }
 
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -6,7 +6,7 @@
 use weirhinge_fleet::reader::{ReaderInputs, should_read};
 use weirhinge_fleet::{
     Bounds, Digest, MessageError, PEER_LIFETIME_MS, PeerMessage, PeerRole, PeerTable, SearchPath,
-    Timing, decode, encode,
+    Timing, ZoneId, decode, encode,
 };
 
 const OWN: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 5);
@@ -19,6 +19,9 @@
     Digest {
         sender: sender.to_bits(),
         role: PeerRole::Balancer,
+        zone: ZoneId::of("a"),
+        capacity: Some(500),
+        stopping: false,
         revision: 1,
         configuration_revision: 1,
         age_ms: Some(0),
@@ -51,6 +54,19 @@
     assert_eq!(peers.balancers().count(), 0);
 }
 
+#[test]
+fn capable_peers_run_in_the_zone_have_the_capacity_and_go_on() {
+    let mut peers = PeerTable::new(OWN, []);
+    let zone = ZoneId::of("a");
+    peers.heard(&digest(address(1), false), 7);
+    peers.heard(&Digest { zone: ZoneId::of("b"), ..digest(address(2), false) }, 7);
+    peers.heard(&Digest { capacity: Some(100), ..digest(address(3), false) }, 7);
+    peers.heard(&Digest { capacity: None, ..digest(address(4), false) }, 7);
+    assert_eq!(peers.capable(zone, 300).collect::<Vec<_>>(), vec![(address(1), 7)]);
+    peers.heard(&Digest { stopping: true, ..digest(address(1), false) }, 9);
+    assert_eq!(peers.capable(zone, 300).count(), 0);
+}
+
 #[test]
 fn balancers_that_peers_name_are_known_but_not_named_on() {
     let mut peers = PeerTable::new(OWN, []);
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -1,5 +1,8 @@
 //! The balancer daemon.
 
+mod intake;
+mod watch;
+
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
@@ -23,7 +26,6 @@
 use crate::metrics::{BalancerMetrics, FleetMetrics, StoreMetrics};
 use crate::platform::Platform;
 use crate::process::{ProcessLog, Signals};
-use crate::receive::{DATAGRAM_ROOM, receive_ready};
 use crate::reload::{Reloaded, SettingsWatch};
 use crate::settings::{BalancerSettings, RawSettings};
 use crate::status::{Status, serve_status};
@@ -33,23 +35,6 @@
 const TICK: Duration = Duration::from_millis(500);
 /// How often waiting searches are looked at.
 const SEARCH_POLL: Duration = Duration::from_millis(50);
-/// How often the reach of agents is looked at.
-const ISOLATION_POLL: Duration = Duration::from_millis(100);
-/// A poll this late means that this process itself stood still.
-const PAUSED_MS: Millis = 300;
-/// Routers ask twice a second and stop sending after two misses.
-const ROUTERS_LEAVE_MS: Millis = 1_300;
-/// Silence after which routers are believed to have stopped sending.
-const QUIET_MS: Millis = 250;
-/// Left of the stop limit for ending.
-const STOP_MARGIN_MS: Millis = 700;
-/// How often a stopping balancer looks whether packets still come.
-const STOP_POLL: Duration = Duration::from_millis(50);
-
-/// Datagrams taken from a socket in one turn.
-const DATAGRAMS_A_TURN: usize = 256;
-/// Clients' packets decided about in one turn, before peers are heard again.
-const PACKETS_A_TURN: usize = 8;
 
 struct Daemon<P> {
     platform: P,
@@ -57,6 +42,8 @@
     node: Rc<RefCell<FleetNode>>,
     core: RefCell<Balancer>,
     backlog: RefCell<Backlog>,
+    /// Balancers that take packets of unknown flows over; empty unless pressed.
+    helpers: RefCell<Vec<Ipv4Addr>>,
     packets: UdpSocket,
     link: Rc<PeerLink>,
     address: Ipv4Addr,
@@ -101,6 +88,7 @@
         node: Rc::clone(&node),
         core: RefCell::new(Balancer::new(common.timing)),
         backlog: RefCell::default(),
+        helpers: RefCell::default(),
         packets,
         link: Rc::clone(&link),
         address: common.address,
@@ -127,6 +115,7 @@
         "address" => common.address.to_string());
     signals.stopped().await;
     status.stop();
+    daemon.link.announce_stop();
     info!(log, "balancer: stopping"; "event" => "stop", "flows" => daemon.flow_count());
     daemon.serve_until_routers_left(common.stop_limit_ms).await;
     info!(log, "balancer: stopped"; "event" => "stopped", "flows" => daemon.flow_count());
@@ -148,6 +137,7 @@
     tokio::task::spawn_local(Rc::clone(daemon).continue_searches());
     tokio::task::spawn_local(Rc::clone(daemon).tick());
     tokio::task::spawn_local(Rc::clone(daemon).watch_isolation(status, log.clone()));
+    tokio::task::spawn_local(Rc::clone(daemon).watch_pressure(log.clone()));
 }
 
 impl<P: Platform> Daemon<P> {
@@ -155,56 +145,28 @@
         self.core.borrow().flow_count()
     }
 
-    /// Takes what peers say before clients' packets: it tells where those go, and
-    /// unread it looks as if the peers were silent.
-    async fn take_datagrams(self: Rc<Self>) {
-        let mut buffer = vec![0; DATAGRAM_ROOM];
-        loop {
-            if self.backlog.borrow().is_empty() {
-                // An error here is one of an earlier send; receiving goes on.
-                tokio::select! {
-                    _ = self.link.socket().readable() => {}
-                    _ = self.packets.readable() => {}
-                }
-            }
-            let take = |datagram: &mut [u8], sender| self.peer_message(datagram, sender);
-            receive_ready(self.link.socket(), &mut buffer, DATAGRAMS_A_TURN, take);
-            self.take_client_packets(&mut buffer);
-            tokio::task::yield_now().await;
-        }
+    /// Takes a packet that a router handed to this balancer.
+    fn client_packet(&self, packet: &[u8]) {
+        let now = self.clock.now();
+        *self.last_packet_at.borrow_mut() = now;
+        self.decide_packet(packet, &self.helpers.borrow(), now);
     }
 
-    /// Decides about a few clients' packets and lets the others wait.
-    fn take_client_packets(&self, buffer: &mut [u8]) {
-        let now = self.clock.now();
-        let mut left = PACKETS_A_TURN;
-        while left > 0 {
-            let Some(packet) = self.backlog.borrow_mut().next(now) else { break };
-            left -= 1;
-            self.client_packet(&packet);
-        }
-        receive_ready(&self.packets, buffer, DATAGRAMS_A_TURN, |packet, _| {
-            if left > 0 {
-                left -= 1;
-                self.client_packet(packet);
-            } else {
-                self.backlog.borrow_mut().push(packet, now);
-            }
-        });
-        let dropped = self.backlog.borrow_mut().take_dropped();
-        self.metrics.dropped.add("waited_too_long", dropped);
+    /// Takes a packet that another balancer had no time for.
+    fn handed_packet(&self, packet: &[u8], now: Millis) {
+        self.metrics.handed_in.inc();
+        self.decide_packet(packet, &[], now);
     }
 
-    fn client_packet(&self, packet: &[u8]) {
+    fn decide_packet(&self, packet: &[u8], helpers: &[Ipv4Addr], now: Millis) {
         let began = Instant::now();
-        let now = self.clock.now();
-        *self.last_packet_at.borrow_mut() = now;
         let head = match self.platform.decode(packet) {
             Ok(head) => head,
             Err(malformed) => return self.metrics.dropped.increment(malformed.label()),
         };
         let decision = self.decide(now, |core, context| {
-            core.client_packet(context, ClientPacket { head: &head, bytes: packet })
+            let context = Context { helpers, ..*context };
+            core.client_packet(&context, ClientPacket { head: &head, bytes: packet })
         });
         self.metrics.decision_seconds.observe(began.elapsed().as_secs_f64());
         if let (Decision::Forward(forward), Some(id)) =
@@ -248,6 +210,7 @@
             PeerMessage::Waits { waiting } => {
                 self.core.borrow_mut().heard(sender, waiting, now);
             }
+            PeerMessage::HandOff { packet } => self.handed_packet(packet, now),
             PeerMessage::Forward { .. } => self.link.refuse_unexpected(),
         }
     }
@@ -258,7 +221,8 @@
         decide: impl FnOnce(&mut Balancer, &Context<'_>) -> Decision,
     ) -> Decision {
         let node = self.node.borrow();
-        let context = Context { view: node.view(), fresh: node.is_fresh(now), now };
+        let fresh = node.is_fresh(now);
+        let context = Context { view: node.view(), fresh, helpers: &[], now };
         decide(&mut self.core.borrow_mut(), &context)
     }
 
@@ -285,6 +249,10 @@
                 // Like any datagram, a reset may be lost; the client asks again.
                 let _ = self.packets.try_send_to(&reset, client.into());
             }
+            Decision::HandOff { helper } => {
+                self.metrics.handed_off.inc();
+                self.link.send(helper, &PeerMessage::HandOff { packet });
+            }
             Decision::Drop(DropReason::SearchEnded) => {}
             Decision::Drop(reason) => {
                 self.metrics.dropped.increment(reason.label());
@@ -327,26 +295,6 @@
         }
     }
 
-    /// Is not ready while cut off from all agents, so that routers use others.
-    async fn watch_isolation(self: Rc<Self>, status: Status, log: Logger) {
-        let mut polled_at = self.clock.now();
-        loop {
-            tokio::time::sleep(ISOLATION_POLL).await;
-            let now = self.clock.now();
-            let paused = now.saturating_sub(polled_at) >= PAUSED_MS;
-            polled_at = now;
-            if paused {
-                // What arrived during the pause is still unread.
-                continue;
-            }
-            let isolated = self.core.borrow().is_isolated(now);
-            if status.set_isolated(isolated) {
-                info!(log, "balancer: reach of agents changed"; "event" => "isolation",
-                    "isolated" => isolated);
-            }
-        }
-    }
-
     /// Goes on with searches that a silent target holds up.
     async fn continue_searches(self: Rc<Self>) {
         loop {
@@ -376,21 +324,6 @@
             tokio::time::sleep(TICK).await;
         }
     }
-
-    /// Serves on until routers have noticed that this balancer is not ready.
-    async fn serve_until_routers_left(&self, stop_limit_ms: Millis) {
-        let began = self.clock.now();
-        let longest = stop_limit_ms.saturating_sub(STOP_MARGIN_MS);
-        loop {
-            let now = self.clock.now();
-            let elapsed = now.saturating_sub(began);
-            let quiet = now.saturating_sub(*self.last_packet_at.borrow()) >= QUIET_MS;
-            if elapsed >= longest || (elapsed >= ROUTERS_LEAVE_MS && quiet) {
-                return;
-            }
-            tokio::time::sleep(STOP_POLL).await;
-        }
-    }
 }
 
 fn endpoint((address, port): (u32, u16)) -> SocketAddrV4 {
--- /dev/null
+++ b/crates/relay/src/balancer/watch.rs
@@ -0,0 +1,97 @@
+//! What a balancer watches about itself: its reach, its time, its stop.
+
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{Logger, info};
+use weirhinge_fleet::Millis;
+
+use super::Daemon;
+use crate::platform::Platform;
+use crate::status::Status;
+
+/// How often the reach of agents is looked at.
+const ISOLATION_POLL: Duration = Duration::from_millis(100);
+/// A poll this late means that this process itself stood still.
+const PAUSED_MS: Millis = 300;
+/// Routers ask twice a second and stop sending after two misses.
+const ROUTERS_LEAVE_MS: Millis = 1_300;
+/// Silence after which routers are believed to have stopped sending.
+const QUIET_MS: Millis = 250;
+/// Left of the stop limit for ending.
+const STOP_MARGIN_MS: Millis = 700;
+/// How often a stopping balancer looks whether packets still come.
+const STOP_POLL: Duration = Duration::from_millis(50);
+/// How often a balancer looks whether it has the time for all packets.
+const PRESSURE_POLL: Duration = Duration::from_millis(100);
+/// How many of these looks after which the helpers are asked again.
+const ASK_EVERY: u32 = 2;
+
+impl<P: Platform> Daemon<P> {
+    /// Is not ready while cut off from all agents, so that routers use others.
+    pub(super) async fn watch_isolation(self: Rc<Self>, status: Status, log: Logger) {
+        let mut polled_at = self.clock.now();
+        loop {
+            tokio::time::sleep(ISOLATION_POLL).await;
+            let now = self.clock.now();
+            let paused = now.saturating_sub(polled_at) >= PAUSED_MS;
+            polled_at = now;
+            if paused {
+                // What arrived during the pause is still unread.
+                continue;
+            }
+            let isolated = self.core.borrow().is_isolated(now);
+            if status.set_isolated(isolated) {
+                info!(log, "balancer: reach of agents changed"; "event" => "isolation",
+                    "isolated" => isolated);
+            }
+        }
+    }
+
+    /// While packets have to wait, leaves those of unknown flows to balancers of the
+    /// zone that have far more processor time.
+    pub(super) async fn watch_pressure(self: Rc<Self>, log: Logger) {
+        let mut pressed_polls = 0;
+        loop {
+            tokio::time::sleep(PRESSURE_POLL).await;
+            let now = self.clock.now();
+            if !self.backlog.borrow().is_pressed(now) {
+                pressed_polls = 0;
+                self.set_helpers(Vec::new(), &log);
+                continue;
+            }
+            if pressed_polls % ASK_EVERY == 0 {
+                self.link.ask_helpers();
+            }
+            pressed_polls += 1;
+            let helpers = self.node.borrow().answering_helpers(now);
+            self.set_helpers(helpers, &log);
+        }
+    }
+
+    fn set_helpers(&self, helpers: Vec<Ipv4Addr>, log: &Logger) {
+        let before = self.helpers.replace(helpers);
+        let now = self.helpers.borrow();
+        if *now != before {
+            let names: Vec<String> = now.iter().map(Ipv4Addr::to_string).collect();
+            info!(log, "balancer: helpers changed"; "event" => "helpers",
+                "helpers" => names.join(" "), "handed_off" => self.metrics.handed_off.get());
+        }
+    }
+
+    /// Serves on until routers have noticed that this balancer is not ready.
+    pub(super) async fn serve_until_routers_left(&self, stop_limit_ms: Millis) {
+        let began = self.clock.now();
+        let longest = stop_limit_ms.saturating_sub(STOP_MARGIN_MS);
+        loop {
+            let now = self.clock.now();
+            let elapsed = now.saturating_sub(began);
+            let quiet = now.saturating_sub(*self.last_packet_at.borrow()) >= QUIET_MS;
+            if elapsed >= longest || (elapsed >= ROUTERS_LEAVE_MS && quiet) {
+                return;
+            }
+            tokio::time::sleep(STOP_POLL).await;
+        }
+    }
+}
--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node.rs
@@ -9,7 +9,7 @@
 use slog::{Logger, info};
 use weirhinge_fleet::{
     Change, Digest, FetchRequest, FetchScope, Millis, PeerRole, PeerTable, Replica, TargetClaim,
-    Timing, Update, reader,
+    Timing, Update, ZoneId, reader,
 };
 use weirhinge_steering::{FleetView, Locality};
 
@@ -33,6 +33,12 @@
 /// Time after the start in which seeds are asked at every tick.
 const EAGER_MS: Millis = 3_000;
 
+/// How many times this daemon's processor time a peer has to whom packets are
+/// handed off.
+const HELPER_CAPACITY: u32 = 3;
+/// A helper that was silent for this long gets no packets.
+const HELPER_SILENCE_MS: Millis = 700;
+
 /// What a digest calls for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Reaction {
@@ -58,6 +64,10 @@
     random: RefCell<StdRng>,
     /// Whether this daemon reads the store for the others.
     pub reading: bool,
+    zone: ZoneId,
+    capacity: Option<u32>,
+    /// Whether this daemon is about to stop.
+    pub stopping: bool,
     /// What an agent says about its target.
     pub claim: Option<TargetClaim>,
     log: Logger,
@@ -84,6 +94,9 @@
             locality: settings.locality.clone(),
             random: RefCell::new(StdRng::seed_from_u64(seed)),
             reading: false,
+            zone: ZoneId::of(&settings.zone),
+            capacity: settings.capacity,
+            stopping: false,
             claim: None,
             log,
         }
@@ -170,6 +183,9 @@
         Digest {
             sender: self.address.to_bits(),
             role: self.role,
+            zone: self.zone,
+            capacity: self.capacity,
+            stopping: self.stopping,
             revision: self.replica.revision(),
             configuration_revision: self.configuration_revision(),
             age_ms: self.replica.age(now),
@@ -251,6 +267,30 @@
         self.choose(&self.view.agents(), AGENTS_ASKED)
     }
 
+    /// Balancers of this zone with far more processor time than this one.
+    pub fn helpers(&self) -> Vec<Ipv4Addr> {
+        self.capable().map(|(address, _)| address).collect()
+    }
+
+    /// All known balancers of this zone.
+    pub fn zone_peers(&self) -> Vec<Ipv4Addr> {
+        self.peers.in_zone(self.zone).collect()
+    }
+
+    /// Those of them that answered lately.
+    pub fn answering_helpers(&self, now: Millis) -> Vec<Ipv4Addr> {
+        let answering = self
+            .capable()
+            .filter(|(_, heard_at)| now.saturating_sub(*heard_at) < HELPER_SILENCE_MS);
+        answering.map(|(address, _)| address).collect()
+    }
+
+    fn capable(&self) -> impl Iterator<Item = (Ipv4Addr, Millis)> {
+        // Without a capacity of its own a daemon has nothing to compare.
+        let enough = self.capacity.map_or(u32::MAX, |own| own.saturating_mul(HELPER_CAPACITY));
+        self.peers.capable(self.zone, enough)
+    }
+
     /// Peers that get this daemon's digest at a tick, each with whether it is asked
     /// for its own.
     pub fn tick_receivers(&mut self, now: Millis) -> Vec<(Ipv4Addr, bool)> {
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -122,6 +122,26 @@
         }
     }
 
+    /// Asks the balancers to whom packets may be handed off whether they are there.
+    pub fn ask_helpers(&self) {
+        let helpers = self.node.borrow().helpers();
+        for helper in helpers {
+            self.send_digest(helper, true);
+        }
+    }
+
+    /// Tells all known balancers that this one is about to stop.
+    pub fn announce_stop(&self) {
+        let balancers = {
+            let mut node = self.node.borrow_mut();
+            node.stopping = true;
+            node.zone_peers()
+        };
+        for balancer in balancers {
+            self.send_digest(balancer, false);
+        }
+    }
+
     /// Asks the agents of known targets what stands beside them.
     pub fn ask_agents(&self) {
         let agents = self.node.borrow().agents_to_ask();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -11,6 +11,10 @@
     pub resets: ReasonCounters,
     /// Packets dropped, by reason.
     pub dropped: ReasonCounters,
+    /// Packets handed off to other balancers.
+    pub handed_off: Counter,
+    /// Packets that other balancers handed off to this one.
+    pub handed_in: Counter,
     /// Flows remembered.
     pub flows: Gauge,
     /// Seconds from an opening packet's forwarding to the agent's word that its
@@ -27,6 +31,10 @@
             forwarded: metrics.reasons("packets_forwarded", "Packets forwarded"),
             resets: metrics.reasons("resets", "Flows reset"),
             dropped: metrics.reasons("packets_dropped", "Packets dropped"),
+            handed_off: metrics
+                .counter("packets_handed_off", "Packets handed off to other balancers"),
+            handed_in: metrics
+                .counter("packets_handed_in", "Packets that other balancers handed off"),
             flows: metrics.gauge("flows", "Flows remembered"),
             opening_seconds: metrics.histogram(
                 "opening_seconds",
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -10,6 +10,8 @@
 
 /// Longest bound that settings may state, in milliseconds.
 pub const LONGEST_BOUND_MS: u64 = 600_000;
+/// Most processors, and most of one processor's time, that settings may state.
+const MOST_PROCESSORS: f64 = 1_024.0;
 /// Longest planned stop when the settings state none, in milliseconds.
 const DEFAULT_STOP_LIMIT_MS: u64 = 5_000;
 
@@ -48,6 +50,10 @@
     pub drain_bound_ms: Option<u64>,
     /// See [`Bounds::renewal_ms`]; at most [`LONGEST_BOUND_MS`].
     pub renewal_ms: Option<u64>,
+    /// Part of one processor's time that the process may use, above 0.
+    pub processor_share: Option<f64>,
+    /// How many times as much it gets; 1 if not given.
+    pub processors: Option<f64>,
     /// See [`AgentSettings::target`].
     pub target: Option<String>,
     /// See [`AgentSettings::target_output`].
@@ -83,6 +89,9 @@
     pub stop_limit_ms: u64,
     /// Waits that keep the deployment's bounds.
     pub timing: Timing,
+    /// Processor time that the process may use, in thousandths of a processor; none
+    /// if not known. Balancers of a zone are compared by it.
+    pub capacity: Option<u32>,
 }
 
 /// Settings of a balancer.
@@ -157,9 +166,24 @@
             store: endpoint(file, "store", self.store.as_deref())?.into(),
             stop_limit_ms: self.checked_stop_limit(file)?,
             timing: self.checked_timing(file)?,
+            capacity: self.checked_capacity(file)?,
         })
     }
 
+    fn checked_capacity(&self, file: &str) -> Result<Option<u32>, ConfigError> {
+        let checked = |field: &str, value: f64| {
+            let is_valid = value.is_finite() && value > 0.0 && value <= MOST_PROCESSORS;
+            let expected = format!("above 0, at most {MOST_PROCESSORS}");
+            let refused = || ConfigError::field(file, field, value, expected);
+            if is_valid { Ok(value) } else { Err(refused()) }
+        };
+        let processors = checked("processors", self.processors.unwrap_or(1.0))?;
+        let Some(share) = self.processor_share else { return Ok(None) };
+        let share = checked("processor_share", share)?;
+        // At most MOST_PROCESSORS squared, in thousandths.
+        Ok(Some((share * processors * 1_000.0).ceil() as u32))
+    }
+
     fn checked_peer_port(&self, file: &str) -> Result<u16, ConfigError> {
         match self.peer_port {
             Some(port) if port > 0 => Ok(port),
--- a/crates/steering/src/balancer/decision.rs
+++ b/crates/steering/src/balancer/decision.rs
@@ -143,6 +143,11 @@
         /// Why.
         reason: ResetReason,
     },
+    /// Leave it to a balancer that has the time for it.
+    HandOff {
+        /// The balancer.
+        helper: Ipv4Addr,
+    },
     /// Do nothing.
     Drop(DropReason),
 }
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -14,6 +14,7 @@
 use crate::flow_table::{FlowEntry, FlowStage, FlowTable};
 use crate::packet::{FlowKey, PacketHead};
 use crate::pending_search::PendingSearches;
+use crate::selection::rendezvous_first;
 use crate::view::FleetView;
 
 /// Most flows that a balancer remembers.
@@ -30,6 +31,9 @@
     pub view: &'a FleetView,
     /// Whether the store's word is recent enough to refuse by.
     pub fresh: bool,
+    /// Balancers that take packets of unknown flows over; empty while this one has
+    /// the time to deal with them.
+    pub helpers: &'a [Ipv4Addr],
     /// The time.
     pub now: Millis,
 }
@@ -88,6 +92,9 @@
         if packet.head.flags.bounced {
             return Decision::Drop(DropReason::BouncedByClient);
         }
+        if let Some(helper) = self.helper(context, packet.head) {
+            return Decision::HandOff { helper };
+        }
         if packet.head.is_opening() {
             return self.opening_packet(context, packet.head);
         }
@@ -164,6 +171,14 @@
         self.statuses.expire(now);
     }
 
+    /// The balancer that takes a packet over: the same for all packets of a flow.
+    /// Flows that are known here cost little and stay.
+    fn helper(&mut self, context: &Context<'_>, head: &PacketHead) -> Option<Ipv4Addr> {
+        let flow = head.client_flow();
+        let is_known = context.helpers.is_empty() || self.flows.get_mut(&flow).is_some();
+        if is_known { None } else { rendezvous_first(flow.hash(), context.helpers) }
+    }
+
     fn later_packet(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
         let flow = head.client_flow();
         let Some(entry) = self.flows.get_mut(&flow) else {
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -99,7 +99,7 @@
         let goes_on = match decision {
             Decision::Forward(forward) => forward.is_search(),
             Decision::Drop(reason) => *reason == DropReason::NobodyHoldsYet,
-            Decision::Reset { .. } => false,
+            Decision::Reset { .. } | Decision::HandOff { .. } => false,
         };
         if goes_on {
             self.searches.keep(flow, packet.head, packet.bytes, now);
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -35,6 +35,11 @@
     order
 }
 
+/// The first of these daemons in the flow's own order.
+pub fn rendezvous_first(flow_hash: u64, daemons: &[Ipv4Addr]) -> Option<Ipv4Addr> {
+    daemons.iter().copied().max_by_key(|daemon| rank(flow_hash, *daemon))
+}
+
 /// The cheapest of the first `compared` near candidates and the first far one, in
 /// the flow's order. A far one is chosen only where the near ones are busy: every
 /// packet of the flow would cross regions.
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -27,11 +27,17 @@
     }
 
     fn context(&self, now: u64) -> Context<'_> {
-        Context { view: &self.view, fresh: self.fresh, now }
+        Context { view: &self.view, fresh: self.fresh, helpers: &[], now }
+    }
+
+    /// Decides about a client's packet without the time for unknown flows.
+    fn pressed(&mut self, head: &PacketHead, helpers: &[Ipv4Addr], now: u64) -> Decision {
+        let context = Context { view: &self.view, fresh: self.fresh, helpers, now };
+        self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
     }
 
     fn client(&mut self, head: &PacketHead, now: u64) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, now };
+        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
         self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
     }
 
@@ -42,7 +48,7 @@
         reason: ReturnReason,
         now: u64,
     ) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, now };
+        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
         let packet = ClientPacket { head, bytes: b"packet" };
         self.balancer.returned_packet(&context, packet, from, reason)
     }
@@ -52,7 +58,7 @@
     }
 
     fn search_again(&mut self, head: &PacketHead, now: u64) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, now };
+        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
         self.balancer.search_again(&context, ClientPacket { head, bytes: b"packet" })
     }
 
@@ -523,6 +529,27 @@
     assert_eq!(path(&last), vec![silent]);
 }
 
+#[test]
+fn a_pressed_balancer_hands_unknown_flows_to_one_helper_each() {
+    let mut fixture = Fixture::new(&Store::with_targets(4));
+    let known = fixture.open(1, LATER);
+    let helpers = [agent(101), agent(102)];
+    let decision = fixture.pressed(&data(flow(1)), &helpers, LATER + 1);
+    assert_eq!(forwarded(&decision).agent, known);
+    let mut chosen = Vec::new();
+    for port in 2..40 {
+        let opened = fixture.pressed(&opening(flow(port)), &helpers, LATER + 1);
+        assert_eq!(fixture.pressed(&data(flow(port)), &helpers, LATER + 2), opened);
+        let Decision::HandOff { helper } = opened else { panic!("kept {opened:?}") };
+        chosen.push(helper);
+    }
+    chosen.sort();
+    chosen.dedup();
+    assert_eq!(chosen, helpers);
+    // With the time for it again, the flow is searched for here.
+    assert!(matches!(fixture.client(&data(flow(2)), LATER + 3), Decision::Forward(_)));
+}
+
 /// A copy used to go to another busy target, and its return refused the flow that
 /// waited.
 #[test]
