Soak the relay under faults that a seed draws

The project's rehearsals play its own deployments alone.

Change: crate soak and the command rehearse soak. A seed draws episodes of planned work, kills, pauses, crashes, store and link trouble (a loopback proxy between each balancer and the store delays, resets, silences, cuts one way) and loss, copies and reordering on the clients' way. Checks: at most once, nothing unasked, the right service, whole answers, no reset of a held flow, no failure in planned work or after recovery, drains, configurations in force and never back, no packet changed. Each check has a test that plants its breach. Left: traffic between daemons is not behind the proxy, as they find each other by address.

--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -7,6 +7,7 @@
 use weirhinge_rehearsal::agreement::measure_agreement;
 use weirhinge_rehearsal::bench::{ForwardingRound, measure_forwarding};
 use weirhinge_rehearsal::fleet::FleetOptions;
+use weirhinge_rehearsal::processes::Program;
 use weirhinge_rehearsal::report;
 use weirhinge_rehearsal::run::rehearse;
 use weirhinge_rehearsal::scale::{measure_balancer_size, measure_flow_memory, measure_followers};
@@ -25,6 +26,7 @@
   rehearse simulate [OPTIONS]       Compare policies and schemes in simulated time
   rehearse agreement                Measure writes to the configuration and leaders' deaths
   rehearse scale                    Measure the slopes behind docs/CAPACITY.md
+  rehearse soak [OPTIONS]           Run the relay under faults that a seed draws
 
 OPTIONS OF run:
   --seconds N      Length of the load  [default: the scenario's]
@@ -42,6 +44,10 @@
   --rounds N       Rounds of relay, unbatched and batched balancer  [default: 5]
   --seconds N      Length of each measurement  [default: 2]
 
+OPTIONS OF soak:
+  --seed S         Seed of the faults  [default: drawn, and printed]
+  --seconds N      About how long to soak  [default: 120]
+
 EXIT CODES:
   0  every promise held
   1  a promise was broken, or the rehearsal failed
@@ -73,6 +79,7 @@
         Some("bench") => bench(arguments),
         Some("simulate") => simulate_policies(arguments),
         Some("scale") => Ok(measure(measure_scale())),
+        Some("soak") => soak(arguments),
         Some("agreement") => Ok(measure(print_agreement())),
         _ => Err(format!("expected a command\n\n{HELP}")),
     };
@@ -183,6 +190,29 @@
 /// Writes, and deaths of leaders, that are measured.
 const AGREEMENT: (usize, usize) = (40, 4);
 
+/// About how long one episode of a soak takes.
+const EPISODE_SECONDS: u64 = 10;
+
+fn soak(mut arguments: Arguments) -> Result<ExitCode, String> {
+    let seed = option(&mut arguments, "--seed")?.unwrap_or_else(|| rand::random_range(0..1 << 32));
+    let seconds: u64 = option(&mut arguments, "--seconds")?.unwrap_or(120);
+    let episodes = seconds.div_ceil(EPISODE_SECONDS).max(1) as usize;
+    println!("soak with seed {seed}, {episodes} episodes");
+    let options = weirhinge_soak::run::Options { seed, episodes, verbose: true };
+    Ok(measure(async move {
+        let program = Program::find(None)?;
+        let report = weirhinge_soak::run::soak(program.path(), options).await?;
+        println!("{} requests, {} answered", report.requests, report.answered);
+        for violation in &report.violations {
+            println!("broken: {violation}");
+        }
+        let broken = report.violations.len();
+        eyre::ensure!(broken == 0, "{broken} promises broken with seed {seed}");
+        println!("every promise held");
+        Ok(())
+    }))
+}
+
 /// Runs a measurement that prints its own results.
 fn measure(measurement: impl Future<Output = eyre::Result<()>>) -> ExitCode {
     let measured = tokio::runtime::Runtime::new()
--- a/crates/rehearsal/src/processes.rs
+++ b/crates/rehearsal/src/processes.rs
@@ -75,6 +75,11 @@
         Ok(Self { path, logs })
     }
 
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
     /// Starts a process and waits until it is ready.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,124 @@
+//! Brings faults about and mends them.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use weirhinge_platform_standins::{Fleet, Impairment, LinkFault, ProcessHandle, StoreFault};
+
+use crate::callers::{FIRST_PORT, SECOND_PORT};
+use crate::plan::{Fault, LinkTrouble, StoreTrouble};
+
+/// Services of the two routes.
+pub(crate) const SERVICES: [&str; 2] = ["dispatch", "sheets"];
+/// Wait of a slow store's callers.
+const SLOW: Duration = Duration::from_millis(250);
+/// What a store answers that turns calls away.
+const BUSY: u16 = 503;
+const LOSSY: Impairment =
+    Impairment { loss: 0.05, duplicates: 0.05, jitter: Duration::from_millis(20) };
+
+/// Writes the next configuration: the same routes under a new version.
+pub(crate) fn configure(fleet: &mut Fleet) {
+    let [first, second] = SERVICES;
+    fleet.configure(&[(FIRST_PORT, &[(first, 1)]), (SECOND_PORT, &[(second, 1)])]);
+}
+
+/// Begins a fault.
+pub(crate) async fn begin(fleet: &mut Fleet, fault: Fault) -> eyre::Result<()> {
+    match fault {
+        Fault::StopBalancer(place) => {
+            fleet.balancers[place].signal(Signal::SIGTERM)?;
+            fleet.balancers[place].ended().await?;
+            fleet.balancers[place].restart()
+        }
+        Fault::DrainTarget(place) => {
+            fleet.targets[place].drain();
+            Ok(())
+        }
+        Fault::Reload(place) => fleet.balancers[place].signal(Signal::SIGHUP),
+        Fault::Configure => {
+            configure(fleet);
+            Ok(())
+        }
+        Fault::KillBalancer(place) => fleet.balancers[place].kill(),
+        Fault::PauseBalancer(place) => fleet.balancers[place].signal(Signal::SIGSTOP),
+        Fault::KillAgent(place) => fleet.agents[place].kill(),
+        Fault::PauseAgent(place) => fleet.agents[place].signal(Signal::SIGSTOP),
+        Fault::CrashTarget(place) => {
+            fleet.targets[place].crash();
+            Ok(())
+        }
+        Fault::KillAll => {
+            let mut processes = fleet.balancers.iter_mut().chain(&mut fleet.agents);
+            processes.try_for_each(ProcessHandle::kill)
+        }
+        Fault::Store(trouble) => {
+            fail_store(fleet, trouble);
+            Ok(())
+        }
+        Fault::StoreLink(place, trouble) => {
+            fleet.store_links[place].fail(link_fault(trouble));
+            Ok(())
+        }
+        Fault::LossyClients => {
+            fleet.client.impair(LOSSY);
+            Ok(())
+        }
+    }
+}
+
+/// Mends a fault.
+pub(crate) fn mend(fleet: &mut Fleet, fault: Fault) -> eyre::Result<()> {
+    match fault {
+        Fault::StopBalancer(_) | Fault::Reload(_) | Fault::Configure => Ok(()),
+        Fault::DrainTarget(place) => {
+            fleet.targets[place].renew();
+            Ok(())
+        }
+        Fault::KillBalancer(place) => fleet.balancers[place].restart(),
+        Fault::PauseBalancer(place) => fleet.balancers[place].signal(Signal::SIGCONT),
+        Fault::KillAgent(place) => fleet.agents[place].restart(),
+        Fault::PauseAgent(place) => fleet.agents[place].signal(Signal::SIGCONT),
+        Fault::CrashTarget(place) => {
+            fleet.targets[place].revive();
+            Ok(())
+        }
+        Fault::KillAll => {
+            let mut processes = fleet.balancers.iter_mut().chain(&mut fleet.agents);
+            processes.try_for_each(ProcessHandle::restart)
+        }
+        Fault::Store(_) => {
+            fleet.store.fail(StoreFault::None);
+            Ok(())
+        }
+        Fault::StoreLink(place, _) => {
+            fleet.store_links[place].fail(LinkFault::None);
+            Ok(())
+        }
+        Fault::LossyClients => {
+            fleet.client.impair(Impairment::default());
+            Ok(())
+        }
+    }
+}
+
+fn fail_store(fleet: &Fleet, trouble: StoreTrouble) {
+    let fault = match trouble {
+        StoreTrouble::Busy => StoreFault::Status(BUSY),
+        StoreTrouble::Silent => StoreFault::Silent,
+        StoreTrouble::Reset => StoreFault::Reset,
+        StoreTrouble::Slow => StoreFault::Slow(SLOW),
+        StoreTrouble::Forgets => return fleet.store.forget_history(),
+    };
+    fleet.store.fail(fault);
+}
+
+fn link_fault(trouble: LinkTrouble) -> LinkFault {
+    match trouble {
+        LinkTrouble::Delayed => LinkFault::Delay(SLOW),
+        LinkTrouble::Reset => LinkFault::Reset,
+        LinkTrouble::Silent => LinkFault::Silent,
+        LinkTrouble::LosesRequests => LinkFault::LosesRequests,
+        LinkTrouble::LosesAnswers => LinkFault::LosesAnswers,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,202 @@
+//! Draws the faults of a soak from its seed.
+
+use std::time::Duration;
+
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// How many processes of each kind there are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Balancers.
+    pub balancers: usize,
+    /// Targets, each with an agent.
+    pub targets: usize,
+}
+
+/// How the store fails for everybody.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreTrouble {
+    /// It refuses calls as overloaded.
+    Busy,
+    /// It takes calls and says nothing.
+    Silent,
+    /// It breaks connections off.
+    Reset,
+    /// It answers late.
+    Slow,
+    /// It serves, but forgets what changed before.
+    Forgets,
+}
+
+/// How the connection between one balancer and the store fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkTrouble {
+    /// Everything arrives late.
+    Delayed,
+    /// It is broken off.
+    Reset,
+    /// Nothing passes.
+    Silent,
+    /// The balancer's calls are lost.
+    LosesRequests,
+    /// The store's answers are lost.
+    LosesAnswers,
+}
+
+/// One thing that happens to the deployment. Numbers are places among the balancers
+/// or targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A balancer is told to stop, and starts again.
+    StopBalancer(usize),
+    /// A target drains and comes back under a new identity.
+    DrainTarget(usize),
+    /// A process is told to read its settings again.
+    Reload(usize),
+    /// The operator changes the configuration.
+    Configure,
+    /// A balancer is killed, and starts again.
+    KillBalancer(usize),
+    /// A balancer stands still.
+    PauseBalancer(usize),
+    /// An agent is killed, and starts again.
+    KillAgent(usize),
+    /// An agent stands still.
+    PauseAgent(usize),
+    /// A target is gone without a word, and starts again without its flows.
+    CrashTarget(usize),
+    /// All processes of the product are killed, and start again.
+    KillAll,
+    /// The store fails for everybody.
+    Store(StoreTrouble),
+    /// The connection between a balancer and the store fails.
+    StoreLink(usize, LinkTrouble),
+    /// Clients' packets are lost, doubled, and overtake each other.
+    LossyClients,
+}
+
+impl Fault {
+    /// Whether it is planned work, which may cut nothing.
+    pub fn is_planned(self) -> bool {
+        matches!(
+            self,
+            Fault::StopBalancer(_)
+                | Fault::DrainTarget(_)
+                | Fault::Reload(_)
+                | Fault::Configure
+                // Not planned, but as harmless: flows do not need the store.
+                | Fault::Store(_)
+                | Fault::StoreLink(..)
+        )
+    }
+
+    /// Whether changes of the configuration reach all balancers meanwhile.
+    pub fn lets_changes_through(self) -> bool {
+        matches!(self, Fault::DrainTarget(_) | Fault::Reload(_) | Fault::Configure)
+    }
+}
+
+/// Faults that begin together and are mended together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Episode {
+    /// The faults.
+    pub faults: Vec<Fault>,
+    /// How long they last.
+    pub lasts: Duration,
+}
+
+impl Episode {
+    /// Whether requests must not fail in it.
+    pub fn is_harmless(&self) -> bool {
+        self.faults.iter().all(|fault| fault.is_planned())
+    }
+}
+
+/// Shortest and longest time that faults last, in milliseconds.
+const LASTS_MS: std::ops::RangeInclusive<u64> = 1_500..=4_000;
+/// Time that a drain lasts: past the bound after which no flow may be opened.
+const DRAIN_LASTS: Duration = Duration::from_millis(4_500);
+
+/// The episodes that a seed draws.
+pub fn draw(seed: u64, episodes: usize, size: Size) -> Vec<Episode> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    (0..episodes).map(|_| draw_episode(&mut random, size)).collect()
+}
+
+fn draw_episode(random: &mut ChaCha8Rng, size: Size) -> Episode {
+    let count = random.random_range(1..=2);
+    let mut faults: Vec<Fault> = Vec::new();
+    while faults.len() < count {
+        let fault = draw_fault(random, size);
+        let is_alone = |kind: Fault| kind == Fault::KillAll;
+        if is_alone(fault) {
+            faults = vec![fault];
+            break;
+        }
+        if faults.iter().all(|known| !touch_the_same(*known, fault)) {
+            faults.push(fault);
+        }
+    }
+    faults.shuffle(random);
+    let drains = faults.iter().any(|fault| matches!(fault, Fault::DrainTarget(_)));
+    let lasts = Duration::from_millis(random.random_range(LASTS_MS));
+    Episode { faults, lasts: if drains { DRAIN_LASTS } else { lasts } }
+}
+
+fn draw_fault(random: &mut ChaCha8Rng, size: Size) -> Fault {
+    let balancer = random.random_range(0..size.balancers);
+    let target = random.random_range(0..size.targets);
+    let store = [
+        StoreTrouble::Busy,
+        StoreTrouble::Silent,
+        StoreTrouble::Reset,
+        StoreTrouble::Slow,
+        StoreTrouble::Forgets,
+    ];
+    let link = [
+        LinkTrouble::Delayed,
+        LinkTrouble::Reset,
+        LinkTrouble::Silent,
+        LinkTrouble::LosesRequests,
+        LinkTrouble::LosesAnswers,
+    ];
+    match random.random_range(0..13) {
+        0 => Fault::StopBalancer(balancer),
+        1 => Fault::DrainTarget(target),
+        2 => Fault::Reload(balancer),
+        3 => Fault::Configure,
+        4 => Fault::KillBalancer(balancer),
+        5 => Fault::PauseBalancer(balancer),
+        6 => Fault::KillAgent(target),
+        7 => Fault::PauseAgent(target),
+        8 => Fault::CrashTarget(target),
+        9 => Fault::KillAll,
+        10 => Fault::Store(store.choose(random).copied().unwrap_or(StoreTrouble::Busy)),
+        11 => {
+            Fault::StoreLink(balancer, link.choose(random).copied().unwrap_or(LinkTrouble::Reset))
+        }
+        _ => Fault::LossyClients,
+    }
+}
+
+/// Whether two faults concern the same process or store; mending one would undo the
+/// other.
+fn touch_the_same(one: Fault, other: Fault) -> bool {
+    let touched = |fault: Fault| match fault {
+        Fault::StopBalancer(place)
+        | Fault::Reload(place)
+        | Fault::KillBalancer(place)
+        | Fault::PauseBalancer(place) => (0, place),
+        Fault::DrainTarget(place)
+        | Fault::KillAgent(place)
+        | Fault::PauseAgent(place)
+        | Fault::CrashTarget(place) => (1, place),
+        Fault::Store(_) | Fault::StoreLink(..) => (2, 0),
+        Fault::Configure => (3, 0),
+        Fault::LossyClients => (4, 0),
+        Fault::KillAll => (5, 0),
+    };
+    touched(one) == touched(other)
+}
--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -7,7 +7,8 @@
 
 use nix::sys::signal::Signal;
 use weirhinge_platform_standins::{
-    ClientFlow, Fleet, FleetPlan, FlowError, RouterHash, StoreFault, TargetBehaviour,
+    ClientFlow, Fleet, FleetPlan, FlowError, RouterHash, StoreFault, TargetBehaviour, counter,
+    http_get,
 };
 
 /// The template that deployments of the platform use.
@@ -23,6 +24,7 @@
         balancers: 3,
         targets: vec!["dispatch", "dispatch", "dispatch", "sheets"],
         hash: RouterHash::Mod,
+        processor_shares: Vec::new(),
     }
 }
 
@@ -75,16 +77,6 @@
     }
 }
 
-async fn http_get(address: IpAddr, port: u16, path: &str) -> eyre::Result<String> {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    let mut stream = tokio::net::TcpStream::connect((address, port)).await?;
-    let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-    stream.write_all(text.as_bytes()).await?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).await?;
-    Ok(answer)
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_reach_their_service_and_come_back_whole() -> eyre::Result<()> {
     let mut fleet = start(&plan()).await?;
@@ -375,10 +367,7 @@
     assert!(began.elapsed() < Duration::from_secs(60));
     let address = IpAddr::V4(fleet.balancers[0].address);
     let figures = http_get(address, METRICS, "/metrics").await?;
-    let lost = figures
-        .lines()
-        .find_map(|line| line.strip_prefix("weirhinge_log_lines_lost_total "))
-        .and_then(|count| count.parse::<u64>().ok());
+    let lost = counter(&figures, "weirhinge_log_lines_lost_total");
     assert!(lost.is_some_and(|lost| lost > 0), "{figures}");
     fleet.balancers[0].signal(Signal::SIGTERM)?;
     assert!(fleet.balancers[0].ended().await?.success());
