--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -203,8 +203,11 @@
         let program = Program::find(None)?;
         let report = weirhinge_soak::run::soak(program.path(), options).await?;
         println!("{} requests, {} answered", report.requests, report.answered);
-        for violation in &report.violations {
+        for (violation, request) in &report.violations {
             println!("broken: {violation}");
+            if let Some((entry, seconds)) = request {
+                println!("  at {seconds:.1} s, holder {:?}", entry.holder);
+            }
         }
         let broken = report.violations.len();
         eyre::ensure!(broken == 0, "{broken} promises broken with seed {seed}");
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,7 +10,7 @@
 use crate::callers::Callers;
 use crate::faults::{self, SERVICES};
 use crate::plan::{Episode, Fault, Size, draw};
-use crate::record::Record;
+use crate::record::{Entry, Outcome, Record};
 use crate::verdict::{Drain, Evidence, Span, TargetHistory, Violation, excuse, judge};
 
 /// Balancers and targets of the deployment that soaks.
@@ -48,8 +48,9 @@
     pub answered: usize,
     /// The episodes that were played.
     pub episodes: Vec<Episode>,
-    /// Broken promises.
-    pub violations: Vec<Violation>,
+    /// Broken promises, each with the request that it is about and the seconds from
+    /// the start to its begin.
+    pub violations: Vec<(Violation, Option<(Entry, f64)>)>,
 }
 
 struct Soak {
@@ -86,23 +87,32 @@
     soak.change_configuration(true).await;
     let record = Record::default();
     let callers = Callers::start(&soak.fleet.client, &record);
+    let started = Instant::now();
     let episodes = draw(options.seed, options.episodes, SIZE);
     for (number, episode) in episodes.iter().enumerate() {
         if options.verbose {
-            println!("episode {number}: {:?} for {:?}", episode.faults, episode.lasts);
+            let seconds = started.elapsed().as_secs_f64();
+            let Episode { faults, lasts } = episode;
+            println!("{seconds:.1} s: episode {number}: {faults:?} for {lasts:?}");
         }
         soak.play(episode).await?;
     }
     callers.stop().await;
     let evidence = soak.evidence(&record);
-    let answered = |entry: &&crate::record::Entry| {
-        matches!(entry.outcome, crate::record::Outcome::Answered(_))
-    };
+    let answered = |entry: &&Entry| matches!(entry.outcome, Outcome::Answered(_));
     Ok(Report {
         requests: evidence.entries.len(),
         answered: evidence.entries.iter().filter(answered).count(),
         episodes,
-        violations: judge(&evidence),
+        violations: judge(&evidence)
+            .into_iter()
+            .map(|violation| {
+                let entry = violation.request().and_then(|id| evidence.entry(id)).cloned();
+                let seconds = |entry: &Entry| (entry.began_at - started).as_secs_f64();
+                let entry = entry.map(|entry| (entry.clone(), seconds(&entry)));
+                (violation, entry)
+            })
+            .collect(),
     })
 }
 
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -58,6 +58,13 @@
     pub configurations: Vec<Violation>,
 }
 
+impl Evidence {
+    /// The request with this identifier.
+    pub fn entry(&self, id: &str) -> Option<&Entry> {
+        self.entries.iter().find(|entry| entry.id == id)
+    }
+}
+
 /// A broken promise.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Violation {
@@ -97,6 +104,25 @@
     },
 }
 
+impl Violation {
+    /// The request that it is about, if it is about one.
+    pub fn request(&self) -> Option<&str> {
+        match self {
+            Violation::RanTwice(id)
+            | Violation::Unasked(id)
+            | Violation::WrongService(id)
+            | Violation::AnswerWithoutRun(id)
+            | Violation::RanUnsent(id)
+            | Violation::Failed(id, _)
+            | Violation::ResetHeldFlow(id) => Some(id),
+            Violation::LateAtDrainingTarget(_)
+            | Violation::Forged(_)
+            | Violation::NotInForce { .. }
+            | Violation::WentBack { .. } => None,
+        }
+    }
+}
+
 impl fmt::Display for Violation {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{self:?}")
