Let balancers without a configuration hand packets off, and ask seeds first

Ruled out: late starts (74 agents and 22 balancers were up within 320 ms), slow targets. Waiting for seeds alone changed little: peers' answers take as long on those links.

Change: a balancer that knows no configuration asks seeds every 40 ms, reads the store itself at once only if it is a seed and after 120 ms otherwise, and meanwhile hands its packets to at most four balancers that know one. Packets that merely arrive together no longer count as pressure: one has to wait for 10 ms. The test of the first read now states which balancer reads soon (a seed); one for the others is added.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -26,12 +26,17 @@
     zone: ZoneId,
     capacity: Option<u32>,
     stopping: bool,
+    /// Whether it knows a configuration.
+    configured: bool,
 }
 
 /// The peers of this daemon.
 #[derive(Clone, Debug)]
 pub struct PeerTable {
     own_address: Ipv4Addr,
+    /// Whether this daemon is itself a seed.
+    is_seed: bool,
+    /// The other seeds.
     seeds: Vec<Ipv4Addr>,
     peers: BTreeMap<Ipv4Addr, Peer>,
 }
@@ -39,14 +44,22 @@
 impl PeerTable {
     /// A table that knows the seeds alone.
     pub fn new(own_address: Ipv4Addr, seeds: impl IntoIterator<Item = Ipv4Addr>) -> Self {
-        let seeds = seeds.into_iter().filter(|seed| *seed != own_address).collect();
-        Self { own_address, seeds, peers: BTreeMap::new() }
+        let mut table =
+            Self { own_address, is_seed: false, seeds: Vec::new(), peers: BTreeMap::new() };
+        table.set_seeds(seeds);
+        table
     }
 
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = Ipv4Addr>) {
-        let own_address = self.own_address;
-        self.seeds = seeds.into_iter().filter(|seed| *seed != own_address).collect();
+        self.seeds = seeds.into_iter().collect();
+        self.is_seed = self.seeds.contains(&self.own_address);
+        self.seeds.retain(|seed| *seed != self.own_address);
+    }
+
+    /// Whether this daemon is itself a seed.
+    pub fn is_seed(&self) -> bool {
+        self.is_seed
     }
 
     /// Records a digest. Returns whether its sender is new here.
@@ -69,6 +82,7 @@
             zone: digest.zone,
             capacity: digest.capacity,
             stopping: digest.stopping,
+            configured: digest.configuration_revision > 0,
         };
         self.peers.insert(sender, peer);
         is_new
@@ -137,6 +151,15 @@
         })
     }
 
+    /// Balancers that know a configuration and are not about to stop, each with the
+    /// time at which it was last heard.
+    pub fn configured(&self) -> impl Iterator<Item = (Ipv4Addr, Millis)> {
+        self.peers.iter().filter_map(|(address, peer)| {
+            let heard_at = peer.heard_at?;
+            (peer.configured && !peer.stopping).then_some((*address, heard_at))
+        })
+    }
+
     /// Balancers that were heard from in a zone.
     pub fn in_zone(&self, zone: ZoneId) -> impl Iterator<Item = Ipv4Addr> {
         let heard = self.peers.iter().filter(|(_, peer)| peer.heard_at.is_some());
@@ -154,6 +177,7 @@
             zone: ZoneId::default(),
             capacity: None,
             stopping: false,
+            configured: false,
         };
         self.peers.entry(address).or_insert(peer);
     }
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -36,6 +36,7 @@
     ReaderInputs {
         uptime_ms: 10_000,
         age_ms: Some(200),
+        is_seed: true,
         rank: 0,
         reading: false,
         lower_reader: false,
@@ -67,6 +68,15 @@
     assert_eq!(peers.capable(zone, 300).count(), 0);
 }
 
+#[test]
+fn configured_peers_know_a_configuration_and_go_on() {
+    let mut peers = PeerTable::new(OWN, []);
+    peers.heard(&digest(address(1), false), 7);
+    peers.heard(&Digest { configuration_revision: 0, ..digest(address(2), false) }, 7);
+    peers.heard(&Digest { stopping: true, ..digest(address(3), false) }, 7);
+    assert_eq!(peers.configured().collect::<Vec<_>>(), vec![(address(1), 7)]);
+}
+
 #[test]
 fn balancers_that_peers_name_are_known_but_not_named_on() {
     let mut peers = PeerTable::new(OWN, []);
@@ -133,6 +143,15 @@
     assert!(should_read(&new(50), &Timing::default()));
 }
 
+#[test]
+fn a_balancer_that_is_no_seed_gives_the_seeds_time_to_answer() {
+    let new = |uptime_ms| ReaderInputs { uptime_ms, age_ms: None, is_seed: false, ..inputs() };
+    assert!(!should_read(&new(50), &Timing::default()));
+    assert!(should_read(&new(150), &Timing::default()));
+    assert!(PeerTable::new(OWN, [address(1), OWN]).is_seed());
+    assert!(!PeerTable::new(OWN, [address(1)]).is_seed());
+}
+
 #[test]
 fn foreign_datagrams_are_refused() {
     assert_eq!(decode::<PeerMessage<'_>>(&[]), Err(MessageError::UnknownVersion));
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -13,7 +13,10 @@
 const LONGEST_WAIT_MS: Millis = 180;
 /// Most packets that wait; the oldest makes room for the newest.
 const CAPACITY: usize = 1_024;
-/// How long after a packet had to wait the process counts as pressed.
+/// A wait that shows that there are more packets than time. Shorter ones come from
+/// packets that arrive together.
+const PRESSING_WAIT_MS: Millis = 10;
+/// How long after such a wait the process counts as pressed.
 const PRESSED_MS: Millis = 500;
 
 #[derive(Debug)]
@@ -42,14 +45,17 @@
             self.waiting.pop_front();
             self.dropped += 1;
         }
-        self.waited_at = Some(now);
         self.waiting.push_back(Waiting { arrived_at: now, packet: packet.to_vec() });
     }
 
     /// The packet whose turn it is.
     pub fn next(&mut self, now: Millis) -> Option<Vec<u8>> {
         while let Some(waiting) = self.waiting.pop_front() {
-            if now.saturating_sub(waiting.arrived_at) < LONGEST_WAIT_MS {
+            let wait = now.saturating_sub(waiting.arrived_at);
+            if wait >= PRESSING_WAIT_MS {
+                self.waited_at = Some(now);
+            }
+            if wait < LONGEST_WAIT_MS {
                 return Some(waiting.packet);
             }
             self.dropped += 1;
@@ -57,7 +63,7 @@
         None
     }
 
-    /// Whether packets had to wait lately.
+    /// Whether packets had to wait for long lately.
     pub fn is_pressed(&self, now: Millis) -> bool {
         self.waited_at.is_some_and(|at| now.saturating_sub(at) < PRESSED_MS)
     }
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -33,6 +33,10 @@
 
 /// How often digests go out and old state is dropped.
 const TICK: Duration = Duration::from_millis(500);
+/// How often seeds are asked soon after the start, until one knows something.
+const EAGER_TICK: Duration = Duration::from_millis(40);
+/// How long after the start that is.
+const EAGER_MS: Millis = 2_000;
 /// How often waiting searches are looked at.
 const SEARCH_POLL: Duration = Duration::from_millis(50);
 
@@ -50,6 +54,7 @@
     client_port: u16,
     metrics: BalancerMetrics,
     decisions: DecisionLog,
+    log: Logger,
     last_packet_at: RefCell<Millis>,
 }
 
@@ -95,6 +100,7 @@
         client_port: common.packets.port(),
         metrics: balancer_metrics,
         decisions: DecisionLog::new(log.clone()),
+        log: log.clone(),
         last_packet_at: RefCell::new(0),
     });
     let reader =
@@ -137,7 +143,7 @@
     tokio::task::spawn_local(Rc::clone(daemon).continue_searches());
     tokio::task::spawn_local(Rc::clone(daemon).tick());
     tokio::task::spawn_local(Rc::clone(daemon).watch_isolation(status, log.clone()));
-    tokio::task::spawn_local(Rc::clone(daemon).watch_pressure(log.clone()));
+    tokio::task::spawn_local(Rc::clone(daemon).watch_pressure());
 }
 
 impl<P: Platform> Daemon<P> {
@@ -190,6 +196,9 @@
                 }
                 self.link.on_digest(&digest, sender);
                 self.note_regained();
+                if self.node.borrow().knows_nothing() {
+                    self.choose_helpers(now);
+                }
             }
             PeerMessage::Returned { reason, waiting, packet } => {
                 let Ok(head) = self.platform.decode(packet) else { return };
@@ -321,7 +330,8 @@
                 core.expire(node.view(), now);
                 self.metrics.flows.set(core.flow_count() as i64);
             }
-            tokio::time::sleep(TICK).await;
+            let eager = self.node.borrow().knows_nothing() && now < EAGER_MS;
+            tokio::time::sleep(if eager { EAGER_TICK } else { TICK }).await;
         }
     }
 }
--- a/crates/relay/src/balancer/watch.rs
+++ b/crates/relay/src/balancer/watch.rs
@@ -51,31 +51,29 @@
 
     /// While packets have to wait, leaves those of unknown flows to balancers of the
     /// zone that have far more processor time.
-    pub(super) async fn watch_pressure(self: Rc<Self>, log: Logger) {
+    pub(super) async fn watch_pressure(self: Rc<Self>) {
         let mut pressed_polls = 0;
         loop {
             tokio::time::sleep(PRESSURE_POLL).await;
             let now = self.clock.now();
-            if !self.backlog.borrow().is_pressed(now) {
-                pressed_polls = 0;
-                self.set_helpers(Vec::new(), &log);
-                continue;
-            }
-            if pressed_polls % ASK_EVERY == 0 {
+            let pressed = self.backlog.borrow().is_pressed(now);
+            if pressed && pressed_polls % ASK_EVERY == 0 {
                 self.link.ask_helpers();
             }
-            pressed_polls += 1;
-            let helpers = self.node.borrow().answering_helpers(now);
-            self.set_helpers(helpers, &log);
+            pressed_polls = if pressed { pressed_polls + 1 } else { 0 };
+            self.choose_helpers(now);
         }
     }
 
-    fn set_helpers(&self, helpers: Vec<Ipv4Addr>, log: &Logger) {
+    /// Brings the helpers up to date.
+    pub(super) fn choose_helpers(&self, now: Millis) {
+        let pressed = self.backlog.borrow().is_pressed(now);
+        let helpers = self.node.borrow().helpers_now(pressed, now);
         let before = self.helpers.replace(helpers);
         let now = self.helpers.borrow();
         if *now != before {
             let names: Vec<String> = now.iter().map(Ipv4Addr::to_string).collect();
-            info!(log, "balancer: helpers changed"; "event" => "helpers",
+            info!(self.log, "balancer: helpers changed"; "event" => "helpers",
                 "helpers" => names.join(" "), "handed_off" => self.metrics.handed_off.get());
         }
     }
--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node.rs
@@ -36,6 +36,8 @@
 /// How many times this daemon's processor time a peer has to whom packets are
 /// handed off.
 const HELPER_CAPACITY: u32 = 3;
+/// Most balancers that help one which knows no configuration.
+const MOST_HELPERS: usize = 4;
 /// A helper that was silent for this long gets no packets.
 const HELPER_SILENCE_MS: Millis = 700;
 
@@ -249,6 +251,7 @@
         let inputs = reader::ReaderInputs {
             uptime_ms: now,
             age_ms: self.replica.age(now),
+            is_seed: self.peers.is_seed(),
             rank: self.peers.rank(),
             reading: self.reading,
             lower_reader: self.peers.lower_reader(now, self.timing.reader_word_ms),
@@ -272,19 +275,32 @@
         self.capable().map(|(address, _)| address).collect()
     }
 
+    /// Balancers to whom packets of unknown flows are handed off: those that know a
+    /// configuration while this daemon knows none, and far stronger ones of the zone
+    /// while it is pressed.
+    pub fn helpers_now(&self, pressed: bool, now: Millis) -> Vec<Ipv4Addr> {
+        let answers = |heard_at: Millis| now.saturating_sub(heard_at) < HELPER_SILENCE_MS;
+        if self.knows_nothing() {
+            let configured = self.peers.configured().filter(|(_, heard_at)| answers(*heard_at));
+            return configured.map(|(address, _)| address).take(MOST_HELPERS).collect();
+        }
+        if !pressed {
+            return Vec::new();
+        }
+        let capable = self.capable().filter(|(_, heard_at)| answers(*heard_at));
+        capable.map(|(address, _)| address).collect()
+    }
+
+    /// Whether no configuration is known yet.
+    pub fn knows_nothing(&self) -> bool {
+        self.view.label().is_none()
+    }
+
     /// All known balancers of this zone.
     pub fn zone_peers(&self) -> Vec<Ipv4Addr> {
         self.peers.in_zone(self.zone).collect()
     }
 
-    /// Those of them that answered lately.
-    pub fn answering_helpers(&self, now: Millis) -> Vec<Ipv4Addr> {
-        let answering = self
-            .capable()
-            .filter(|(_, heard_at)| now.saturating_sub(*heard_at) < HELPER_SILENCE_MS);
-        answering.map(|(address, _)| address).collect()
-    }
-
     fn capable(&self) -> impl Iterator<Item = (Ipv4Addr, Millis)> {
         // Without a capacity of its own a daemon has nothing to compare.
         let enough = self.capacity.map_or(u32::MAX, |own| own.saturating_mul(HELPER_CAPACITY));
