Press the weak balancer for real in its test, and split the balancer's tests

Change: the test stops the balancer for 30 ms while part of the burst waits in it; what it asserts is as before. Searches and hand-off move to tests/search.rs, the balancer that tests answer for to tests/support/fixture.rs: 38 tests as before.

Conclusion: no code of the product changed.

--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -1,86 +1,16 @@
-//! The balancer's decisions: openings, walks past targets, searches, resets.
+//! The balancer's decisions about opening packets, routes and regions.
 
 mod support;
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
-use support::{OTHER, SERVICE, Store, agent, data, flow, forwarded, opening};
-use weirhinge_fleet::{ReturnReason, ServiceId, TargetClaim, TargetState};
-use weirhinge_steering::{
-    Balancer, ClientPacket, Context, Decision, DropReason, FleetView, ForwardReason, PacketHead,
-    ResetReason,
+use support::{
+    Fixture, LATER, OTHER, SERVICE, Store, agent, data, flow, forwarded, is_far, opening,
+    two_regions,
 };
-
-/// Long after the start, when nothing is unsettled.
-const LATER: u64 = 100_000;
-
-struct Fixture {
-    balancer: Balancer,
-    view: FleetView,
-    fresh: bool,
-}
-
-impl Fixture {
-    fn new(store: &Store) -> Self {
-        Self { balancer: Balancer::default(), view: store.view(), fresh: true }
-    }
-
-    fn context(&self, now: u64) -> Context<'_> {
-        Context { view: &self.view, fresh: self.fresh, helpers: &[], now }
-    }
-
-    /// Decides about a client's packet without the time for unknown flows.
-    fn pressed(&mut self, head: &PacketHead, helpers: &[Ipv4Addr], now: u64) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, helpers, now };
-        self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
-    }
-
-    fn client(&mut self, head: &PacketHead, now: u64) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
-        self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
-    }
-
-    fn returned(
-        &mut self,
-        head: &PacketHead,
-        from: Ipv4Addr,
-        reason: ReturnReason,
-        now: u64,
-    ) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
-        let packet = ClientPacket { head, bytes: b"packet" };
-        self.balancer.returned_packet(&context, packet, from, reason)
-    }
-
-    fn bounced(&mut self, head: &PacketHead, from: Ipv4Addr, now: u64) -> Decision {
-        self.returned(head, from, ReturnReason::Bounced, now)
-    }
-
-    fn search_again(&mut self, head: &PacketHead, now: u64) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
-        self.balancer.search_again(&context, ClientPacket { head, bytes: b"packet" })
-    }
-
-    /// Opens a flow and lets the chosen target answer.
-    fn open(&mut self, port: u16, now: u64) -> Ipv4Addr {
-        let chosen = forwarded(&self.client(&opening(flow(port)), now)).agent;
-        self.balancer.holds(flow(port), chosen, false, 0, now);
-        chosen
-    }
-
-    /// Bounces a packet until the balancer no longer forwards it.
-    fn bounce_to_the_end(&mut self, head: &PacketHead, now: u64) -> (Vec<Ipv4Addr>, Decision) {
-        let mut visited = Vec::new();
-        let mut decision = self.client(head, now);
-        while let Decision::Forward(forward) = &decision {
-            visited.push(forward.agent);
-            assert!(visited.len() < 100, "the walk ends");
-            decision = self.bounced(head, *visited.last().expect("pushed"), now);
-        }
-        (visited, decision)
-    }
-}
+use weirhinge_fleet::{ReturnReason, ServiceId, TargetClaim, TargetState};
+use weirhinge_steering::{Balancer, Decision, DropReason, ForwardReason, PacketHead, ResetReason};
 
 fn claim(service: &str) -> TargetClaim {
     TargetClaim { service: service.to_owned(), alive: true, waiting: 0, leaving: false }
@@ -111,113 +41,6 @@
     }
 }
 
-#[test]
-fn an_unknown_flow_is_looked_for_at_every_target_once() {
-    let mut store = Store::with_targets(7);
-    store.target(3, SERVICE, Some(TargetState::Draining), 0);
-    let mut fixture = Fixture::new(&store);
-    let (mut visited, end) = fixture.bounce_to_the_end(&data(flow(1)), LATER);
-    visited.sort();
-    assert_eq!(visited, (1..=7).map(agent).collect::<Vec<_>>());
-    assert_eq!(end, Decision::Drop(DropReason::NobodyHoldsYet));
-}
-
-#[test]
-fn balancers_look_for_a_flow_first_where_another_would_open_it() {
-    let store = Store::with_targets(7);
-    let mut found_early = 0;
-    for port in 0..200 {
-        let held = Fixture::new(&store).open(port, LATER);
-        let mut other = Fixture::new(&store);
-        let first = forwarded(&other.client(&data(flow(port)), LATER)).agent;
-        let second = forwarded(&other.bounced(&data(flow(port)), first, LATER)).agent;
-        found_early += usize::from(held == first || held == second);
-    }
-    assert_eq!(found_early, 200);
-}
-
-#[test]
-fn a_found_flow_is_remembered() {
-    let mut fixture = Fixture::new(&Store::with_targets(5));
-    let first = forwarded(&fixture.client(&data(flow(1)), LATER)).agent;
-    let second = forwarded(&fixture.bounced(&data(flow(1)), first, LATER)).agent;
-    fixture.balancer.holds(flow(1), second, true, 0, LATER + 1);
-    let decision = fixture.client(&data(flow(1)), LATER + 2);
-    assert_eq!(forwarded(&decision).agent, second);
-    assert_eq!(forwarded(&decision).reason, ForwardReason::Held);
-}
-
-#[test]
-fn a_flow_is_given_up_when_all_targets_sent_it_back_twice() {
-    let mut fixture = Fixture::new(&Store::with_targets(3));
-    let head = data(flow(1));
-    let (_, end) = fixture.bounce_to_the_end(&head, LATER);
-    assert_eq!(end, Decision::Drop(DropReason::NobodyHoldsYet));
-    let mut decision = fixture.search_again(&head, LATER + 130);
-    while let Decision::Forward(forward) = &decision {
-        let from = forward.agent;
-        decision = fixture.bounced(&head, from, LATER + 131);
-    }
-    let reason = ResetReason::NobodyHolds;
-    assert_eq!(decision, Decision::Reset { sequence: head.acknowledgment, reason });
-}
-
-#[test]
-fn a_target_that_does_not_answer_may_hold_the_flow() {
-    let mut fixture = Fixture::new(&Store::with_targets(3));
-    let head = data(flow(1));
-    let silent = forwarded(&fixture.client(&head, LATER)).agent;
-    let mut now = LATER;
-    for _ in 0..20 {
-        now += 130;
-        let mut decision = fixture.search_again(&head, now);
-        while let Decision::Forward(forward) = &decision {
-            let from = forward.agent;
-            if from == silent {
-                break;
-            }
-            decision = fixture.bounced(&head, from, now);
-        }
-        assert!(!matches!(decision, Decision::Reset { .. }), "reset at {now}");
-    }
-}
-
-#[test]
-fn a_silent_target_that_left_the_store_does_not_hold_a_flow_up_for_ever() {
-    let mut store = Store::with_targets(2);
-    store.target(2, SERVICE, None, 0);
-    let mut fixture = Fixture::new(&store);
-    let head = data(flow(1));
-    let mut now = LATER;
-    let mut decision = fixture.client(&head, now);
-    for _ in 0..20 {
-        while let Decision::Forward(forward) = &decision {
-            if forward.agent == agent(2) {
-                break;
-            }
-            let from = forward.agent;
-            decision = fixture.bounced(&head, from, now);
-        }
-        if matches!(decision, Decision::Reset { .. }) {
-            return;
-        }
-        now += 130;
-        decision = fixture.search_again(&head, now);
-    }
-    panic!("never given up");
-}
-
-#[test]
-fn nothing_is_given_up_on_old_knowledge() {
-    let mut fixture = Fixture::new(&Store::with_targets(2));
-    fixture.fresh = false;
-    let head = data(flow(1));
-    for round in 0..10 {
-        let (_, end) = fixture.bounce_to_the_end(&head, LATER + round * 500);
-        assert_eq!(end, Decision::Drop(DropReason::NobodyHoldsYet));
-    }
-}
-
 #[test]
 fn a_refused_opening_goes_to_every_target_then_is_refused_at_once() {
     let mut fixture = Fixture::new(&Store::with_targets(7));
@@ -343,17 +166,6 @@
     assert!((950..1_050).contains(&to_other), "{to_other} of 5000 to a part of a fifth");
 }
 
-#[test]
-fn a_flow_is_found_in_the_other_part_after_weights_changed() {
-    let mut store = Store::with_targets(2);
-    store.target(11, OTHER, Some(TargetState::Ready), 0);
-    store.route(&[(SERVICE, 0), (OTHER, 1)]);
-    let mut fixture = Fixture::new(&store);
-    let (mut visited, _) = fixture.bounce_to_the_end(&data(flow(1)), LATER);
-    visited.sort();
-    assert_eq!(visited, vec![agent(1), agent(2), agent(11)]);
-}
-
 #[test]
 fn an_address_used_again_belongs_to_its_new_service() {
     let mut store = Store::with_targets(2);
@@ -467,89 +279,6 @@
     assert!(fixture.context(0).fresh);
 }
 
-#[test]
-fn searches_go_on_without_the_client() {
-    let mut fixture = Fixture::new(&Store::with_targets(2));
-    let head = data(flow(1));
-    let first = forwarded(&fixture.client(&head, LATER)).agent;
-    assert!(fixture.balancer.due_searches(LATER + 50).is_empty());
-    let due = fixture.balancer.due_searches(LATER + 130);
-    assert_eq!(due, vec![(head, b"packet".to_vec())]);
-    let next = fixture.search_again(&head, LATER + 130);
-    assert_ne!(forwarded(&next).agent, first);
-    let found = forwarded(&next).agent;
-    fixture.balancer.holds(flow(1), found, true, 0, LATER + 131);
-    assert!(fixture.balancer.due_searches(LATER + 400).is_empty());
-}
-
-/// All agents of a forwarded packet, the first one first.
-fn path(decision: &Decision) -> Vec<Ipv4Addr> {
-    let forward = forwarded(decision);
-    [vec![forward.agent], forward.next.clone()].concat()
-}
-
-#[test]
-fn a_searching_packet_visits_eight_targets_before_it_comes_back() {
-    let mut fixture = Fixture::new(&Store::with_targets(20));
-    let head = data(flow(1));
-    let first = path(&fixture.client(&head, LATER));
-    assert_eq!(first.len(), 8);
-    // A further packet goes the same way.
-    assert_eq!(path(&fixture.client(&head, LATER + 1)), first);
-    let second = path(&fixture.bounced(&head, first[7], LATER + 10));
-    let third = path(&fixture.bounced(&head, second[7], LATER + 20));
-    let mut asked = [first, second, third].concat();
-    assert_eq!(asked.len(), 20);
-    asked.sort();
-    asked.dedup();
-    assert_eq!(asked.len(), 20, "nobody is asked twice");
-}
-
-#[test]
-fn after_a_silence_targets_are_asked_one_by_one() {
-    let mut fixture = Fixture::new(&Store::with_targets(4));
-    let head = data(flow(1));
-    let asked = path(&fixture.client(&head, LATER));
-    let mut now = LATER;
-    for expected in &asked[1..] {
-        now += 130;
-        assert_eq!(path(&fixture.search_again(&head, now)), vec![*expected]);
-    }
-}
-
-#[test]
-fn a_silent_target_is_asked_alone_and_last() {
-    let mut fixture = Fixture::new(&Store::with_targets(4));
-    let silent = forwarded(&fixture.client(&opening(flow(9)), LATER)).agent;
-    let now = LATER + 200;
-    let asked = path(&fixture.client(&data(flow(1)), now));
-    assert_eq!(asked.len(), 3);
-    assert!(!asked.contains(&silent));
-    let last = fixture.bounced(&data(flow(1)), asked[2], now);
-    assert_eq!(path(&last), vec![silent]);
-}
-
-#[test]
-fn a_pressed_balancer_hands_unknown_flows_to_one_helper_each() {
-    let mut fixture = Fixture::new(&Store::with_targets(4));
-    let known = fixture.open(1, LATER);
-    let helpers = [agent(101), agent(102)];
-    let decision = fixture.pressed(&data(flow(1)), &helpers, LATER + 1);
-    assert_eq!(forwarded(&decision).agent, known);
-    let mut chosen = Vec::new();
-    for port in 2..40 {
-        let opened = fixture.pressed(&opening(flow(port)), &helpers, LATER + 1);
-        assert_eq!(fixture.pressed(&data(flow(port)), &helpers, LATER + 2), opened);
-        let Decision::HandOff { helper } = opened else { panic!("kept {opened:?}") };
-        chosen.push(helper);
-    }
-    chosen.sort();
-    chosen.dedup();
-    assert_eq!(chosen, helpers);
-    // With the time for it again, the flow is searched for here.
-    assert!(matches!(fixture.client(&data(flow(2)), LATER + 3), Decision::Forward(_)));
-}
-
 /// A copy used to go to another busy target, and its return refused the flow that
 /// waited.
 #[test]
@@ -586,19 +315,6 @@
     assert_eq!([urgent(443), urgent(444), urgent(445)], [true, false, false]);
 }
 
-/// Six targets, half of them in another region.
-fn two_regions() -> Store {
-    let mut store = Store::with_targets(3);
-    for number in 51..=53 {
-        store.target(number, SERVICE, Some(TargetState::Ready), 0);
-    }
-    store
-}
-
-fn is_far(agent: Ipv4Addr) -> bool {
-    agent.octets()[3] > 50
-}
-
 #[test]
 fn flows_stay_in_their_region_until_its_targets_are_busy() {
     let store = two_regions();
@@ -638,14 +354,6 @@
     assert_eq!(chosen.len(), 2);
 }
 
-#[test]
-fn a_search_asks_the_own_region_first_and_then_all_others() {
-    let mut fixture = Fixture::new(&two_regions());
-    let (visited, _) = fixture.bounce_to_the_end(&data(flow(1)), LATER);
-    let far: Vec<bool> = visited.into_iter().map(is_far).collect();
-    assert_eq!(far, [false, false, false, true, true, true]);
-}
-
 #[test]
 fn without_the_store_flows_go_by_the_agents_word() {
     let mut fixture = Fixture::new(&Store::with_targets(0));
--- /dev/null
+++ b/crates/steering/tests/search.rs
@@ -0,0 +1,221 @@
+//! The search for the target that holds a flow, and who does it.
+
+mod support;
+
+use std::net::Ipv4Addr;
+
+use support::{
+    Fixture, LATER, OTHER, SERVICE, Store, agent, data, flow, forwarded, is_far, opening,
+    two_regions,
+};
+use weirhinge_fleet::TargetState;
+use weirhinge_steering::{Decision, DropReason, ForwardReason, ResetReason};
+
+#[test]
+fn an_unknown_flow_is_looked_for_at_every_target_once() {
+    let mut store = Store::with_targets(7);
+    store.target(3, SERVICE, Some(TargetState::Draining), 0);
+    let mut fixture = Fixture::new(&store);
+    let (mut visited, end) = fixture.bounce_to_the_end(&data(flow(1)), LATER);
+    visited.sort();
+    assert_eq!(visited, (1..=7).map(agent).collect::<Vec<_>>());
+    assert_eq!(end, Decision::Drop(DropReason::NobodyHoldsYet));
+}
+
+#[test]
+fn balancers_look_for_a_flow_first_where_another_would_open_it() {
+    let store = Store::with_targets(7);
+    let mut found_early = 0;
+    for port in 0..200 {
+        let held = Fixture::new(&store).open(port, LATER);
+        let mut other = Fixture::new(&store);
+        let first = forwarded(&other.client(&data(flow(port)), LATER)).agent;
+        let second = forwarded(&other.bounced(&data(flow(port)), first, LATER)).agent;
+        found_early += usize::from(held == first || held == second);
+    }
+    assert_eq!(found_early, 200);
+}
+
+#[test]
+fn a_found_flow_is_remembered() {
+    let mut fixture = Fixture::new(&Store::with_targets(5));
+    let first = forwarded(&fixture.client(&data(flow(1)), LATER)).agent;
+    let second = forwarded(&fixture.bounced(&data(flow(1)), first, LATER)).agent;
+    fixture.balancer.holds(flow(1), second, true, 0, LATER + 1);
+    let decision = fixture.client(&data(flow(1)), LATER + 2);
+    assert_eq!(forwarded(&decision).agent, second);
+    assert_eq!(forwarded(&decision).reason, ForwardReason::Held);
+}
+
+#[test]
+fn a_flow_is_given_up_when_all_targets_sent_it_back_twice() {
+    let mut fixture = Fixture::new(&Store::with_targets(3));
+    let head = data(flow(1));
+    let (_, end) = fixture.bounce_to_the_end(&head, LATER);
+    assert_eq!(end, Decision::Drop(DropReason::NobodyHoldsYet));
+    let mut decision = fixture.search_again(&head, LATER + 130);
+    while let Decision::Forward(forward) = &decision {
+        let from = forward.agent;
+        decision = fixture.bounced(&head, from, LATER + 131);
+    }
+    let reason = ResetReason::NobodyHolds;
+    assert_eq!(decision, Decision::Reset { sequence: head.acknowledgment, reason });
+}
+
+#[test]
+fn a_target_that_does_not_answer_may_hold_the_flow() {
+    let mut fixture = Fixture::new(&Store::with_targets(3));
+    let head = data(flow(1));
+    let silent = forwarded(&fixture.client(&head, LATER)).agent;
+    let mut now = LATER;
+    for _ in 0..20 {
+        now += 130;
+        let mut decision = fixture.search_again(&head, now);
+        while let Decision::Forward(forward) = &decision {
+            let from = forward.agent;
+            if from == silent {
+                break;
+            }
+            decision = fixture.bounced(&head, from, now);
+        }
+        assert!(!matches!(decision, Decision::Reset { .. }), "reset at {now}");
+    }
+}
+
+#[test]
+fn a_silent_target_that_left_the_store_does_not_hold_a_flow_up_for_ever() {
+    let mut store = Store::with_targets(2);
+    store.target(2, SERVICE, None, 0);
+    let mut fixture = Fixture::new(&store);
+    let head = data(flow(1));
+    let mut now = LATER;
+    let mut decision = fixture.client(&head, now);
+    for _ in 0..20 {
+        while let Decision::Forward(forward) = &decision {
+            if forward.agent == agent(2) {
+                break;
+            }
+            let from = forward.agent;
+            decision = fixture.bounced(&head, from, now);
+        }
+        if matches!(decision, Decision::Reset { .. }) {
+            return;
+        }
+        now += 130;
+        decision = fixture.search_again(&head, now);
+    }
+    panic!("never given up");
+}
+
+#[test]
+fn nothing_is_given_up_on_old_knowledge() {
+    let mut fixture = Fixture::new(&Store::with_targets(2));
+    fixture.fresh = false;
+    let head = data(flow(1));
+    for round in 0..10 {
+        let (_, end) = fixture.bounce_to_the_end(&head, LATER + round * 500);
+        assert_eq!(end, Decision::Drop(DropReason::NobodyHoldsYet));
+    }
+}
+
+#[test]
+fn a_flow_is_found_in_the_other_part_after_weights_changed() {
+    let mut store = Store::with_targets(2);
+    store.target(11, OTHER, Some(TargetState::Ready), 0);
+    store.route(&[(SERVICE, 0), (OTHER, 1)]);
+    let mut fixture = Fixture::new(&store);
+    let (mut visited, _) = fixture.bounce_to_the_end(&data(flow(1)), LATER);
+    visited.sort();
+    assert_eq!(visited, vec![agent(1), agent(2), agent(11)]);
+}
+
+#[test]
+fn searches_go_on_without_the_client() {
+    let mut fixture = Fixture::new(&Store::with_targets(2));
+    let head = data(flow(1));
+    let first = forwarded(&fixture.client(&head, LATER)).agent;
+    assert!(fixture.balancer.due_searches(LATER + 50).is_empty());
+    let due = fixture.balancer.due_searches(LATER + 130);
+    assert_eq!(due, vec![(head, b"packet".to_vec())]);
+    let next = fixture.search_again(&head, LATER + 130);
+    assert_ne!(forwarded(&next).agent, first);
+    let found = forwarded(&next).agent;
+    fixture.balancer.holds(flow(1), found, true, 0, LATER + 131);
+    assert!(fixture.balancer.due_searches(LATER + 400).is_empty());
+}
+
+/// All agents of a forwarded packet, the first one first.
+fn path(decision: &Decision) -> Vec<Ipv4Addr> {
+    let forward = forwarded(decision);
+    [vec![forward.agent], forward.next.clone()].concat()
+}
+
+#[test]
+fn a_searching_packet_visits_eight_targets_before_it_comes_back() {
+    let mut fixture = Fixture::new(&Store::with_targets(20));
+    let head = data(flow(1));
+    let first = path(&fixture.client(&head, LATER));
+    assert_eq!(first.len(), 8);
+    // A further packet goes the same way.
+    assert_eq!(path(&fixture.client(&head, LATER + 1)), first);
+    let second = path(&fixture.bounced(&head, first[7], LATER + 10));
+    let third = path(&fixture.bounced(&head, second[7], LATER + 20));
+    let mut asked = [first, second, third].concat();
+    assert_eq!(asked.len(), 20);
+    asked.sort();
+    asked.dedup();
+    assert_eq!(asked.len(), 20, "nobody is asked twice");
+}
+
+#[test]
+fn after_a_silence_targets_are_asked_one_by_one() {
+    let mut fixture = Fixture::new(&Store::with_targets(4));
+    let head = data(flow(1));
+    let asked = path(&fixture.client(&head, LATER));
+    let mut now = LATER;
+    for expected in &asked[1..] {
+        now += 130;
+        assert_eq!(path(&fixture.search_again(&head, now)), vec![*expected]);
+    }
+}
+
+#[test]
+fn a_silent_target_is_asked_alone_and_last() {
+    let mut fixture = Fixture::new(&Store::with_targets(4));
+    let silent = forwarded(&fixture.client(&opening(flow(9)), LATER)).agent;
+    let now = LATER + 200;
+    let asked = path(&fixture.client(&data(flow(1)), now));
+    assert_eq!(asked.len(), 3);
+    assert!(!asked.contains(&silent));
+    let last = fixture.bounced(&data(flow(1)), asked[2], now);
+    assert_eq!(path(&last), vec![silent]);
+}
+
+#[test]
+fn a_pressed_balancer_hands_unknown_flows_to_one_helper_each() {
+    let mut fixture = Fixture::new(&Store::with_targets(4));
+    let known = fixture.open(1, LATER);
+    let helpers = [agent(101), agent(102)];
+    let decision = fixture.pressed(&data(flow(1)), &helpers, LATER + 1);
+    assert_eq!(forwarded(&decision).agent, known);
+    let mut chosen = Vec::new();
+    for port in 2..40 {
+        let opened = fixture.pressed(&opening(flow(port)), &helpers, LATER + 1);
+        assert_eq!(fixture.pressed(&data(flow(port)), &helpers, LATER + 2), opened);
+        let Decision::HandOff { helper } = opened else { panic!("kept {opened:?}") };
+        chosen.push(helper);
+    }
+    chosen.sort();
+    chosen.dedup();
+    assert_eq!(chosen, helpers);
+    // With the time for it again, the flow is searched for here.
+    assert!(matches!(fixture.client(&data(flow(2)), LATER + 3), Decision::Forward(_)));
+}
+
+#[test]
+fn a_search_asks_the_own_region_first_and_then_all_others() {
+    let mut fixture = Fixture::new(&two_regions());
+    let (visited, _) = fixture.bounce_to_the_end(&data(flow(1)), LATER);
+    let far: Vec<bool> = visited.into_iter().map(is_far).collect();
+    assert_eq!(far, [false, false, false, true, true, true]);
+}
--- /dev/null
+++ b/crates/steering/tests/support/fixture.rs
@@ -0,0 +1,91 @@
+//! A balancer between clients and targets that a test answers for.
+
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::{ReturnReason, TargetState};
+use weirhinge_steering::{Balancer, ClientPacket, Context, Decision, FleetView, PacketHead};
+
+use super::{SERVICE, Store, agent, flow, forwarded, opening};
+
+/// Long after the start, when nothing is unsettled.
+pub const LATER: u64 = 100_000;
+
+pub struct Fixture {
+    pub balancer: Balancer,
+    pub view: FleetView,
+    pub fresh: bool,
+}
+
+impl Fixture {
+    pub fn new(store: &Store) -> Self {
+        Self { balancer: Balancer::default(), view: store.view(), fresh: true }
+    }
+
+    pub fn context(&self, now: u64) -> Context<'_> {
+        Context { view: &self.view, fresh: self.fresh, helpers: &[], now }
+    }
+
+    /// Decides about a client's packet without the time for unknown flows.
+    pub fn pressed(&mut self, head: &PacketHead, helpers: &[Ipv4Addr], now: u64) -> Decision {
+        let context = Context { view: &self.view, fresh: self.fresh, helpers, now };
+        self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
+    }
+
+    pub fn client(&mut self, head: &PacketHead, now: u64) -> Decision {
+        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
+        self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
+    }
+
+    pub fn returned(
+        &mut self,
+        head: &PacketHead,
+        from: Ipv4Addr,
+        reason: ReturnReason,
+        now: u64,
+    ) -> Decision {
+        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
+        let packet = ClientPacket { head, bytes: b"packet" };
+        self.balancer.returned_packet(&context, packet, from, reason)
+    }
+
+    pub fn bounced(&mut self, head: &PacketHead, from: Ipv4Addr, now: u64) -> Decision {
+        self.returned(head, from, ReturnReason::Bounced, now)
+    }
+
+    pub fn search_again(&mut self, head: &PacketHead, now: u64) -> Decision {
+        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
+        self.balancer.search_again(&context, ClientPacket { head, bytes: b"packet" })
+    }
+
+    /// Opens a flow and lets the chosen target answer.
+    pub fn open(&mut self, port: u16, now: u64) -> Ipv4Addr {
+        let chosen = forwarded(&self.client(&opening(flow(port)), now)).agent;
+        self.balancer.holds(flow(port), chosen, false, 0, now);
+        chosen
+    }
+
+    /// Bounces a packet until the balancer no longer forwards it.
+    pub fn bounce_to_the_end(&mut self, head: &PacketHead, now: u64) -> (Vec<Ipv4Addr>, Decision) {
+        let mut visited = Vec::new();
+        let mut decision = self.client(head, now);
+        while let Decision::Forward(forward) = &decision {
+            visited.push(forward.agent);
+            assert!(visited.len() < 100, "the walk ends");
+            decision = self.bounced(head, *visited.last().expect("pushed"), now);
+        }
+        (visited, decision)
+    }
+}
+
+/// Six targets, half of them in another region.
+pub fn two_regions() -> Store {
+    let mut store = Store::with_targets(3);
+    for number in 51..=53 {
+        store.target(number, SERVICE, Some(TargetState::Ready), 0);
+    }
+    store
+}
+
+pub fn is_far(agent: Ipv4Addr) -> bool {
+    agent.octets()[3] > 50
+}
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A small fleet for tests of decisions.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
+
+mod fixture;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -10,6 +12,8 @@
 };
 use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, Locality, PacketHead};
 
+pub use fixture::{Fixture, LATER, is_far, two_regions};
+
 pub const SERVICE: &str = "sheets";
 pub const OTHER: &str = "dispatch";
 
--- a/crates/weirhinge/tests/pressure.rs
+++ b/crates/weirhinge/tests/pressure.rs
@@ -14,8 +14,12 @@
 const DEADLINE: Duration = Duration::from_secs(15);
 const WEAK: usize = 0;
 const STRONG: usize = 1;
-/// Packets that meet the balancer at once, more than it decides about in a turn.
-const BURST: u16 = 40;
+/// Packets that meet the balancer at once, far more than it decides about in a turn.
+const BURST: u16 = 200;
+/// Time in which it takes them in and has not decided about all of them.
+const TAKES_IN: Duration = Duration::from_millis(1);
+/// How long it stands still then, longer than a wait that shows pressure.
+const STANDS_STILL: Duration = Duration::from_millis(30);
 const ROUNDS: u16 = 100;
 
 async fn count(fleet: &Fleet, balancer: usize, name: &str) -> eyre::Result<u64> {
@@ -24,13 +28,17 @@
     counter(&figures, name).ok_or_else(|| eyre::eyre!("no {name} in {figures}"))
 }
 
-/// Lets packets of unknown flows gather in front of the weak balancer.
+/// Lets packets of unknown flows wait in the weak balancer.
 async fn press(fleet: &Fleet, round: u16) -> eyre::Result<()> {
     fleet.balancers[WEAK].signal(Signal::SIGSTOP)?;
     for number in 0..BURST {
         let port = 1_000 + (round * BURST + number) % 9_000;
         fleet.client.send_stray(fleet.packets(WEAK), Fleet::route(443), port).await?;
     }
+    fleet.balancers[WEAK].signal(Signal::SIGCONT)?;
+    tokio::time::sleep(TAKES_IN).await;
+    fleet.balancers[WEAK].signal(Signal::SIGSTOP)?;
+    tokio::time::sleep(STANDS_STILL).await;
     fleet.balancers[WEAK].signal(Signal::SIGCONT)
 }
 
