--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -34,9 +34,6 @@
 #[derive(Clone, Debug)]
 pub struct PeerTable {
     own_address: Ipv4Addr,
-    /// Whether this daemon is itself a seed.
-    is_seed: bool,
-    /// The other seeds.
     seeds: Vec<Ipv4Addr>,
     peers: BTreeMap<Ipv4Addr, Peer>,
 }
@@ -44,22 +41,15 @@
 impl PeerTable {
     /// A table that knows the seeds alone.
     pub fn new(own_address: Ipv4Addr, seeds: impl IntoIterator<Item = Ipv4Addr>) -> Self {
-        let mut table =
-            Self { own_address, is_seed: false, seeds: Vec::new(), peers: BTreeMap::new() };
+        let mut table = Self { own_address, seeds: Vec::new(), peers: BTreeMap::new() };
         table.set_seeds(seeds);
         table
     }
 
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = Ipv4Addr>) {
-        self.seeds = seeds.into_iter().collect();
-        self.is_seed = self.seeds.contains(&self.own_address);
-        self.seeds.retain(|seed| *seed != self.own_address);
-    }
-
-    /// Whether this daemon is itself a seed.
-    pub fn is_seed(&self) -> bool {
-        self.is_seed
+        let own_address = self.own_address;
+        self.seeds = seeds.into_iter().filter(|seed| *seed != own_address).collect();
     }
 
     /// Records a digest. Returns whether its sender is new here.
--- a/crates/fleet/src/reader.rs
+++ b/crates/fleet/src/reader.rs
@@ -9,12 +9,8 @@
 use crate::Millis;
 use crate::timing::Timing;
 
-/// How long a seed that knows nothing waits for peers before it reads.
-const SEED_FIRST_WAIT_MS: Millis = 12;
-/// How long any other daemon that knows nothing does. Whoever starts asks the seeds,
-/// whose answer is several times smaller than the store's: when all start at once,
-/// the store's would take those with narrow links longer than this wait.
-const FIRST_WAIT_MS: Millis = 120;
+/// How long a daemon that knows nothing waits for peers before it reads.
+const FIRST_WAIT_MS: Millis = 12;
 
 /// What a balancer knows when it decides whether to read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,8 +19,6 @@
     pub uptime_ms: Millis,
     /// Milliseconds since the store confirmed the replica; none if never.
     pub age_ms: Option<Millis>,
-    /// Whether this is one of the balancers that others ask when they start.
-    pub is_seed: bool,
     /// Living balancers with a lower address.
     pub rank: usize,
     /// Whether this balancer reads now.
@@ -38,7 +32,6 @@
     let rank_wait = (inputs.rank as Millis).saturating_mul(timing.rank_step_ms);
     let patience = timing.read_after_ms + rank_wait.min(timing.longest_rank_wait_ms);
     match inputs.age_ms {
-        None if inputs.is_seed => inputs.uptime_ms >= SEED_FIRST_WAIT_MS,
         None => inputs.uptime_ms >= FIRST_WAIT_MS,
         Some(age) if age > patience => true,
         Some(_) => inputs.reading && !inputs.lower_reader,
--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node.rs
@@ -251,7 +251,6 @@
         let inputs = reader::ReaderInputs {
             uptime_ms: now,
             age_ms: self.replica.age(now),
-            is_seed: self.peers.is_seed(),
             rank: self.peers.rank(),
             reading: self.reading,
             lower_reader: self.peers.lower_reader(now, self.timing.reader_word_ms),
