Take the settings template from the stand-ins in both tests

Cause: read over. Two tests included the platform's template each for itself, by a path, beside the constant that the stand-ins now export for the soak.

Change: both use SETTINGS_TEMPLATE. Assertions are as they were.

--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -7,13 +7,10 @@
 
 use nix::sys::signal::Signal;
 use weirhinge_platform_standins::{
-    ClientFlow, Fleet, FleetPlan, FlowError, RouterHash, StoreFault, TargetBehaviour, counter,
-    http_get,
+    ClientFlow, Fleet, FleetPlan, FlowError, RouterHash, SETTINGS_TEMPLATE, StoreFault,
+    TargetBehaviour, counter, http_get,
 };
 
-/// The template that deployments of the platform use.
-const TEMPLATE: &str =
-    include_str!(concat!(env!("CARGO_MANIFEST_DIR"), "/../../platform/settings.toml"));
 /// Long enough for several attempts on a busy machine.
 const DEADLINE: Duration = Duration::from_secs(15);
 /// Metrics port of every machine.
@@ -29,7 +26,7 @@
 }
 
 async fn start(plan: &FleetPlan) -> eyre::Result<Fleet> {
-    Fleet::start(Path::new(env!("CARGO_BIN_EXE_weirhinge")), TEMPLATE, plan).await
+    Fleet::start(Path::new(env!("CARGO_BIN_EXE_weirhinge")), SETTINGS_TEMPLATE, plan).await
 }
 
 /// Opens flows and sends a first request on each.
--- a/crates/weirhinge/tests/pressure.rs
+++ b/crates/weirhinge/tests/pressure.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use weirhinge_platform_standins::{Fleet, FleetPlan, RouterHash, counter, http_get};
+use weirhinge_platform_standins::{
+    Fleet, FleetPlan, RouterHash, SETTINGS_TEMPLATE, counter, http_get,
+};
 
-const TEMPLATE: &str =
-    include_str!(concat!(env!("CARGO_MANIFEST_DIR"), "/../../platform/settings.toml"));
 const METRICS: u16 = 9_464;
 const DEADLINE: Duration = Duration::from_secs(15);
 const WEAK: usize = 0;
@@ -51,7 +51,7 @@
         processor_shares: vec![0.05, 0.5],
     };
     let program = Path::new(env!("CARGO_BIN_EXE_weirhinge"));
-    let fleet = Fleet::start(program, TEMPLATE, &plan).await?;
+    let fleet = Fleet::start(program, SETTINGS_TEMPLATE, &plan).await?;
     let mut flows = Vec::new();
     for number in 0..20 {
         let opened = fleet.client.open(Fleet::route(443)).await;
