Give flows that nobody holds up after 25 ms instead of 100

Cause: after a loss of all machines every open flow is dead, and each meets the wait between the two rounds of its search: 100 ms between the rounds, looked at every 50 ms after a step of 120 ms, so 120 to 170 ms in all. With the target slow from its start, the request that follows misses its objective of 200 to 300 ms.

Ruled out: resetting after one round (a target that one balancer knows reaches the others a few milliseconds later, so a second round stays).

Change: the second round begins 25 ms after the first found no holder; the loop that continues searches sleeps until the next one is due. While the knowledge is too old to give a flow up, the step stays 120 ms.

Tests: a_flow_that_nobody_holds_is_given_up_soon (failed before: the copy was due after 120 ms), a_search_on_old_knowledge_does_not_hurry.

--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -11,6 +11,7 @@
 use eyre::WrapErr;
 use slog::{Logger, info};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use weirhinge_fleet::{Millis, PeerMessage, PeerRole, SearchPath, decode};
 use weirhinge_observe::Metrics;
 use weirhinge_steering::{
@@ -37,8 +38,10 @@
 const EAGER_TICK: Duration = Duration::from_millis(40);
 /// How long after the start that is.
 const EAGER_MS: Millis = 2_000;
-/// How often waiting searches are looked at.
-const SEARCH_POLL: Duration = Duration::from_millis(50);
+/// Longest rest between two looks at the packets that wait.
+const LONGEST_REST_MS: Millis = 50;
+/// Shortest such rest, so that many packets share a wake-up.
+const SHORTEST_REST_MS: Millis = 4;
 
 struct Daemon<P> {
     platform: P,
@@ -56,6 +59,8 @@
     decisions: DecisionLog,
     log: Logger,
     last_packet_at: RefCell<Millis>,
+    /// Told when a packet could not go anywhere yet: it is decided about again soon.
+    packet_rests: Notify,
 }
 
 /// Runs a balancer until it is told to stop.
@@ -102,6 +107,7 @@
         decisions: DecisionLog::new(log.clone()),
         log: log.clone(),
         last_packet_at: RefCell::new(0),
+        packet_rests: Notify::new(),
     });
     let reader =
         StoreReader::new(platform, &common, Rc::clone(&node), clock, store_metrics, log.clone());
@@ -140,7 +146,7 @@
         news.note_regained();
     }));
     tokio::task::spawn_local(Rc::clone(daemon).take_datagrams());
-    tokio::task::spawn_local(Rc::clone(daemon).continue_searches());
+    tokio::task::spawn_local(Rc::clone(daemon).continue_resting());
     tokio::task::spawn_local(Rc::clone(daemon).tick());
     tokio::task::spawn_local(Rc::clone(daemon).watch_isolation(status, log.clone()));
     tokio::task::spawn_local(Rc::clone(daemon).watch_pressure());
@@ -224,11 +230,7 @@
         }
     }
 
-    fn decide(
-        &self,
-        now: Millis,
-        decide: impl FnOnce(&mut Balancer, &Context<'_>) -> Decision,
-    ) -> Decision {
+    fn decide<T>(&self, now: Millis, decide: impl FnOnce(&mut Balancer, &Context<'_>) -> T) -> T {
         let node = self.node.borrow();
         let fresh = node.is_fresh(now);
         let context = Context { view: node.view(), fresh, helpers: &[], now };
@@ -264,6 +266,7 @@
             }
             Decision::Drop(DropReason::SearchEnded) => {}
             Decision::Drop(reason) => {
+                self.packet_rests.notify_one();
                 self.metrics.dropped.increment(reason.label());
                 self.decisions.dropped(&flow, reason, self.basis(now), now);
             }
@@ -304,21 +307,68 @@
         }
     }
 
-    /// Goes on with searches that a silent target holds up.
-    async fn continue_searches(self: Rc<Self>) {
+    /// Goes on with searches that a silent target holds up, and with packets that came
+    /// before it was known where they could go.
+    async fn continue_resting(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(SEARCH_POLL).await;
+            self.rest_until_due().await;
             let now = self.clock.now();
-            let due = self.core.borrow_mut().due_searches(now);
-            for (head, packet) in due {
-                let decision = self.decide(now, |core, context| {
-                    core.search_again(context, ClientPacket { head: &head, bytes: &packet })
-                });
+            self.continue_searches(now);
+            self.decide_undecided(now);
+        }
+    }
+
+    fn continue_searches(&self, now: Millis) {
+        let due = self.core.borrow_mut().due_searches(now);
+        for (head, packet) in due {
+            let decision = self.decide(now, |core, context| {
+                core.search_again(context, ClientPacket { head: &head, bytes: &packet })
+            });
+            self.carry_out(decision, &head, &packet, now);
+        }
+    }
+
+    fn decide_undecided(&self, now: Millis) {
+        let due = self.decide_with_helpers(now, |core, context| core.due_undecided(context));
+        for (head, packet) in due {
+            let decision = self.decide_with_helpers(now, |core, context| {
+                core.decide_again(context, ClientPacket { head: &head, bytes: &packet })
+            });
+            if let Some(decision) = decision {
                 self.carry_out(decision, &head, &packet, now);
             }
         }
     }
 
+    /// Decides with helpers at hand while this balancer knows no configuration. Later,
+    /// packets that rest here may have been handed off to it.
+    fn decide_with_helpers<T>(
+        &self,
+        now: Millis,
+        decide: impl FnOnce(&mut Balancer, &Context<'_>) -> T,
+    ) -> T {
+        let helpers = self.helpers.borrow();
+        self.decide(now, |core, context| {
+            let helpers = if context.view.label().is_none() { &helpers[..] } else { &[] };
+            decide(core, &Context { helpers, ..*context })
+        })
+    }
+
+    /// Waits for the next packet that is due, also for one that comes meanwhile.
+    async fn rest_until_due(&self) {
+        let began = self.clock.now();
+        let earliest = began + SHORTEST_REST_MS;
+        let latest = began + LONGEST_REST_MS;
+        loop {
+            let due_at = self.core.borrow().next_due().unwrap_or(latest);
+            let rest = due_at.clamp(earliest, latest).saturating_sub(self.clock.now());
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_millis(rest)) => return,
+                () = self.packet_rests.notified() => {}
+            }
+        }
+    }
+
     async fn tick(self: Rc<Self>) {
         loop {
             let now = self.clock.now();
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -46,6 +46,8 @@
     unanswered_since: Option<Millis>,
     /// Opening packets sent since any agent last answered a packet.
     unanswered: u32,
+    /// Agents that claimed a target and had not claimed it before.
+    claims_seen: u64,
 }
 
 impl AgentStatuses {
@@ -91,10 +93,16 @@
         status.sent_since = 0;
         status.leaving = claim.leaving;
         let usable = claim.alive && !claim.leaving;
+        self.claims_seen += u64::from(usable && status.claim.is_none());
         status.claim = usable.then(|| (ServiceId::of(&claim.service), now));
         self.any_heard_at = Some(now);
     }
 
+    /// Number of times that an agent's claim was new.
+    pub fn claims_seen(&self) -> u64 {
+        self.claims_seen
+    }
+
     /// Records that an agent refused new flows because it stops.
     pub fn is_stopping(&mut self, agent: Ipv4Addr) {
         self.statuses.entry(agent).or_default().leaving = true;
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -3,6 +3,7 @@
 mod decision;
 mod opening;
 mod search;
+mod undecided;
 
 use std::net::Ipv4Addr;
 
@@ -13,9 +14,10 @@
 use crate::agent_status::AgentStatuses;
 use crate::flow_table::{FlowEntry, FlowStage, FlowTable};
 use crate::packet::{FlowKey, PacketHead};
-use crate::pending_search::PendingSearches;
+use crate::pending_packets::PendingPackets;
 use crate::selection::rendezvous_first;
 use crate::view::FleetView;
+use undecided::UndecidedPackets;
 
 /// Most flows that a balancer remembers.
 const FLOW_CAPACITY: usize = 131_072;
@@ -54,7 +56,9 @@
     statuses: AgentStatuses,
     /// Packets that look for their target, to be sent on without waiting for the
     /// client to send them again.
-    searches: PendingSearches,
+    searches: PendingPackets,
+    /// Packets that came before a configuration or a target was known.
+    undecided: UndecidedPackets,
     /// When the store's word last became fresh.
     regained_at: Millis,
     timing: Timing,
@@ -71,7 +75,8 @@
         Self {
             flows: FlowTable::new(capacity),
             statuses: AgentStatuses::default(),
-            searches: PendingSearches::default(),
+            searches: PendingPackets::default(),
+            undecided: UndecidedPackets::default(),
             regained_at: 0,
             timing: Timing::default(),
         }
@@ -92,6 +97,16 @@
         if packet.head.flags.bounced {
             return Decision::Drop(DropReason::BouncedByClient);
         }
+        let decision = self.decide_client_packet(context, packet);
+        self.keep_undecided(&decision, packet, context.now);
+        decision
+    }
+
+    fn decide_client_packet(
+        &mut self,
+        context: &Context<'_>,
+        packet: ClientPacket<'_>,
+    ) -> Decision {
         if let Some(helper) = self.helper(context, packet.head) {
             return Decision::HandOff { helper };
         }
@@ -99,7 +114,7 @@
             return self.opening_packet(context, packet.head);
         }
         let decision = self.later_packet(context, packet.head);
-        self.keep_for_search(&decision, packet, context.now);
+        self.keep_for_search(&decision, packet, context);
         decision
     }
 
@@ -120,10 +135,12 @@
             return known;
         }
         if opens {
-            return self.returned_opening(context, packet.head, reason);
+            let decision = self.returned_opening(context, packet.head, reason);
+            self.keep_undecided(&decision, packet, context.now);
+            return decision;
         }
         let decision = self.search(context, packet.head);
-        self.keep_for_search(&decision, packet, context.now);
+        self.keep_for_search(&decision, packet, context);
         decision
     }
 
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -16,8 +16,10 @@
 /// Most agents that a searching packet visits in turn before it comes back.
 const ASKED_IN_TURN: usize = 8;
 /// A flow is given up when every target sent its packet back twice, at least this
-/// far apart, so that a target that was not known the first time is.
-const GIVE_UP_AFTER_MS: Millis = 100;
+/// far apart, so that a target that was not known the first time is: a change that
+/// one balancer knows reaches the others in a few milliseconds. The client waits
+/// meanwhile, and after a total loss every flow meets this wait.
+const GIVE_UP_AFTER_MS: Millis = 25;
 /// How long after the store's word became fresh an agent has had the time to say
 /// what stands beside it.
 const CLAIMS_KNOWN_MS: Millis = 250;
@@ -93,7 +95,7 @@
         &mut self,
         decision: &Decision,
         packet: ClientPacket<'_>,
-        now: Millis,
+        context: &Context<'_>,
     ) {
         let flow = packet.head.client_flow();
         let goes_on = match decision {
@@ -102,12 +104,28 @@
             Decision::Reset { .. } | Decision::HandOff { .. } => false,
         };
         if goes_on {
-            self.searches.keep(flow, packet.head, packet.bytes, now);
+            let wait_ms = self.wait_of_search(context, &flow);
+            self.searches.keep(flow, packet.head, packet.bytes, wait_ms, context.now);
         } else {
             self.searches.remove(&flow);
         }
     }
 
+    /// How long a search rests before it goes on: for an answer of the agent asked,
+    /// or, when all targets sent the packet back, until they are asked once more.
+    fn wait_of_search(&mut self, context: &Context<'_>, flow: &FlowKey) -> Millis {
+        let certain = self.knows_all_targets(context);
+        let entry = self.flows.get_mut(flow).filter(|_| certain);
+        let is_unheld = entry
+            .is_some_and(|entry| entry.stage == FlowStage::Unheld && entry.unheld_since.is_some());
+        if is_unheld { GIVE_UP_AFTER_MS } else { SEARCH_STEP_MS }
+    }
+
+    /// Whether no target can hold a flow that this balancer does not know of.
+    fn knows_all_targets(&self, context: &Context<'_>) -> bool {
+        context.fresh && context.now >= self.regained_at + CLAIMS_KNOWN_MS
+    }
+
     /// The packets whose search got no answer in time, for [`Self::search_again`].
     pub fn due_searches(&mut self, now: Millis) -> Vec<(PacketHead, Vec<u8>)> {
         self.searches.take_due(now, SEARCH_STEP_MS)
@@ -122,7 +140,7 @@
             return Decision::Drop(DropReason::SearchEnded);
         }
         let decision = self.later_packet(context, packet.head);
-        self.keep_for_search(&decision, packet, context.now);
+        self.keep_for_search(&decision, packet, context);
         decision
     }
 
@@ -180,7 +198,7 @@
         head: &PacketHead,
     ) -> Decision {
         let now = context.now;
-        let certain = context.fresh && now >= self.regained_at + CLAIMS_KNOWN_MS;
+        let certain = self.knows_all_targets(context);
         let Some(entry) = self.flows.get_mut(flow) else {
             return Decision::Drop(DropReason::NobodyHoldsYet);
         };
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -12,7 +12,7 @@
 mod balancer;
 mod flow_table;
 mod packet;
-mod pending_search;
+mod pending_packets;
 mod selection;
 mod view;
 mod waiting_room;
--- a/crates/steering/src/packet.rs
+++ b/crates/steering/src/packet.rs
@@ -82,7 +82,7 @@
 }
 
 /// Identifies a flow by its two ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct FlowKey {
     /// The client's end.
     pub client: SocketAddrV4,
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -144,6 +144,11 @@
         self.services.get(&service).map_or(&[], Vec::as_slice)
     }
 
+    /// Number of targets known, of all services.
+    pub fn target_count(&self) -> usize {
+        self.services.values().map(Vec::len).sum()
+    }
+
     /// The agents of all known targets.
     pub fn agents(&self) -> Vec<Ipv4Addr> {
         self.services.values().flatten().map(|candidate| candidate.agent).collect()
--- a/crates/steering/tests/search.rs
+++ b/crates/steering/tests/search.rs
@@ -219,3 +219,31 @@
     let far: Vec<bool> = visited.into_iter().map(is_far).collect();
     assert_eq!(far, [false, false, false, true, true, true]);
 }
+
+/// After a total loss each flow meets this wait: it has to leave room for the request
+/// within a client's objective.
+#[test]
+fn a_flow_that_nobody_holds_is_given_up_soon() {
+    let mut fixture = Fixture::new(&Store::with_targets(3));
+    let head = data(flow(1));
+    fixture.bounce_to_the_end(&head, LATER);
+    let due_at = fixture.balancer.next_due().expect("the packet is kept");
+    assert!(due_at <= LATER + 40, "{} ms", due_at - LATER);
+    assert_eq!(fixture.balancer.due_searches(due_at), vec![(head, b"packet".to_vec())]);
+    let mut decision = fixture.search_again(&head, due_at);
+    while let Decision::Forward(forward) = &decision {
+        let from = forward.agent;
+        decision = fixture.bounced(&head, from, due_at);
+    }
+    let reason = ResetReason::NobodyHolds;
+    assert_eq!(decision, Decision::Reset { sequence: head.acknowledgment, reason });
+}
+
+#[test]
+fn a_search_on_old_knowledge_does_not_hurry() {
+    let mut fixture = Fixture::new(&Store::with_targets(3));
+    fixture.fresh = false;
+    fixture.bounce_to_the_end(&data(flow(1)), LATER);
+    let due_at = fixture.balancer.next_due().expect("the packet is kept");
+    assert!(due_at >= LATER + 100, "{} ms", due_at - LATER);
+}
--- a/crates/steering/tests/support/fixture.rs
+++ b/crates/steering/tests/support/fixture.rs
@@ -57,6 +57,16 @@
         self.balancer.search_again(&context, ClientPacket { head, bytes: b"packet" })
     }
 
+    pub fn due_undecided(&mut self, now: u64) -> Vec<(PacketHead, Vec<u8>)> {
+        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
+        self.balancer.due_undecided(&context)
+    }
+
+    pub fn decide_again(&mut self, head: &PacketHead, now: u64) -> Option<Decision> {
+        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
+        self.balancer.decide_again(&context, ClientPacket { head, bytes: b"packet" })
+    }
+
     /// Opens a flow and lets the chosen target answer.
     pub fn open(&mut self, port: u16, now: u64) -> Ipv4Addr {
         let chosen = forwarded(&self.client(&opening(flow(port)), now)).agent;
