Keep packets until a configuration or a target is known

Cause: a balancer knows a configuration some 30 ms after its start, later when the store is down.

Ruled out: late packets in the socket's queue (the balancer read them at once), the hand-off (no peer with a configuration was known yet).

Change: such packets are kept, one a flow, the oldest making room, as many as the balancer has thousandths of a processor.

--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -90,13 +90,17 @@
         .wrap_err_with(|| format!("bind packets at {}", common.packets))?;
     let link =
         PeerLink::start(&common, Rc::clone(&node), clock, fleet_metrics, log.clone()).await?;
+    let core = match common.capacity {
+        Some(permille) => Balancer::with_processor_share(common.timing, permille),
+        None => Balancer::new(common.timing),
+    };
     let status = Status::new(Rc::clone(&node));
     serve_status(&platform, &common, status.clone(), metrics).await?;
     let daemon = Rc::new(Daemon {
         platform: platform.clone(),
         clock,
         node: Rc::clone(&node),
-        core: RefCell::new(Balancer::new(common.timing)),
+        core: RefCell::new(core),
         backlog: RefCell::default(),
         helpers: RefCell::default(),
         packets,
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -70,6 +70,12 @@
         Self { timing, ..Self::with_capacity(FLOW_CAPACITY) }
     }
 
+    /// The same with this many thousandths of a processor.
+    pub fn with_processor_share(timing: Timing, permille: u32) -> Self {
+        let undecided = UndecidedPackets::with_processor_share(permille);
+        Self { undecided, ..Self::new(timing) }
+    }
+
     /// A balancer that remembers at most `capacity` flows.
     pub fn with_capacity(capacity: usize) -> Self {
         Self {
--- a/crates/steering/src/balancer/undecided.rs
+++ b/crates/steering/src/balancer/undecided.rs
@@ -33,6 +33,14 @@
 }
 
 impl UndecidedPackets {
+    /// Keeps as many packets as a balancer decides about in a few tens of
+    /// milliseconds: more would only make it late for those that come then.
+    pub(super) fn with_processor_share(permille: u32) -> Self {
+        let capacity = usize::try_from(permille).unwrap_or(usize::MAX);
+        let packets = PendingPackets::with_capacity(capacity);
+        Self { packets, ..Self::default() }
+    }
+
     /// When to look for news next; none while no packet waits.
     fn next_look(&self) -> Option<Millis> {
         (!self.packets.is_empty()).then_some(self.looked_at + LOOK_EVERY_MS)
--- a/crates/steering/src/pending_packets.rs
+++ b/crates/steering/src/pending_packets.rs
@@ -6,7 +6,7 @@
 
 use crate::packet::{FlowKey, PacketHead};
 
-/// Most copies kept, one a flow: about 600 KB.
+/// Most copies kept unless stated otherwise, one a flow: about 600 KB.
 const CAPACITY: usize = 512;
 /// A copy this old is dropped: the client has sent the packet again since, or gave
 /// the attempt up.
@@ -21,13 +21,19 @@
     due_at: Millis,
 }
 
-/// The copies, by flow.
-#[derive(Clone, Debug, Default)]
+/// The copies, by flow. The oldest makes room for the newest.
+#[derive(Clone, Debug)]
 pub struct PendingPackets {
     copies: HashMap<FlowKey, Copy>,
+    capacity: usize,
 }
 
 impl PendingPackets {
+    /// Keeps at most `capacity` copies, and at least one.
+    pub fn with_capacity(capacity: usize) -> Self {
+        Self { copies: HashMap::new(), capacity: capacity.clamp(1, CAPACITY) }
+    }
+
     /// Keeps a copy for `wait_ms`, or lets the kept one wait for so long from now.
     pub fn keep(
         &mut self,
@@ -42,9 +48,17 @@
             copy.due_at = due_at;
             return;
         }
-        if self.copies.len() < CAPACITY {
-            let copy = Copy { head: *head, packet: packet.to_vec(), kept_at: now, due_at };
-            self.copies.insert(flow, copy);
+        if self.copies.len() >= self.capacity {
+            self.remove_oldest();
+        }
+        let copy = Copy { head: *head, packet: packet.to_vec(), kept_at: now, due_at };
+        self.copies.insert(flow, copy);
+    }
+
+    fn remove_oldest(&mut self) {
+        let oldest = self.copies.iter().min_by_key(|(flow, copy)| (copy.kept_at, **flow));
+        if let Some(oldest) = oldest.map(|(flow, _)| *flow) {
+            self.copies.remove(&oldest);
         }
     }
 
@@ -83,3 +97,9 @@
         self.copies.retain(|_, copy| now.saturating_sub(copy.kept_at) < LIFETIME_MS);
     }
 }
+
+impl Default for PendingPackets {
+    fn default() -> Self {
+        Self::with_capacity(CAPACITY)
+    }
+}
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -9,7 +9,7 @@
     Fixture, LATER, OTHER, SERVICE, Store, agent, data, flow, forwarded, is_far, opening,
     two_regions,
 };
-use weirhinge_fleet::{ReturnReason, ServiceId, TargetClaim, TargetState};
+use weirhinge_fleet::{ReturnReason, ServiceId, TargetClaim, TargetState, Timing};
 use weirhinge_steering::{Balancer, Decision, DropReason, ForwardReason, PacketHead, ResetReason};
 
 fn claim(service: &str) -> TargetClaim {
@@ -231,6 +231,21 @@
     assert_eq!(decision.as_ref().map(|decision| forwarded(decision).agent), Some(agent(9)));
 }
 
+/// With a hundredth of a processor, packets of long ago once kept a balancer from
+/// those that came after its configuration.
+#[test]
+fn a_weak_balancer_keeps_the_newest_packets_alone() {
+    let mut fixture = Fixture::new(&Store::default());
+    fixture.balancer = Balancer::with_processor_share(Timing::default(), 12);
+    for port in 1..=40 {
+        fixture.client(&opening(flow(port)), LATER + u64::from(port));
+    }
+    fixture.view = Store::with_targets(2).view();
+    let due = fixture.due_undecided(LATER + 50);
+    let ports: Vec<u16> = due.iter().map(|(head, _)| head.source.port()).collect();
+    assert_eq!(ports, (29..=40).rev().collect::<Vec<u16>>());
+}
+
 #[test]
 fn packets_that_nobody_routes_are_not_kept_for_ever() {
     let mut fixture = Fixture::new(&Store::default());
