Admit few requests to targets of unknown size, and tell agents of new records

Cause: after all machines lost power agents knew nothing of their targets' size and let every new flow in.

Ruled out: balancers without targets (they chose among all claimed ones), the time to the configuration (known at 36.43 to 36.52 s).

Change: while the size is not known an agent has room for four requests, one more for each answer within 120 ms at that load, one less for each that takes longer than 200 ms. The balancer that reads the store sends its digest to the agents (64 at most) whose records changed; they fetch their record at once.

Tests: a_target_of_unknown_size_is_never_busy stated the old decision and is replaced by a_target_of_unknown_size_has_room_for_a_few, which keeps its second half (packets of open flows never wait), prompt_answers_..., a_target_that_slows_down_...; memory_for_flows_is_bounded states a size, its assertion is the same; tests/fleet_node.rs is new. The simulated thousand daemons tell agents as well.

--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node.rs
@@ -9,7 +9,7 @@
 use slog::{Logger, info};
 use weirhinge_fleet::{
     Change, Digest, FetchRequest, FetchScope, Millis, PeerRole, PeerTable, Replica, TargetClaim,
-    Timing, Update, ZoneId, reader,
+    TargetRecord, Timing, Update, ZoneId, reader,
 };
 use weirhinge_steering::{FleetView, Locality};
 
@@ -19,6 +19,9 @@
 const NEWS_MS: Millis = 300;
 /// Peers that get news at once.
 const FAN_OUT: usize = 6;
+/// Agents told at once that the store has a new record of their target; the others
+/// learn of it from their next digest.
+const AGENTS_TOLD: usize = 64;
 /// Agents asked when the store's word became fresh.
 const AGENTS_ASKED: usize = 64;
 /// Balancers that an agent keeps in touch with, all of them in a small fleet.
@@ -64,6 +67,8 @@
     timing: Timing,
     locality: Locality,
     random: RefCell<StdRng>,
+    /// Agents whose targets' records the store changed, not told yet.
+    recorded: Vec<Ipv4Addr>,
     /// Whether this daemon reads the store for the others.
     pub reading: bool,
     zone: ZoneId,
@@ -95,6 +100,7 @@
             timing: settings.timing,
             locality: settings.locality.clone(),
             random: RefCell::new(StdRng::seed_from_u64(seed)),
+            recorded: Vec::new(),
             reading: false,
             zone: ZoneId::of(&settings.zone),
             capacity: settings.capacity,
@@ -246,6 +252,20 @@
         !changes.is_empty() || self.replica.revision() > before
     }
 
+    /// Takes in what the store itself says.
+    pub fn apply_from_store(&mut self, update: Update, now: Millis) {
+        let known = self.replica.revision();
+        self.apply(update, "store", now);
+        let changed = self.replica.targets().filter(|entry| entry.target.revision > known);
+        let records = changed.filter_map(|entry| entry.target.record.as_ref());
+        self.recorded = records.map(TargetRecord::machine).take(AGENTS_TOLD).collect();
+    }
+
+    /// Agents to be told of their targets' new records; given out once.
+    pub fn take_recorded(&mut self) -> Vec<Ipv4Addr> {
+        std::mem::take(&mut self.recorded)
+    }
+
     /// Whether this balancer should make the next call to the store.
     pub fn should_read(&self, now: Millis) -> bool {
         let inputs = reader::ReaderInputs {
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -114,9 +114,13 @@
         }
     }
 
-    /// Tells some peers what this daemon knows.
+    /// Tells some peers what this daemon knows, and agents of new records.
     pub fn spread_news(&self) {
-        let receivers = self.node.borrow().news_receivers();
+        let receivers = {
+            let mut node = self.node.borrow_mut();
+            let recorded = node.take_recorded();
+            node.news_receivers().into_iter().chain(recorded)
+        };
         for receiver in receivers {
             self.send_digest(receiver, false);
         }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -197,7 +197,7 @@
 
     fn apply(&self, update: Update) {
         let now = self.clock.now();
-        self.node.borrow_mut().apply(update, "store", now);
+        self.node.borrow_mut().apply_from_store(update, now);
     }
 
     async fn call(&mut self, path: &str, limit: Duration) -> Result<Bytes, StoreError> {
--- /dev/null
+++ b/crates/relay/tests/fleet_node.rs
@@ -0,0 +1,82 @@
+//! What a daemon tells its peers about the store.
+
+use std::net::Ipv4Addr;
+
+use slog::{Discard, Logger, o};
+use weirhinge_fleet::{Millis, PeerRole, TargetRecord, TargetState, Update, VersionedTarget};
+use weirhinge_relay::{FleetNode, RawSettings};
+
+const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+
+fn node(address: Ipv4Addr, role: PeerRole) -> FleetNode {
+    let text = |port: u16| Some(format!("{address}:{port}"));
+    let raw = RawSettings {
+        name: Some(address.to_string()),
+        zone: Some("a".to_owned()),
+        address: Some(address.to_string()),
+        packets: text(1),
+        readiness: text(2),
+        peer_port: Some(3),
+        store: text(4),
+        seeds: Some(vec![format!("{BALANCER}:3")]),
+        ..RawSettings::default()
+    };
+    let settings = raw.into_balancer("test").expect("settings").common;
+    FleetNode::with_seed(&settings, role, Logger::root(Discard, o!()), 1)
+}
+
+fn machine(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 1, number)
+}
+
+fn target(number: u8, revision: u64) -> VersionedTarget {
+    VersionedTarget {
+        id: format!("target-{number}"),
+        revision,
+        present: true,
+        record: Some(TargetRecord {
+            service: "sheets".to_owned(),
+            address: machine(number).to_bits(),
+            zone: "a".to_owned(),
+            slots: 5,
+            state: TargetState::Ready,
+            warm_up_ms: 0,
+        }),
+    }
+}
+
+fn update(after: u64, through: u64, targets: Vec<VersionedTarget>) -> Update {
+    Update { after, through, complete: after == 0, age_ms: 0, configuration: None, targets }
+}
+
+/// Agents once learned of their targets' size from their next digest, up to half a
+/// second and, after a restart, two and a half seconds later.
+#[test]
+fn agents_are_told_of_new_records_at_once() {
+    let now: Millis = 5_000;
+    let mut balancer = node(BALANCER, PeerRole::Balancer);
+    balancer.apply_from_store(update(0, 3, vec![target(1, 2), target(2, 3)]), now);
+    assert_eq!(balancer.take_recorded(), [machine(1), machine(2)]);
+    assert!(balancer.take_recorded().is_empty(), "told once");
+    balancer.apply_from_store(update(3, 4, vec![target(2, 4)]), now + 100);
+    assert_eq!(balancer.take_recorded(), [machine(2)]);
+    balancer.apply_from_store(update(4, 4, Vec::new()), now + 200);
+    assert!(balancer.take_recorded().is_empty());
+    let mut agent = node(machine(2), PeerRole::Agent);
+    assert!(agent.on_digest(&balancer.digest(false, now + 200), now + 201).fetch);
+}
+
+#[test]
+fn what_peers_say_is_not_told_to_agents_again() {
+    let mut balancer = node(BALANCER, PeerRole::Balancer);
+    balancer.apply(update(0, 3, vec![target(1, 2)]), "peer", 5_000);
+    assert!(balancer.take_recorded().is_empty());
+}
+
+#[test]
+fn a_listing_of_many_targets_is_not_told_to_all_at_once() {
+    let mut balancer = node(BALANCER, PeerRole::Balancer);
+    let many = (0..200).map(|number| target(number, 2)).collect();
+    balancer.apply_from_store(update(0, 3, many), 5_000);
+    assert!(balancer.take_recorded().len() <= 64);
+}
--- a/crates/relay/tests/fleet_scale.rs
+++ b/crates/relay/tests/fleet_scale.rs
@@ -175,7 +175,7 @@
         let now = self.now;
         let update = self.store_update(after);
         let node = &mut self.daemons[place].node;
-        node.apply(update, "store", now);
+        node.apply_from_store(update, now);
         node.reading = true;
         self.spread(place);
         self.schedule(now + 250, place, Event::Poll);
@@ -241,7 +241,9 @@
     }
 
     fn spread(&mut self, place: usize) {
-        for receiver in self.daemons[place].node.news_receivers() {
+        let node = &mut self.daemons[place].node;
+        let recorded = node.take_recorded();
+        for receiver in node.news_receivers().into_iter().chain(recorded) {
             self.send_digest(place, receiver, false);
         }
     }
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -1,5 +1,6 @@
 //! An agent's decisions about packets to and from the target beside it.
 
+mod admission;
 mod decision;
 mod deliveries;
 mod flow;
@@ -15,6 +16,7 @@
 
 use crate::packet::{FlowKey, PacketHead};
 use crate::waiting_room::WaitingRoom;
+use admission::Admission;
 use deliveries::Deliveries;
 use flow::Flow;
 
@@ -29,10 +31,6 @@
 /// A request without an answer for this long no longer counts: its client gave up
 /// or its answer was not seen.
 const LONGEST_REQUEST_MS: Millis = 3_000;
-/// Requests in hand, in percent of the slots, at which new flows wait.
-const ROOM_PERCENT: u32 = 150;
-/// The same for flows of urgent routes.
-const URGENT_ROOM_PERCENT: u32 = 250;
 /// Time in which a target sends back a packet that it does not hold the flow of,
 /// with room for a busy machine.
 const BOUNCE_MS: Millis = 30;
@@ -60,8 +58,7 @@
     searches: VecDeque<(Millis, FlowKey)>,
     /// When the target last wrote anything.
     wrote_at: Option<Millis>,
-    /// Requests that the target works on at once; none if not known.
-    slots: Option<u32>,
+    admission: Admission,
     leaving: bool,
 }
 
@@ -78,7 +75,7 @@
             openings: WaitingRoom::default(),
             searches: VecDeque::new(),
             wrote_at: None,
-            slots: None,
+            admission: Admission::default(),
             leaving: false,
         }
     }
@@ -100,7 +97,7 @@
 
     /// Notes how many requests the target works on at once.
     pub fn set_slots(&mut self, slots: u32) {
-        self.slots = Some(slots);
+        self.admission.set_slots(slots);
     }
 
     /// Decides about a client's packet that a balancer sent.
@@ -113,7 +110,7 @@
                 return DeliveryDecision::Return(ReturnReason::Leaving);
             }
             let is_new = !self.flows.contains_key(&arrival.head.client_flow());
-            if is_new && is_busy(self.slots, self.load(), arrival.urgent) {
+            if is_new && self.admission.is_busy(self.load(), arrival.urgent) {
                 return self.busy_opening(arrival, now);
             }
         }
@@ -132,8 +129,8 @@
             return Some(WaitOutcome::Return(opening));
         }
         let load = self.load();
-        let slots = self.slots;
-        let opening = self.openings.take_first(|urgent| !is_busy(slots, load, urgent))?;
+        let admission = &self.admission;
+        let opening = self.openings.take_first(|urgent| !admission.is_busy(load, urgent))?;
         self.follow(&opening.head, opening.balancer, false, now);
         let echo = self.deliveries.remember(opening.balancer, None);
         Some(WaitOutcome::Deliver(opening, echo))
@@ -195,7 +192,9 @@
         };
         entry.used_at = now;
         let ends = head.flags.fin || head.flags.rst;
-        if (head.length > 0 || ends) && entry.waiting_since.take().is_some() {
+        let answered = if head.length > 0 || ends { entry.waiting_since.take() } else { None };
+        if let Some(since) = answered {
+            self.admission.answered(now.saturating_sub(since), self.waiting);
             self.waiting -= 1;
         }
         let answers_opening = head.flags.syn && head.flags.ack;
@@ -304,12 +303,3 @@
         }
     }
 }
-
-/// Whether new flows must wait. A short queue at the target keeps it at work, a
-/// longer one only ages; urgent flows may make it longer, as requests on flows that
-/// are open already cannot be kept from going before them. A target of unknown size
-/// is never busy.
-fn is_busy(slots: Option<u32>, load: u32, urgent: bool) -> bool {
-    let percent = if urgent { URGENT_ROOM_PERCENT } else { ROOM_PERCENT };
-    slots.is_some_and(|slots| load * 100 >= slots * percent)
-}
--- a/crates/steering/tests/agent.rs
+++ b/crates/steering/tests/agent.rs
@@ -284,13 +284,72 @@
     deliver(&mut beside, &data(flow(51)), 3);
 }
 
+/// After a loss of all machines the targets' records came a second after their first
+/// requests. Without a limit until then, all requests waited in the targets' queues and
+/// none was in time.
 #[test]
-fn a_target_of_unknown_size_is_never_busy() {
+fn a_target_of_unknown_size_has_room_for_a_few() {
     let mut beside = Agent::new(ServiceId::of(SERVICE));
-    for port in 0..200 {
+    for port in 0..4 {
         deliver(&mut beside, &request(port, 0), 0);
     }
-    deliver(&mut beside, &opening(flow(300)), 0);
+    let head = opening(flow(300));
+    let busy = DeliveryDecision::Return(ReturnReason::Busy);
+    assert_eq!(beside.delivery(&arrival(&head), 0), busy);
+    // Urgent flows have more room, and packets of open flows never wait.
+    let urgent = Arrival { urgent: true, ..arrival(&head) };
+    assert!(matches!(beside.delivery(&urgent, 0), DeliveryDecision::Deliver { .. }));
+    for port in 4..200 {
+        deliver(&mut beside, &request(port, 0), 0);
+    }
+}
+
+/// Lets a target of unknown size answer requests, forty at a time, each after `took` ms.
+/// Returns how many requests it then has room for.
+fn room_after_answers(took: u64) -> u32 {
+    let mut beside = Agent::new(ServiceId::of(SERVICE));
+    let mut now = 0;
+    for round in 0..20 {
+        for port in 0..40 {
+            deliver(&mut beside, &request(port, round * 500), now);
+        }
+        now += took;
+        for port in 0..40 {
+            beside.output(&answer(flow(port)), now);
+        }
+    }
+    let mut room = 0;
+    for port in 1_000..1_100 {
+        let head = opening(flow(port));
+        let decision = beside.delivery(&arrival(&head), now);
+        room += u32::from(matches!(decision, DeliveryDecision::Deliver { .. }));
+    }
+    room
+}
+
+#[test]
+fn prompt_answers_give_a_target_of_unknown_size_more_room() {
+    assert!(room_after_answers(60) >= 30, "{}", room_after_answers(60));
+    assert_eq!(room_after_answers(160), 4, "neither prompt nor slow");
+    assert_eq!(room_after_answers(400), 4);
+}
+
+#[test]
+fn a_target_that_slows_down_loses_room_again() {
+    let mut beside = Agent::new(ServiceId::of(SERVICE));
+    for (round, took) in [(0, 50), (1, 50), (2, 300)] {
+        for port in 0..8 {
+            deliver(&mut beside, &request(port, round * 500), u64::from(round) * 1_000);
+        }
+        for port in 0..8 {
+            beside.output(&answer(flow(port)), u64::from(round) * 1_000 + took);
+        }
+    }
+    for port in 0..4 {
+        deliver(&mut beside, &request(port, 5_000), 4_000);
+    }
+    let busy = DeliveryDecision::Return(ReturnReason::Busy);
+    assert_eq!(beside.delivery(&arrival(&opening(flow(300))), 4_000), busy);
 }
 
 #[test]
@@ -344,6 +403,7 @@
 #[test]
 fn memory_for_flows_is_bounded() {
     let mut beside = Agent::new(ServiceId::of(SERVICE));
+    beside.set_slots(1_000_000);
     for port in 0..20_000 {
         deliver(&mut beside, &opening(flow(port)), 0);
         deliver(&mut beside, &data(flow(port)), 0);
