Let openings wait also where there are fewer targets than they pass

Cause: an opening passes three busy targets and then waits for room at the least loaded. With one or two eligible targets, all busy, it never reached the third and was refused within milliseconds.

Ruled out: refusals after a wait (they take 1.1 s), missing routes (resets named refused), the limit for targets of unknown size as such (it made busy what had been overfull before).

Change: an opening that met a busy target waits when no untried target is left.

Test: an_opening_waits_when_the_few_targets_there_are_are_busy, which fails without the change.

Conclusion: the fault was old and hidden, as agents of unknown size had never been busy. It concerns every small service under load.

--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -87,13 +87,25 @@
             return Decision::Reset { sequence: 0, reason: ResetReason::Refused };
         }
         entry.busy_returns += 1;
-        let mut reason = ForwardReason::OpeningReturned;
         if entry.busy_returns >= BUSY_RETURNS {
+            return self.wait_for_room(context, head);
+        }
+        self.choose_target(context, head, ForwardReason::OpeningReturned)
+    }
+
+    /// Sends an opening packet to wait at the least loaded of all targets, also of
+    /// those that were busy.
+    fn wait_for_room(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
+        if let Some(entry) = self.flows.get_mut(&head.client_flow()) {
             entry.has_waited = true;
             entry.tried.clear();
-            reason = ForwardReason::OpeningWaits;
         }
-        self.choose_target(context, head, reason)
+        self.choose_target(context, head, ForwardReason::OpeningWaits)
+    }
+
+    /// Whether an opening packet met a busy target and did not wait for room yet.
+    fn may_wait(&mut self, flow: &FlowKey) -> bool {
+        self.flows.get_mut(flow).is_some_and(|entry| entry.busy_returns > 0 && !entry.has_waited)
     }
 
     /// Chooses a target for an opening packet among those not tried yet.
@@ -118,6 +130,10 @@
         let tier = if untried.answering.is_empty() { &untried.silent } else { &untried.answering };
         let compared = if reason == ForwardReason::OpeningWaits { tier.len() } else { COMPARED };
         let Some(chosen) = cheapest(tier, compared, &self.statuses, now) else {
+            // There may be fewer targets than it passes before it waits.
+            if any_eligible && self.may_wait(&flow) {
+                return self.wait_for_room(context, head);
+            }
             return self.nobody_takes(context, &flow, any_eligible, reason);
         };
         let inputs = SelectionInputs {
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -72,6 +72,26 @@
     assert_eq!(fixture.returned(&head, agent(6), ReturnReason::Busy, LATER + 1_100), refused);
 }
 
+/// With fewer targets than an opening passes before it waits, all of them busy, it was
+/// once refused within milliseconds.
+#[test]
+fn an_opening_waits_when_the_few_targets_there_are_are_busy() {
+    for targets in [1, 2] {
+        let mut fixture = Fixture::new(&Store::with_targets(targets));
+        let head = opening(flow(1));
+        let mut decision = fixture.client(&head, LATER);
+        for _ in 0..targets {
+            assert!(!forwarded(&decision).may_wait());
+            let from = forwarded(&decision).agent;
+            decision = fixture.returned(&head, from, ReturnReason::Busy, LATER + 1);
+        }
+        assert!(forwarded(&decision).may_wait());
+        let from = forwarded(&decision).agent;
+        let refused = Decision::Reset { sequence: 0, reason: ResetReason::Refused };
+        assert_eq!(fixture.returned(&head, from, ReturnReason::Busy, LATER + 1_100), refused);
+    }
+}
+
 #[test]
 fn a_copy_goes_to_another_target_only_while_nobody_answered() {
     let mut fixture = Fixture::new(&Store::with_targets(3));
