Split the relay's large files, and set both daemons up in one place

Change: base.rs sets up clock, log, knowledge, link and metrics for both roles; agent/ has delivery.rs and output.rs, balancer/ has resting.rs, fleet_node/ has contacts.rs, the stand-ins have network.rs; the soak's size follows from its list of targets.

--- /dev/null
+++ b/crates/relay/src/agent/delivery.rs
@@ -0,0 +1,139 @@
+//! The way of packets from peers to the target.
+
+use std::io::ErrorKind;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+use slog::info;
+use weirhinge_fleet::{Millis, PeerMessage, ReturnReason, ServiceId, decode};
+use weirhinge_steering::{Arrival, DeliveryDecision, PacketHead, WaitOutcome};
+
+use super::Daemon;
+use crate::platform::Platform;
+use crate::receive::receive;
+
+impl<P: Platform> Daemon<P> {
+    pub(super) async fn take_peer_messages(self: Rc<Self>) {
+        let take = |datagram: &mut [u8], sender| self.peer_message(datagram, sender);
+        receive(self.link.socket(), take, || {}).await;
+    }
+
+    fn peer_message(&self, datagram: &[u8], sender: Ipv4Addr) {
+        match decode(datagram) {
+            Ok(PeerMessage::Digest(digest)) => self.link.on_digest(&digest, sender),
+            Ok(PeerMessage::Forward { service, search, may_wait, urgent, packet }) => {
+                match self.platform.decode(packet) {
+                    Ok(head) => self.deliver(&Arrival {
+                        head: &head,
+                        packet,
+                        balancer: search
+                            .as_ref()
+                            .map_or(sender, |path| Ipv4Addr::from_bits(path.balancer)),
+                        service: ServiceId(service),
+                        search: search.as_ref().map(|path| path.next.as_slice()),
+                        may_wait,
+                        urgent,
+                    }),
+                    Err(malformed) => self.metrics.dropped.increment(malformed.label()),
+                }
+            }
+            Ok(_) => self.link.refuse_unexpected(),
+            Err(error) => self.link.refuse(error),
+        }
+    }
+
+    pub(super) fn deliver(&self, arrival: &Arrival<'_>) {
+        let now = self.clock.now();
+        let decision = self.core.borrow_mut().delivery(arrival, now);
+        match decision {
+            DeliveryDecision::Deliver { echo, notice } => {
+                self.hand_labelled(arrival.head, arrival.packet, echo, now);
+                if let Some(notice) = notice {
+                    self.send_notice(&notice, now);
+                }
+            }
+            DeliveryDecision::Return(reason) => {
+                self.return_packet(arrival.head, arrival.packet, arrival.balancer, reason, now);
+            }
+            DeliveryDecision::Wait => {
+                let waiting = self.core.borrow().waiting();
+                self.metrics.openings_waited.inc();
+                self.decisions.waits(&arrival.head.client_flow(), waiting, now);
+                self.link.send(arrival.balancer, &PeerMessage::Waits { waiting });
+            }
+            DeliveryDecision::WaitsAlready => {}
+        }
+    }
+
+    /// Lets opening packets that wait go on as far as there is room.
+    pub(super) fn settle_openings(&self) {
+        let now = self.clock.now();
+        loop {
+            let outcome = self.core.borrow_mut().next_outcome(now);
+            match outcome {
+                None => return,
+                Some(WaitOutcome::Deliver(opening, echo)) => {
+                    self.hand_labelled(&opening.head, &opening.packet, echo, now);
+                }
+                Some(WaitOutcome::Return(opening)) => {
+                    let reason = ReturnReason::Busy;
+                    let balancer = opening.balancer;
+                    self.return_packet(&opening.head, &opening.packet, balancer, reason, now);
+                }
+            }
+        }
+    }
+
+    fn hand_labelled(&self, head: &PacketHead, packet: &[u8], echo: u32, now: Millis) {
+        let mut labelled = packet.to_vec();
+        self.platform.write_echo(&mut labelled, echo);
+        if !self.hand_to_target(&labelled) {
+            // Its port is closed: the packet is as good for another target as one
+            // that the target itself sends back.
+            let decision = self.core.borrow_mut().not_taken(&head.client_flow(), echo);
+            self.carry_on(decision, head, packet, now);
+        }
+    }
+
+    /// Whether the target's port is not known to be closed; an error is that of an
+    /// earlier packet.
+    fn hand_to_target(&self, packet: &[u8]) -> bool {
+        match self.target.try_send(packet) {
+            Ok(_) => {
+                self.metrics.delivered.inc();
+                if self.target_gone.replace(false) {
+                    info!(self.log, "agent: target regained"; "event" => "target_regained");
+                }
+                true
+            }
+            Err(error) => {
+                self.metrics.dropped.increment("target_gone");
+                if !self.target_gone.replace(true) {
+                    info!(self.log, "agent: target lost"; "event" => "target_lost",
+                        "reason" => error.to_string());
+                }
+                error.kind() != ErrorKind::ConnectionRefused
+            }
+        }
+    }
+
+    pub(super) fn return_packet(
+        &self,
+        head: &PacketHead,
+        packet: &[u8],
+        balancer: Ipv4Addr,
+        reason: ReturnReason,
+        now: Millis,
+    ) {
+        let label = match reason {
+            ReturnReason::Bounced => "bounced",
+            ReturnReason::OtherService => "other_service",
+            ReturnReason::Leaving => "leaving",
+            ReturnReason::Busy => "busy",
+        };
+        self.metrics.returned.increment(label);
+        self.decisions.returned(&head.client_flow(), label, head.is_opening(), now);
+        let waiting = self.core.borrow().waiting();
+        self.link.send(balancer, &PeerMessage::Returned { reason, waiting, packet });
+    }
+}
--- /dev/null
+++ b/crates/relay/src/agent/mod.rs
@@ -0,0 +1,198 @@
+//! The agent daemon, beside one target.
+
+mod delivery;
+mod output;
+
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use slog::{Logger, info};
+use tokio::net::UdpSocket;
+use weirhinge_fleet::{Millis, PeerRole, ServiceId, TargetClaim};
+use weirhinge_steering::Agent;
+
+use crate::base::Base;
+use crate::clock::Clock;
+use crate::events::DecisionLog;
+use crate::fleet_node::FleetNode;
+use crate::link::PeerLink;
+use crate::metrics::AgentMetrics;
+use crate::platform::Platform;
+use crate::process::{ProcessLog, Signals};
+use crate::reload::{Reloaded, SettingsWatch};
+use crate::settings::{AgentSettings, RawSettings};
+use crate::status::{Status, serve_status};
+
+/// How often waiting opening packets are looked at.
+const OPENINGS_POLL: Duration = Duration::from_millis(60);
+/// How often digests go out and old state is dropped.
+const TICK: Duration = Duration::from_millis(500);
+/// How often digests go out soon after the start.
+const EAGER_TICK: Duration = Duration::from_millis(100);
+/// How long after the start that is.
+const EAGER_MS: Millis = 2_000;
+/// A planned stop goes on for at least this long, so that balancers hear of it.
+const SHORTEST_STOP_MS: Millis = 200;
+/// Left of the stop limit for ending.
+const STOP_MARGIN_MS: Millis = 700;
+/// How often a stopping agent looks whether requests still wait.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+struct Daemon<P> {
+    platform: P,
+    clock: Clock,
+    node: Rc<RefCell<FleetNode>>,
+    core: RefCell<Agent>,
+    /// Receives what the target sends.
+    output: UdpSocket,
+    /// Connected to the target, so that a target that is gone is noticed.
+    target: UdpSocket,
+    target_gone: Cell<bool>,
+    link: Rc<PeerLink>,
+    address: Ipv4Addr,
+    client_port: u16,
+    service: String,
+    leaving: Cell<bool>,
+    metrics: AgentMetrics,
+    decisions: DecisionLog,
+    log: Logger,
+}
+
+/// Runs an agent until it is told to stop.
+///
+/// # Errors
+/// When an address cannot be bound.
+pub async fn run<P: Platform>(
+    platform: P,
+    settings: AgentSettings,
+    settings_file: String,
+    process_log: ProcessLog,
+    mut signals: Signals,
+) -> eyre::Result<()> {
+    let common = settings.common.clone();
+    let (base, agent_metrics) =
+        Base::start(&common, PeerRole::Agent, process_log, AgentMetrics::declare).await?;
+    let Base { clock, log, node, link, metrics } = base;
+    let output = bind(settings.target_output, "the target's output").await?;
+    let target = bind(SocketAddrV4::new(common.address, 0), "the target's input").await?;
+    target
+        .connect(settings.target)
+        .await
+        .wrap_err_with(|| format!("connect to the target at {}", settings.target))?;
+    let status = Status::always(Rc::clone(&node));
+    serve_status(&platform, &common, status.clone(), metrics).await?;
+    let daemon = Rc::new(Daemon {
+        platform,
+        clock,
+        node,
+        core: RefCell::new(Agent::new(ServiceId::of(&settings.service))),
+        output,
+        target,
+        target_gone: Cell::new(false),
+        link,
+        address: common.address,
+        client_port: common.packets.port(),
+        service: settings.service.clone(),
+        leaving: Cell::new(false),
+        metrics: agent_metrics,
+        decisions: DecisionLog::new(log.clone()),
+        log: log.clone(),
+    });
+    tokio::task::spawn_local(Rc::clone(&daemon).take_peer_messages());
+    tokio::task::spawn_local(Rc::clone(&daemon).take_output());
+    tokio::task::spawn_local(Rc::clone(&daemon).watch_openings());
+    tokio::task::spawn_local(Rc::clone(&daemon).tick());
+    let role = (settings.target, settings.target_output, settings.service.clone());
+    let watch = SettingsWatch {
+        file: settings_file,
+        current: common.clone(),
+        read: move |file: &str| {
+            let new = RawSettings::from_file(file)?.into_agent(file)?;
+            let role_unchanged = (new.target, new.target_output, new.service) == role;
+            Ok(Reloaded { common: new.common, role_unchanged })
+        },
+        node: Rc::clone(&daemon.node),
+        log: log.clone(),
+    };
+    tokio::task::spawn_local(watch.run(signals.clone()));
+    info!(log, "agent: started"; "event" => "start", "zone" => &common.zone,
+        "address" => common.address.to_string(), "service" => &settings.service,
+        "target" => settings.target.to_string());
+    signals.stopped().await;
+    status.stop();
+    info!(log, "agent: stopping"; "event" => "stop", "waiting" => daemon.core.borrow().waiting());
+    daemon.leave_when_idle(common.stop_limit_ms).await;
+    info!(log, "agent: stopped"; "event" => "stopped",
+        "waiting" => daemon.core.borrow().waiting());
+    Ok(())
+}
+
+async fn bind(address: SocketAddrV4, what: &str) -> eyre::Result<UdpSocket> {
+    UdpSocket::bind(address).await.wrap_err_with(|| format!("bind {what} at {address}"))
+}
+
+impl<P: Platform> Daemon<P> {
+    /// Ends waits that no output of the target ends.
+    async fn watch_openings(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(OPENINGS_POLL).await;
+            self.settle_openings();
+            self.report_found();
+        }
+    }
+
+    async fn tick(self: Rc<Self>) {
+        loop {
+            let now = self.clock.now();
+            self.core.borrow_mut().expire(now);
+            self.learn_slots();
+            self.renew_claim();
+            self.link.tick();
+            let tick = if now < EAGER_MS { EAGER_TICK } else { TICK };
+            tokio::time::sleep(tick).await;
+        }
+    }
+
+    /// Takes the target's size from its record.
+    fn learn_slots(&self) {
+        let node = self.node.borrow();
+        let candidates = node.view().candidates(ServiceId::of(&self.service)).iter();
+        let own = candidates.copied().find(|candidate| candidate.agent == self.address);
+        if let Some(own) = own {
+            self.core.borrow_mut().set_slots(own.slots);
+        }
+    }
+
+    fn renew_claim(&self) {
+        let core = self.core.borrow();
+        self.metrics.waiting.set(i64::from(core.waiting()));
+        self.metrics.flows.set(core.flow_count() as i64);
+        self.node.borrow_mut().claim = Some(TargetClaim {
+            service: self.service.clone(),
+            alive: !self.target_gone.get(),
+            waiting: core.waiting(),
+            leaving: self.leaving.get(),
+        });
+    }
+
+    /// Takes no new flows, and ends at a moment when no request waits.
+    async fn leave_when_idle(&self, stop_limit_ms: Millis) {
+        self.leaving.set(true);
+        self.core.borrow_mut().leave();
+        self.renew_claim();
+        self.link.tick();
+        let began = self.clock.now();
+        let longest = stop_limit_ms.saturating_sub(STOP_MARGIN_MS);
+        loop {
+            let elapsed = self.clock.now().saturating_sub(began);
+            let idle = self.core.borrow().waiting() == 0;
+            if elapsed >= longest || (elapsed >= SHORTEST_STOP_MS && idle) {
+                return;
+            }
+            tokio::time::sleep(STOP_POLL).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/agent/output.rs
@@ -0,0 +1,100 @@
+//! The way of packets that the target sent or did not take.
+
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use weirhinge_fleet::{Millis, PeerMessage, ReturnReason, ServiceId};
+use weirhinge_steering::{HoldsNotice, OutputDecision, PacketHead};
+
+use super::Daemon;
+use crate::platform::Platform;
+use crate::receive::receive;
+
+impl<P: Platform> Daemon<P> {
+    pub(super) async fn take_output(self: Rc<Self>) {
+        let take = |packet: &mut [u8], _| self.target_packet(packet);
+        let turn = || {
+            self.settle_openings();
+            self.report_found();
+        };
+        receive(&self.output, take, turn).await;
+    }
+
+    fn target_packet(&self, packet: &mut [u8]) {
+        let now = self.clock.now();
+        let head = match self.platform.decode(packet) {
+            Ok(head) => head,
+            Err(malformed) => return self.metrics.dropped.increment(malformed.label()),
+        };
+        let decision = self.core.borrow_mut().output(&head, now);
+        match decision {
+            OutputDecision::ToClient { notice } => {
+                let client = SocketAddrV4::new(*head.destination.ip(), self.client_port);
+                // Like any datagram, it may be lost; the target sends it again.
+                let _ = self.output.try_send_to(packet, client.into());
+                self.metrics.to_clients.inc();
+                if let Some(notice) = notice {
+                    self.send_notice(&notice, now);
+                }
+            }
+            onward => {
+                self.platform.restore_bounced(packet);
+                self.carry_on(onward, &head, packet, now);
+            }
+        }
+    }
+
+    /// Sends a packet that the target did not take where it goes next.
+    pub(super) fn carry_on(
+        &self,
+        decision: OutputDecision,
+        head: &PacketHead,
+        packet: &[u8],
+        now: Millis,
+    ) {
+        match decision {
+            OutputDecision::Return { balancer } => {
+                self.return_packet(head, packet, balancer, ReturnReason::Bounced, now);
+            }
+            OutputDecision::PassOn { agent, path } => {
+                self.metrics.returned.increment("passed_on");
+                self.decisions.passed_on(&head.client_flow(), agent, path.next.len(), now);
+                let message = PeerMessage::Forward {
+                    service: ServiceId::of(&self.service).0,
+                    search: Some(path),
+                    may_wait: false,
+                    urgent: false,
+                    packet,
+                };
+                self.link.send(agent, &message);
+            }
+            OutputDecision::ToClient { .. } => {}
+            OutputDecision::Drop(_) => self.metrics.dropped.increment("unknown_delivery"),
+        }
+    }
+
+    /// Tells balancers that searched what the target was found to hold.
+    pub(super) fn report_found(&self) {
+        let now = self.clock.now();
+        loop {
+            let found = self.core.borrow_mut().next_found(now);
+            match found {
+                Some(notice) => self.send_notice(&notice, now),
+                None => return,
+            }
+        }
+    }
+
+    pub(super) fn send_notice(&self, notice: &HoldsNotice, now: Millis) {
+        let waiting = self.core.borrow().waiting();
+        self.decisions.answered(&notice.flow, notice.confirmed, waiting, now);
+        let flow = notice.flow;
+        let message = PeerMessage::Holds {
+            client: (flow.client.ip().to_bits(), flow.client.port()),
+            service: (flow.service.ip().to_bits(), flow.service.port()),
+            confirmed: notice.confirmed,
+            waiting,
+        };
+        self.link.send(notice.balancer, &message);
+    }
+}
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! The balancer daemon.
 
 mod intake;
+mod resting;
 mod watch;
 
 use std::cell::RefCell;
@@ -20,11 +21,12 @@
 };
 
 use crate::backlog::Backlog;
+use crate::base::Base;
 use crate::clock::Clock;
 use crate::events::{Basis, DecisionLog, Forwarded};
 use crate::fleet_node::FleetNode;
 use crate::link::PeerLink;
-use crate::metrics::{BalancerMetrics, FleetMetrics, StoreMetrics};
+use crate::metrics::{BalancerMetrics, StoreMetrics};
 use crate::platform::Platform;
 use crate::process::{ProcessLog, Signals};
 use crate::reload::{Reloaded, SettingsWatch};
@@ -38,10 +40,6 @@
 const EAGER_TICK: Duration = Duration::from_millis(40);
 /// How long after the start that is.
 const EAGER_MS: Millis = 2_000;
-/// Longest rest between two looks at the packets that wait.
-const LONGEST_REST_MS: Millis = 50;
-/// Shortest such rest, so that many packets share a wake-up.
-const SHORTEST_REST_MS: Millis = 4;
 
 struct Daemon<P> {
     platform: P,
@@ -74,22 +72,15 @@
     process_log: ProcessLog,
     mut signals: Signals,
 ) -> eyre::Result<()> {
-    let clock = Clock::start();
     let common = settings.common.clone();
-    let log = process_log.log.new(slog::o!("node" => common.name.clone()));
-    let mut metrics = Metrics::new();
-    let balancer_metrics = BalancerMetrics::declare(&mut metrics);
-    let fleet_metrics = FleetMetrics::declare(&mut metrics);
-    let store_metrics = StoreMetrics::declare(&mut metrics);
-    metrics.adopt_counter("log_lines_lost", "Log lines without room", process_log.lost);
-    let metrics = metrics.freeze();
-    let node = FleetNode::new(&common, PeerRole::Balancer, log.clone());
-    let node = Rc::new(RefCell::new(node));
+    let declare =
+        |metrics: &mut Metrics| (BalancerMetrics::declare(metrics), StoreMetrics::declare(metrics));
+    let (base, (balancer_metrics, store_metrics)) =
+        Base::start(&common, PeerRole::Balancer, process_log, declare).await?;
+    let Base { clock, log, node, link, metrics } = base;
     let packets = UdpSocket::bind(common.packets)
         .await
         .wrap_err_with(|| format!("bind packets at {}", common.packets))?;
-    let link =
-        PeerLink::start(&common, Rc::clone(&node), clock, fleet_metrics, log.clone()).await?;
     let core = match common.capacity {
         Some(permille) => Balancer::with_processor_share(common.timing, permille),
         None => Balancer::new(common.timing),
@@ -115,7 +106,7 @@
     });
     let reader =
         StoreReader::new(platform, &common, Rc::clone(&node), clock, store_metrics, log.clone());
-    start_tasks(&daemon, reader, status.clone(), &log);
+    start_tasks(&daemon, reader, status.clone());
     let watch = SettingsWatch {
         file: settings_file,
         current: common.clone(),
@@ -138,12 +129,7 @@
     Ok(())
 }
 
-fn start_tasks<P: Platform>(
-    daemon: &Rc<Daemon<P>>,
-    reader: StoreReader<P>,
-    status: Status,
-    log: &Logger,
-) {
+fn start_tasks<P: Platform>(daemon: &Rc<Daemon<P>>, reader: StoreReader<P>, status: Status) {
     let news = Rc::clone(daemon);
     tokio::task::spawn_local(reader.run(move || {
         news.link.spread_news();
@@ -152,7 +138,7 @@
     tokio::task::spawn_local(Rc::clone(daemon).take_datagrams());
     tokio::task::spawn_local(Rc::clone(daemon).continue_resting());
     tokio::task::spawn_local(Rc::clone(daemon).tick());
-    tokio::task::spawn_local(Rc::clone(daemon).watch_isolation(status, log.clone()));
+    tokio::task::spawn_local(Rc::clone(daemon).watch_isolation(status));
     tokio::task::spawn_local(Rc::clone(daemon).watch_pressure());
 }
 
@@ -311,68 +297,6 @@
         }
     }
 
-    /// Goes on with searches that a silent target holds up, and with packets that came
-    /// before it was known where they could go.
-    async fn continue_resting(self: Rc<Self>) {
-        loop {
-            self.rest_until_due().await;
-            let now = self.clock.now();
-            self.continue_searches(now);
-            self.decide_undecided(now);
-        }
-    }
-
-    fn continue_searches(&self, now: Millis) {
-        let due = self.core.borrow_mut().due_searches(now);
-        for (head, packet) in due {
-            let decision = self.decide(now, |core, context| {
-                core.search_again(context, ClientPacket { head: &head, bytes: &packet })
-            });
-            self.carry_out(decision, &head, &packet, now);
-        }
-    }
-
-    fn decide_undecided(&self, now: Millis) {
-        let due = self.decide_with_helpers(now, |core, context| core.due_undecided(context));
-        for (head, packet) in due {
-            let decision = self.decide_with_helpers(now, |core, context| {
-                core.decide_again(context, ClientPacket { head: &head, bytes: &packet })
-            });
-            if let Some(decision) = decision {
-                self.carry_out(decision, &head, &packet, now);
-            }
-        }
-    }
-
-    /// Decides with helpers at hand while this balancer knows no configuration. Later,
-    /// packets that rest here may have been handed off to it.
-    fn decide_with_helpers<T>(
-        &self,
-        now: Millis,
-        decide: impl FnOnce(&mut Balancer, &Context<'_>) -> T,
-    ) -> T {
-        let helpers = self.helpers.borrow();
-        self.decide(now, |core, context| {
-            let helpers = if context.view.label().is_none() { &helpers[..] } else { &[] };
-            decide(core, &Context { helpers, ..*context })
-        })
-    }
-
-    /// Waits for the next packet that is due, also for one that comes meanwhile.
-    async fn rest_until_due(&self) {
-        let began = self.clock.now();
-        let earliest = began + SHORTEST_REST_MS;
-        let latest = began + LONGEST_REST_MS;
-        loop {
-            let due_at = self.core.borrow().next_due().unwrap_or(latest);
-            let rest = due_at.clamp(earliest, latest).saturating_sub(self.clock.now());
-            tokio::select! {
-                () = tokio::time::sleep(Duration::from_millis(rest)) => return,
-                () = self.packet_rests.notified() => {}
-            }
-        }
-    }
-
     async fn tick(self: Rc<Self>) {
         loop {
             let now = self.clock.now();
--- a/crates/relay/src/balancer/watch.rs
+++ b/crates/relay/src/balancer/watch.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use slog::{Logger, info};
+use slog::info;
 use weirhinge_fleet::Millis;
 
 use super::Daemon;
@@ -30,7 +30,7 @@
 
 impl<P: Platform> Daemon<P> {
     /// Is not ready while cut off from all agents, so that routers use others.
-    pub(super) async fn watch_isolation(self: Rc<Self>, status: Status, log: Logger) {
+    pub(super) async fn watch_isolation(self: Rc<Self>, status: Status) {
         let mut polled_at = self.clock.now();
         loop {
             tokio::time::sleep(ISOLATION_POLL).await;
@@ -43,7 +43,7 @@
             }
             let isolated = self.core.borrow().is_isolated(now);
             if status.set_isolated(isolated) {
-                info!(log, "balancer: reach of agents changed"; "event" => "isolation",
+                info!(self.log, "balancer: reach of agents changed"; "event" => "isolation",
                     "isolated" => isolated);
             }
         }
@@ -69,12 +69,11 @@
     pub(super) fn choose_helpers(&self, now: Millis) {
         let pressed = self.backlog.borrow().is_pressed(now);
         let helpers = self.node.borrow().helpers_now(pressed, now);
-        let before = self.helpers.replace(helpers);
-        let now = self.helpers.borrow();
-        if *now != before {
-            let names: Vec<String> = now.iter().map(Ipv4Addr::to_string).collect();
+        if *self.helpers.borrow() != helpers {
+            let names: Vec<String> = helpers.iter().map(Ipv4Addr::to_string).collect();
             info!(self.log, "balancer: helpers changed"; "event" => "helpers",
                 "helpers" => names.join(" "), "handed_off" => self.metrics.handed_off.get());
+            self.helpers.replace(helpers);
         }
     }
 
--- a/crates/relay/src/fleet_node.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -1,10 +1,11 @@
 //! What this daemon knows, and how it keeps in step with its peers.
 
+mod contacts;
+
 use std::cell::RefCell;
 use std::net::Ipv4Addr;
 
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use slog::{Logger, info};
 use weirhinge_fleet::{
@@ -17,32 +18,9 @@
 
 /// A digest this much fresher than what was known is passed on.
 const NEWS_MS: Millis = 300;
-/// Peers that get news at once.
-const FAN_OUT: usize = 6;
 /// Agents told at once that the store has a new record of their target; the others
 /// learn of it from their next digest.
 const AGENTS_TOLD: usize = 64;
-/// Agents asked when the store's word became fresh.
-const AGENTS_ASKED: usize = 64;
-/// Balancers that an agent keeps in touch with, all of them in a small fleet.
-const AGENT_CONTACTS: usize = 8;
-/// Balancers, drawn anew, that an agent of a larger fleet speaks to at a tick.
-const AGENT_CONTACTS_A_TICK: usize = 3;
-/// Balancers that a daemon needs to know to be well connected.
-const ENOUGH_BALANCERS: usize = 3;
-/// A daemon that knows enough balancers asks a silent seed at one tick in so many,
-/// which joins fleets that lost each other.
-const SEED_EVERY: u32 = 60;
-/// Time after the start in which seeds are asked at every tick.
-const EAGER_MS: Millis = 3_000;
-
-/// How many times this daemon's processor time a peer has to whom packets are
-/// handed off.
-const HELPER_CAPACITY: u32 = 3;
-/// Most balancers that help one which knows no configuration.
-const MOST_HELPERS: usize = 4;
-/// A helper that was silent for this long gets no packets.
-const HELPER_SILENCE_MS: Millis = 700;
 
 /// What a digest calls for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -278,81 +256,6 @@
         reader::should_read(&inputs, &self.timing)
     }
 
-    /// Peers that get news at once.
-    pub fn news_receivers(&self) -> Vec<Ipv4Addr> {
-        let balancers: Vec<Ipv4Addr> = self.peers.balancers().collect();
-        self.choose(&balancers, FAN_OUT)
-    }
-
-    /// Agents of known targets, to be asked what stands beside them.
-    pub fn agents_to_ask(&self) -> Vec<Ipv4Addr> {
-        self.choose(&self.view.agents(), AGENTS_ASKED)
-    }
-
-    /// Balancers of this zone with far more processor time than this one.
-    pub fn helpers(&self) -> Vec<Ipv4Addr> {
-        self.capable().map(|(address, _)| address).collect()
-    }
-
-    /// Balancers to whom packets of unknown flows are handed off: those that know a
-    /// configuration while this daemon knows none, and far stronger ones of the zone
-    /// while it is pressed.
-    pub fn helpers_now(&self, pressed: bool, now: Millis) -> Vec<Ipv4Addr> {
-        let answers = |heard_at: Millis| now.saturating_sub(heard_at) < HELPER_SILENCE_MS;
-        if self.knows_nothing() {
-            let configured = self.peers.configured().filter(|(_, heard_at)| answers(*heard_at));
-            return configured.map(|(address, _)| address).take(MOST_HELPERS).collect();
-        }
-        if !pressed {
-            return Vec::new();
-        }
-        let capable = self.capable().filter(|(_, heard_at)| answers(*heard_at));
-        capable.map(|(address, _)| address).collect()
-    }
-
-    /// Whether no configuration is known yet.
-    pub fn knows_nothing(&self) -> bool {
-        self.view.label().is_none()
-    }
-
-    /// All known balancers of this zone.
-    pub fn zone_peers(&self) -> Vec<Ipv4Addr> {
-        self.peers.in_zone(self.zone).collect()
-    }
-
-    fn capable(&self) -> impl Iterator<Item = (Ipv4Addr, Millis)> {
-        // Without a capacity of its own a daemon has nothing to compare.
-        let enough = self.capacity.map_or(u32::MAX, |own| own.saturating_mul(HELPER_CAPACITY));
-        self.peers.capable(self.zone, enough)
-    }
-
-    /// Peers that get this daemon's digest at a tick, each with whether it is asked
-    /// for its own.
-    pub fn tick_receivers(&mut self, now: Millis) -> Vec<(Ipv4Addr, bool)> {
-        self.peers.expire(now);
-        let balancers: Vec<Ipv4Addr> = self.peers.balancers().collect();
-        let contacts = match self.role {
-            PeerRole::Agent if balancers.len() > AGENT_CONTACTS => AGENT_CONTACTS_A_TICK,
-            PeerRole::Agent => AGENT_CONTACTS,
-            PeerRole::Balancer => 2,
-        };
-        let mut receivers = self.choose(&balancers, contacts);
-        let silent: Vec<Ipv4Addr> = self.peers.silent_seeds().collect();
-        let is_lonely = now < EAGER_MS || balancers.is_empty();
-        let is_connected = balancers.len() >= ENOUGH_BALANCERS;
-        let asked = match (is_lonely, is_connected) {
-            (true, _) => silent.len(),
-            (false, true) => usize::from(self.random.borrow_mut().random_ratio(1, SEED_EVERY)),
-            (false, false) => 1,
-        };
-        receivers.extend(self.choose(&silent, asked));
-        receivers.sort();
-        receivers.dedup();
-        let knows_nothing = self.replica.revision() == 0;
-        let ask = |receiver| knows_nothing || self.peers.is_due(receiver, now);
-        receivers.into_iter().map(|receiver| (receiver, ask(receiver))).collect()
-    }
-
     fn note_freshness(&mut self, now: Millis) {
         // Agents decide nothing by the age of what they know.
         if self.role == PeerRole::Agent {
@@ -373,10 +276,6 @@
         }
     }
 
-    fn choose(&self, addresses: &[Ipv4Addr], count: usize) -> Vec<Ipv4Addr> {
-        addresses.sample(&mut *self.random.borrow_mut(), count).copied().collect()
-    }
-
     /// Notices that time alone made the knowledge old.
     pub fn check_freshness(&mut self, now: Millis) {
         self.note_freshness(now);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod backlog;
 mod balancer;
+mod base;
 mod clock;
 mod events;
 mod fleet_node;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,8 +13,12 @@
 use crate::record::{Entry, Outcome, Record};
 use crate::verdict::{Drain, Evidence, Span, TargetHistory, Violation, excuse, judge};
 
+/// Balancers of the deployment that soaks.
+const BALANCERS: u8 = 3;
+/// The service of each of its targets.
+const TARGETS: [&str; 5] = [SERVICES[0], SERVICES[0], SERVICES[0], SERVICES[1], SERVICES[1]];
 /// Balancers and targets of the deployment that soaks.
-pub const SIZE: Size = Size { balancers: 3, targets: 5 };
+pub const SIZE: Size = Size { balancers: BALANCERS as usize, targets: TARGETS.len() };
 /// Time between episodes, in which everything must be served again.
 const SETTLE: Duration = Duration::from_secs(7);
 /// Bound on a configuration, and what a look at it may be late by.
@@ -68,10 +72,9 @@
 /// # Errors
 /// When the deployment cannot be started or a fault cannot be brought about.
 pub async fn soak(program: &Path, options: Options) -> eyre::Result<Report> {
-    let [first, second] = SERVICES;
     let plan = FleetPlan {
-        balancers: 3,
-        targets: vec![first, first, first, second, second],
+        balancers: BALANCERS,
+        targets: TARGETS.to_vec(),
         hash: if options.seed.is_multiple_of(2) { RouterHash::Steady } else { RouterHash::Mod },
         processor_shares: Vec::new(),
     };
--- a/crates/steering/tests/agent.rs
+++ b/crates/steering/tests/agent.rs
@@ -1,61 +1,15 @@
-//! The agent's decisions: the check of the service, bounces, room, notices.
+//! The agent's decisions: the check of the service, bounces, requests, notices.
 
 mod support;
 
+use support::beside::{answer, arrival, deliver, fill, new_agent, output, request};
 use support::{OTHER, SERVICE, agent, data, flow, opening, packet};
 use weirhinge_fleet::{ReturnReason, SearchPath, ServiceId};
 use weirhinge_steering::{
-    Agent, Arrival, DeliveryDecision, Flags, FlowKey, HoldsNotice, OutputDecision, OutputDrop,
-    PacketHead, WaitOutcome,
+    Agent, Arrival, DeliveryDecision, Flags, HoldsNotice, OutputDecision, OutputDrop, PacketHead,
+    WaitOutcome,
 };
 
-fn new_agent() -> Agent {
-    let mut agent = Agent::new(ServiceId::of(SERVICE));
-    agent.set_slots(4);
-    agent
-}
-
-fn arrival(head: &PacketHead) -> Arrival<'_> {
-    Arrival {
-        head,
-        packet: b"packet",
-        balancer: agent(100),
-        service: ServiceId::of(SERVICE),
-        search: None,
-        may_wait: false,
-        urgent: false,
-    }
-}
-
-fn deliver(agent: &mut Agent, head: &PacketHead, now: u64) -> u32 {
-    match agent.delivery(&arrival(head), now) {
-        DeliveryDecision::Deliver { echo, .. } => echo,
-        other => panic!("expected a delivery, got {other:?}"),
-    }
-}
-
-/// A packet of the target on a flow.
-fn output(flow: FlowKey, flags: Flags, length: u16) -> PacketHead {
-    let head = packet(flow, flags, length);
-    PacketHead { source: head.destination, destination: head.source, ..head }
-}
-
-fn answer(flow: FlowKey) -> PacketHead {
-    output(flow, Flags { ack: true, ..Flags::default() }, 400)
-}
-
-fn request(port: u16, sequence: u32) -> PacketHead {
-    PacketHead { sequence, ..data(flow(port)) }
-}
-
-/// Fills the room of six: four slots and half as many again.
-fn fill(agent: &mut Agent) {
-    for port in 0..6 {
-        deliver(agent, &request(port, 0), 0);
-    }
-    assert_eq!(agent.waiting(), 6);
-}
-
 #[test]
 fn an_opening_packet_for_another_service_goes_back() {
     let mut beside = new_agent();
@@ -269,124 +223,6 @@
     assert_eq!((beside.waiting(), beside.flow_count()), (0, 0));
 }
 
-#[test]
-fn a_busy_target_sends_openings_back_unless_they_may_wait() {
-    let mut beside = new_agent();
-    fill(&mut beside);
-    let head = opening(flow(50));
-    let busy = DeliveryDecision::Return(ReturnReason::Busy);
-    assert_eq!(beside.delivery(&arrival(&head), 1), busy);
-    let may_wait = Arrival { may_wait: true, ..arrival(&head) };
-    assert_eq!(beside.delivery(&may_wait, 1), DeliveryDecision::Wait);
-    assert_eq!(beside.delivery(&arrival(&head), 2), DeliveryDecision::WaitsAlready);
-    assert_eq!(beside.next_outcome(3), None);
-    // Packets of open flows never wait.
-    deliver(&mut beside, &data(flow(51)), 3);
-}
-
-/// After a loss of all machines the targets' records came a second after their first
-/// requests. Without a limit until then, all requests waited in the targets' queues and
-/// none was in time.
-#[test]
-fn a_target_of_unknown_size_has_room_for_a_few() {
-    let mut beside = Agent::new(ServiceId::of(SERVICE));
-    for port in 0..4 {
-        deliver(&mut beside, &request(port, 0), 0);
-    }
-    let head = opening(flow(300));
-    let busy = DeliveryDecision::Return(ReturnReason::Busy);
-    assert_eq!(beside.delivery(&arrival(&head), 0), busy);
-    // Urgent flows have more room, and packets of open flows never wait.
-    let urgent = Arrival { urgent: true, ..arrival(&head) };
-    assert!(matches!(beside.delivery(&urgent, 0), DeliveryDecision::Deliver { .. }));
-    for port in 4..200 {
-        deliver(&mut beside, &request(port, 0), 0);
-    }
-}
-
-/// Lets a target of unknown size answer requests, forty at a time, each after `took` ms.
-/// Returns how many requests it then has room for.
-fn room_after_answers(took: u64) -> u32 {
-    let mut beside = Agent::new(ServiceId::of(SERVICE));
-    let mut now = 0;
-    for round in 0..20 {
-        for port in 0..40 {
-            deliver(&mut beside, &request(port, round * 500), now);
-        }
-        now += took;
-        for port in 0..40 {
-            beside.output(&answer(flow(port)), now);
-        }
-    }
-    let mut room = 0;
-    for port in 1_000..1_100 {
-        let head = opening(flow(port));
-        let decision = beside.delivery(&arrival(&head), now);
-        room += u32::from(matches!(decision, DeliveryDecision::Deliver { .. }));
-    }
-    room
-}
-
-#[test]
-fn prompt_answers_give_a_target_of_unknown_size_more_room() {
-    assert!(room_after_answers(60) >= 30, "{}", room_after_answers(60));
-    assert_eq!(room_after_answers(160), 4, "neither prompt nor slow");
-    assert_eq!(room_after_answers(400), 4);
-}
-
-#[test]
-fn a_target_that_slows_down_loses_room_again() {
-    let mut beside = Agent::new(ServiceId::of(SERVICE));
-    for (round, took) in [(0, 50), (1, 50), (2, 300)] {
-        for port in 0..8 {
-            deliver(&mut beside, &request(port, round * 500), u64::from(round) * 1_000);
-        }
-        for port in 0..8 {
-            beside.output(&answer(flow(port)), u64::from(round) * 1_000 + took);
-        }
-    }
-    for port in 0..4 {
-        deliver(&mut beside, &request(port, 5_000), 4_000);
-    }
-    let busy = DeliveryDecision::Return(ReturnReason::Busy);
-    assert_eq!(beside.delivery(&arrival(&opening(flow(300))), 4_000), busy);
-}
-
-#[test]
-fn the_newest_waiting_opening_goes_first_when_there_is_room() {
-    let mut beside = new_agent();
-    fill(&mut beside);
-    for port in [50, 51] {
-        let head = opening(flow(port));
-        beside.delivery(&Arrival { may_wait: true, ..arrival(&head) }, u64::from(port));
-    }
-    beside.output(&answer(flow(0)), 60);
-    let Some(WaitOutcome::Deliver(first, _)) = beside.next_outcome(60) else {
-        panic!("expected a delivery");
-    };
-    assert_eq!(first.head.client_flow(), flow(51));
-    // The admitted flow's request is expected and takes the room.
-    assert_eq!(beside.next_outcome(61), None);
-    // It never comes: the room is free again.
-    let Some(WaitOutcome::Deliver(second, _)) = beside.next_outcome(130) else {
-        panic!("expected a delivery");
-    };
-    assert_eq!(second.head.client_flow(), flow(50));
-}
-
-#[test]
-fn an_opening_that_waited_too_long_goes_back() {
-    let mut beside = new_agent();
-    fill(&mut beside);
-    let head = opening(flow(50));
-    beside.delivery(&Arrival { may_wait: true, ..arrival(&head) }, 0);
-    assert_eq!(beside.next_outcome(1_000), None);
-    let Some(WaitOutcome::Return(opening)) = beside.next_outcome(1_100) else {
-        panic!("expected a return");
-    };
-    assert_eq!(opening.balancer, agent(100));
-}
-
 #[test]
 fn a_stopping_agent_takes_no_new_flow_and_keeps_its_own() {
     let mut beside = new_agent();
@@ -410,50 +246,3 @@
     }
     assert!(beside.flow_count() <= 8_192);
 }
-
-#[test]
-fn a_copy_waits_behind_first_packets_and_still_goes_back_in_time() {
-    let mut beside = new_agent();
-    fill(&mut beside);
-    let first = opening(flow(50));
-    beside.delivery(&Arrival { may_wait: true, ..arrival(&first) }, 0);
-    let copy = PacketHead { acknowledgment: 1, ..opening(flow(51)) };
-    beside.delivery(&Arrival { may_wait: true, ..arrival(&copy) }, 500);
-    // The first packet is due although the copy stands at the end it leaves from.
-    let Some(WaitOutcome::Return(returned)) = beside.next_outcome(1_100) else {
-        panic!("expected a return");
-    };
-    assert_eq!(returned.head.client_flow(), flow(50));
-    beside.output(&answer(flow(0)), 1_200);
-    let Some(WaitOutcome::Deliver(delivered, _)) = beside.next_outcome(1_200) else {
-        panic!("expected a delivery");
-    };
-    assert_eq!(delivered.head.client_flow(), flow(51));
-}
-
-/// Requests on open flows cannot be kept back, so that in a burst approvals, which
-/// open a flow each, waited for feeds.
-#[test]
-fn urgent_openings_find_room_where_others_wait_and_go_first() {
-    let mut beside = new_agent();
-    fill(&mut beside);
-    let urgent = |port| opening(flow(port));
-    let head = urgent(60);
-    let decision = beside.delivery(&Arrival { urgent: true, ..arrival(&head) }, 0);
-    assert!(matches!(decision, DeliveryDecision::Deliver { .. }));
-    // Ten in hand are too many for urgent ones too.
-    for port in 61..64 {
-        deliver(&mut beside, &request(port, 0), 0);
-    }
-    for (port, urgent) in [(70, true), (71, false)] {
-        let head = opening(flow(port));
-        beside.delivery(&Arrival { may_wait: true, urgent, ..arrival(&head) }, 1);
-    }
-    assert_eq!(beside.next_outcome(2), None);
-    beside.output(&answer(flow(0)), 3);
-    let Some(WaitOutcome::Deliver(first, _)) = beside.next_outcome(3) else {
-        panic!("expected a delivery");
-    };
-    assert_eq!(first.head.client_flow(), flow(70));
-    assert_eq!(beside.next_outcome(4), None);
-}
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -2,12 +2,13 @@
 
 #![allow(dead_code, unused_imports)]
 
+pub mod beside;
 mod fixture;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use weirhinge_fleet::{
-    Configuration, Replica, Route, RoutePart, TargetRecord, TargetState, Update,
+    Configuration, Replica, Route, RoutePart, TargetClaim, TargetRecord, TargetState, Update,
     VersionedConfiguration, VersionedTarget,
 };
 use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, Locality, PacketHead};
@@ -141,3 +142,7 @@
         }
     }
 }
+
+pub fn claim(service: &str) -> TargetClaim {
+    TargetClaim { service: service.to_owned(), alive: true, waiting: 0, leaving: false }
+}
