Let the newest opening wait in a full room, and do not let mute agents hold flows up

A silence in a row of agents was put down to the first one, whose target may hold flows, so no flow was given up from 36.4 to 38.8 s, until the claims expired.

Change: a full room displaces the opening that would go last. After a silence in a row each agent is asked alone, the first one last; one that stays silent alone counts as mute for 3 s: it is asked last, and not at all if only its own word speaks for it and the store's word is fresh. An agent looks for its target's size at each opening while it does not know it.

--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -6,7 +6,7 @@
 
 use slog::info;
 use weirhinge_fleet::{Millis, PeerMessage, ReturnReason, ServiceId, decode};
-use weirhinge_steering::{Arrival, DeliveryDecision, PacketHead, WaitOutcome};
+use weirhinge_steering::{Arrival, DeliveryDecision, PacketHead, WaitOutcome, WaitedOpening};
 
 use super::Daemon;
 use crate::platform::Platform;
@@ -44,6 +44,9 @@
 
     pub(super) fn deliver(&self, arrival: &Arrival<'_>) {
         let now = self.clock.now();
+        if arrival.head.is_opening() && !self.core.borrow().is_sized() {
+            self.learn_slots();
+        }
         let decision = self.core.borrow_mut().delivery(arrival, now);
         match decision {
             DeliveryDecision::Deliver { echo, notice } => {
@@ -55,7 +58,10 @@
             DeliveryDecision::Return(reason) => {
                 self.return_packet(arrival.head, arrival.packet, arrival.balancer, reason, now);
             }
-            DeliveryDecision::Wait => {
+            DeliveryDecision::Wait { displaced } => {
+                if let Some(opening) = displaced {
+                    self.return_opening(&opening, now);
+                }
                 let waiting = self.core.borrow().waiting();
                 self.metrics.openings_waited.inc();
                 self.decisions.waits(&arrival.head.client_flow(), waiting, now);
@@ -75,15 +81,16 @@
                 Some(WaitOutcome::Deliver(opening, echo)) => {
                     self.hand_labelled(&opening.head, &opening.packet, echo, now);
                 }
-                Some(WaitOutcome::Return(opening)) => {
-                    let reason = ReturnReason::Busy;
-                    let balancer = opening.balancer;
-                    self.return_packet(&opening.head, &opening.packet, balancer, reason, now);
-                }
+                Some(WaitOutcome::Return(opening)) => self.return_opening(&opening, now),
             }
         }
     }
 
+    fn return_opening(&self, opening: &WaitedOpening, now: Millis) {
+        let reason = ReturnReason::Busy;
+        self.return_packet(&opening.head, &opening.packet, opening.balancer, reason, now);
+    }
+
     fn hand_labelled(&self, head: &PacketHead, packet: &[u8], echo: u32, now: Millis) {
         let mut labelled = packet.to_vec();
         self.platform.write_echo(&mut labelled, echo);
--- a/crates/steering/src/agent/admission.rs
+++ b/crates/steering/src/agent/admission.rs
@@ -31,6 +31,11 @@
 }
 
 impl Admission {
+    /// Whether the size of the target is known.
+    pub(super) fn is_sized(&self) -> bool {
+        self.slots.is_some()
+    }
+
     /// Notes how many requests the target works on at once.
     pub(super) fn set_slots(&mut self, slots: u32) {
         self.slots = Some(slots);
--- a/crates/steering/src/agent/decision.rs
+++ b/crates/steering/src/agent/decision.rs
@@ -37,7 +37,7 @@
 }
 
 /// What to do with a packet for the target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DeliveryDecision {
     /// Hand it to the target under this label.
     Deliver {
@@ -50,7 +50,10 @@
     /// Send it back to the balancer.
     Return(ReturnReason),
     /// It waits here until the target has room.
-    Wait,
+    Wait {
+        /// The opening packet that made room for it and goes back to its balancer.
+        displaced: Option<Box<WaitedOpening>>,
+    },
     /// A copy of it waits here already.
     WaitsAlready,
 }
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -95,6 +95,11 @@
         self.leaving = true;
     }
 
+    /// Whether it is known how many requests the target works on at once.
+    pub fn is_sized(&self) -> bool {
+        self.admission.is_sized()
+    }
+
     /// Notes how many requests the target works on at once.
     pub fn set_slots(&mut self, slots: u32) {
         self.admission.set_slots(slots);
@@ -149,11 +154,11 @@
         if self.openings.has(&arrival.head.client_flow()) {
             return DeliveryDecision::WaitsAlready;
         }
-        if !arrival.may_wait || self.openings.is_full() {
+        if !arrival.may_wait {
             return DeliveryDecision::Return(ReturnReason::Busy);
         }
-        self.openings.add(arrival, now);
-        DeliveryDecision::Wait
+        let displaced = self.openings.add(arrival, now).map(Box::new);
+        DeliveryDecision::Wait { displaced }
     }
 
     /// Requests in hand and those that admitted flows are about to bring.
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -10,6 +10,8 @@
 const UNANSWERED_MS: Millis = 150;
 /// How often a passed-over agent is tried again.
 const RETRY_MS: Millis = 700;
+/// How long an agent that left a search unanswered is asked last.
+const MUTE_MS: Millis = 3_000;
 /// How long an agent's word about its target counts.
 const CLAIM_LIFETIME_MS: Millis = 2_500;
 /// How long after the last sign of life an agent is forgotten.
@@ -25,6 +27,8 @@
     /// When the oldest opening packet without an answer was sent.
     unanswered_since: Option<Millis>,
     last_tried: Millis,
+    /// When it last left a searching packet unanswered, and was not heard since.
+    ignored_search_at: Option<Millis>,
     leaving: bool,
     claim: Option<(ServiceId, Millis)>,
 }
@@ -79,6 +83,7 @@
         status.waiting = waiting;
         status.sent_since = 0;
         status.unanswered_since = None;
+        status.ignored_search_at = None;
         self.any_heard_at = Some(now);
         self.unanswered = 0;
         self.unanswered_since = None;
@@ -118,6 +123,18 @@
         status.leaving || (waits_long && !rested)
     }
 
+    /// Records that an agent, asked alone, left a searching packet unanswered.
+    pub fn ignored_search(&mut self, agent: Ipv4Addr, now: Millis) {
+        self.statuses.entry(agent).or_default().ignored_search_at = Some(now);
+    }
+
+    /// Whether an agent left a searching packet unanswered lately: its target does not
+    /// answer, though the agent itself may say that it does.
+    pub fn is_mute(&self, agent: Ipv4Addr, now: Millis) -> bool {
+        let ignored_at = self.statuses.get(&agent).and_then(|status| status.ignored_search_at);
+        ignored_at.is_some_and(|at| now.saturating_sub(at) < MUTE_MS)
+    }
+
     /// Requests believed to wait at the agent's target.
     pub fn load(&self, agent: Ipv4Addr) -> u32 {
         self.statuses.get(&agent).map_or(0, |status| status.waiting + status.sent_since)
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -47,7 +47,9 @@
         let tried = self.flows.tried(&flow);
         let order = self.search_order(context, route.services(), flow.hash());
         let untried = order.into_iter().filter(|place| !tried.contains(&place.agent));
-        let untried: Vec<SearchPlace> = untried.collect();
+        let mut untried: Vec<SearchPlace> = untried.collect();
+        let deferred = self.flows.get_mut(&flow).and_then(|entry| entry.deferred);
+        untried.sort_by_key(|place| Some(place.agent) == deferred);
         let Some(first) = untried.first() else {
             return self.search_failed(context, &flow, head);
         };
@@ -80,11 +82,18 @@
             return self.search(context, head);
         };
         let may_hold = !self.may_be_gone(context.view, &flow, silent, context.now);
-        if let Some(entry) = self.flows.get_mut(&flow) {
-            // Any of those asked in turn may be the one that does not answer.
-            entry.one_by_one |= entry.asked.len() > 1;
+        let Some(entry) = self.flows.get_mut(&flow) else {
+            return self.search(context, head);
+        };
+        if entry.asked.len() > 1 {
+            // Any of those asked in turn may be the one that does not answer: all of
+            // them are asked again, each alone.
+            entry.one_by_one = true;
+            entry.deferred = Some(silent);
+        } else {
             entry.note_tried(silent);
             entry.search_met_silence |= may_hold;
+            self.statuses.ignored_search(silent, context.now);
         }
         self.search(context, head)
     }
@@ -158,8 +167,10 @@
             for candidate in rendezvous_order(flow_hash, candidates) {
                 order.push(self.search_place(service, &candidate, context.now));
             }
+            let certain = self.knows_all_targets(context);
             for agent in self.statuses.claimants(service, context.now) {
-                if !order.iter().any(|place| place.agent == agent) {
+                let is_mute = certain && self.statuses.is_mute(agent, context.now);
+                if !is_mute && !order.iter().any(|place| place.agent == agent) {
                     order.push(SearchPlace { service, agent, is_silent: false, is_far: false });
                 }
             }
@@ -171,7 +182,9 @@
 
     fn search_place(&self, service: ServiceId, candidate: &Candidate, now: Millis) -> SearchPlace {
         let agent = candidate.agent;
-        let is_silent = self.has_left(candidate, now) || self.statuses.is_suspect(agent, now);
+        let is_silent = self.has_left(candidate, now)
+            || self.statuses.is_suspect(agent, now)
+            || self.statuses.is_mute(agent, now);
         SearchPlace { service, agent, is_silent, is_far: !candidate.near }
     }
 
@@ -205,6 +218,7 @@
         entry.tried.clear();
         entry.asked.clear();
         entry.one_by_one = false;
+        entry.deferred = None;
         entry.stage = FlowStage::Unheld;
         // A target that did not answer may hold the flow.
         if std::mem::take(&mut entry.search_met_silence) {
--- a/crates/steering/src/flow_table.rs
+++ b/crates/steering/src/flow_table.rs
@@ -39,6 +39,9 @@
     pub asked: Vec<Ipv4Addr>,
     /// Whether the search asks one agent at a time, as one in a row did not answer.
     pub one_by_one: bool,
+    /// The first agent of a row in which one did not answer: it may not be the one, and
+    /// is asked again after the others.
+    pub deferred: Option<Ipv4Addr>,
     /// When a search first found that no target held the flow.
     pub unheld_since: Option<Millis>,
     /// Whether the search now under way met a target that did not answer.
@@ -60,6 +63,7 @@
             tried: Vec::new(),
             asked: Vec::new(),
             one_by_one: false,
+            deferred: None,
             unheld_since: None,
             search_met_silence: false,
             busy_returns: 0,
@@ -74,6 +78,7 @@
         self.tried.clear();
         self.asked.clear();
         self.one_by_one = false;
+        self.deferred = None;
         self.unheld_since = None;
         self.search_met_silence = false;
     }
--- a/crates/steering/src/waiting_room.rs
+++ b/crates/steering/src/waiting_room.rs
@@ -42,13 +42,10 @@
         self.openings.iter().any(|opening| opening.head.client_flow() == *flow)
     }
 
-    /// Whether no further packet can wait.
-    pub fn is_full(&self) -> bool {
-        self.openings.len() >= CAPACITY
-    }
-
-    /// Lets a packet wait.
-    pub fn add(&mut self, arrival: &Arrival<'_>, now: Millis) {
+    /// Lets a packet wait. Returns the one that makes room for it, if there is none:
+    /// the one that would go last, and so most likely never.
+    pub fn add(&mut self, arrival: &Arrival<'_>, now: Millis) -> Option<WaitedOpening> {
+        let displaced = if self.openings.len() >= CAPACITY { self.take_last() } else { None };
         let opening = WaitedOpening {
             head: *arrival.head,
             packet: arrival.packet.to_vec(),
@@ -62,6 +59,12 @@
         } else {
             self.openings.push_back(opening);
         }
+        displaced
+    }
+
+    fn take_last(&mut self) -> Option<WaitedOpening> {
+        let place = self.openings.iter().position(|opening| !opening.urgent).unwrap_or(0);
+        self.openings.remove(place)
     }
 
     /// Takes out a packet that waited too long, or any if `all` have to go.
