Leave new flows less room at busy targets: 125 and 200 percent of the slots

Cause: after a loss of power the targets, slow from their start, work with 150 (urgent routes 250) percent of their slots in hand, so a request that was let in at once still takes 1.6 x 1.5 of its work, and with the reset of its dead flow before it the objective of 250 ms is nearly used up.

--- a/crates/steering/src/agent/admission.rs
+++ b/crates/steering/src/agent/admission.rs
@@ -4,10 +4,10 @@
 
 /// Requests in hand, in percent of the slots, at which new flows wait. A short queue
 /// at the target keeps it at work, a longer one only ages.
-const ROOM_PERCENT: u32 = 150;
+const ROOM_PERCENT: u32 = 125;
 /// The same for flows of urgent routes: requests on flows that are open already cannot
 /// be kept from going before them.
-const URGENT_ROOM_PERCENT: u32 = 250;
+const URGENT_ROOM_PERCENT: u32 = 200;
 /// Room at a target whose size is not known, until its answers tell more. A target's
 /// record says its size, but after a loss of all machines it is written a second after
 /// the target takes requests, later while the store is down.
