--- a/crates/relay/tests/fleet_node.rs
+++ b/crates/relay/tests/fleet_node.rs
@@ -1,27 +1,18 @@
 //! What a daemon tells its peers about the store.
 
+mod support;
+
 use std::net::Ipv4Addr;
 
 use slog::{Discard, Logger, o};
+use support::settings;
 use weirhinge_fleet::{Millis, PeerRole, TargetRecord, TargetState, Update, VersionedTarget};
-use weirhinge_relay::{FleetNode, RawSettings};
+use weirhinge_relay::FleetNode;
 
 const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
 
 fn node(address: Ipv4Addr, role: PeerRole) -> FleetNode {
-    let text = |port: u16| Some(format!("{address}:{port}"));
-    let raw = RawSettings {
-        name: Some(address.to_string()),
-        zone: Some("a".to_owned()),
-        address: Some(address.to_string()),
-        packets: text(1),
-        readiness: text(2),
-        peer_port: Some(3),
-        store: text(4),
-        seeds: Some(vec![format!("{BALANCER}:3")]),
-        ..RawSettings::default()
-    };
-    let settings = raw.into_balancer("test").expect("settings").common;
+    let settings = settings(address, std::iter::once(BALANCER));
     FleetNode::with_seed(&settings, role, Logger::root(Discard, o!()), 1)
 }
 
--- a/crates/relay/tests/fleet_scale.rs
+++ b/crates/relay/tests/fleet_scale.rs
@@ -2,16 +2,19 @@
 //! daemons with the real knowledge and the real choice of peers, a store that
 //! counts its calls, datagrams that are late and lost.
 
+mod support;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::net::Ipv4Addr;
 
 use slog::{Discard, Logger, o};
+use support::settings;
 use weirhinge_fleet::{
     Configuration, Digest, Millis, PeerMessage, PeerRole, TargetClaim, TargetRecord, TargetState,
     Update, VersionedConfiguration, VersionedTarget, encode,
 };
-use weirhinge_relay::{CommonSettings, FleetNode, RawSettings};
+use weirhinge_relay::FleetNode;
 
 const TICK_MS: Millis = 500;
 const ONE_WAY_MS: Millis = 3;
@@ -48,22 +51,6 @@
     random: u64,
 }
 
-fn settings(address: Ipv4Addr) -> CommonSettings {
-    let text = |port: u16| Some(format!("{address}:{port}"));
-    let raw = RawSettings {
-        name: Some(address.to_string()),
-        zone: Some("a".to_owned()),
-        address: Some(address.to_string()),
-        packets: text(1),
-        readiness: text(2),
-        peer_port: Some(3),
-        store: text(4),
-        seeds: Some((0..3).map(|place| format!("{}:3", address_of(place))).collect()),
-        ..RawSettings::default()
-    };
-    raw.into_balancer("simulation").expect("settings").common
-}
-
 fn address_of(place: usize) -> Ipv4Addr {
     Ipv4Addr::from_bits(0x0a00_0001 + place as u32)
 }
@@ -86,8 +73,12 @@
             let is_balancer = place < balancers;
             let role = if is_balancer { PeerRole::Balancer } else { PeerRole::Agent };
             let log = Logger::root(Discard, o!());
-            let mut node =
-                FleetNode::with_seed(&settings(address_of(place)), role, log, place as u64);
+            let mut node = FleetNode::with_seed(
+                &settings(address_of(place), (0..3).map(address_of)),
+                role,
+                log,
+                place as u64,
+            );
             node.claim = (!is_balancer).then(|| TargetClaim {
                 service: "sheets".to_owned(),
                 alive: true,
