Let an overloaded balancer withdraw while others keep up

Change: steering::OverloadMonitor. Digests say whether their sender is overloaded; protocol version 3.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -5,7 +5,7 @@
 use crate::model::ZoneId;
 
 /// First byte of every datagram between daemons.
-const PROTOCOL_VERSION: u8 = 2;
+const PROTOCOL_VERSION: u8 = 3;
 
 /// Why a datagram from a peer was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -57,6 +57,8 @@
     pub capacity: Option<u32>,
     /// Whether the sender is about to stop.
     pub stopping: bool,
+    /// Whether the sender, a balancer, cannot keep up with its packets.
+    pub overloaded: bool,
     /// The store revision that the sender knows all changes up to.
     pub revision: u64,
     /// The store revision of the configuration that the sender knows; 0 if none.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -26,6 +26,8 @@
     zone: ZoneId,
     capacity: Option<u32>,
     stopping: bool,
+    /// Whether it cannot keep up with its packets.
+    overloaded: bool,
     /// Whether it knows a configuration.
     configured: bool,
 }
@@ -72,6 +74,7 @@
             zone: digest.zone,
             capacity: digest.capacity,
             stopping: digest.stopping,
+            overloaded: digest.overloaded,
             configured: digest.configuration_revision > 0,
         };
         self.peers.insert(sender, peer);
@@ -150,6 +153,15 @@
         })
     }
 
+    /// Balancers that know a configuration, are not about to stop and were heard from
+    /// within `window`, each with whether it is overloaded.
+    pub fn overloads(&self, now: Millis, window: Millis) -> impl Iterator<Item = bool> {
+        let heard_lately = move |at: Millis| now.saturating_sub(at) < window;
+        let serving = self.peers.values().filter(|peer| peer.configured && !peer.stopping);
+        let heard = serving.filter(move |peer| peer.heard_at.is_some_and(heard_lately));
+        heard.map(|peer| peer.overloaded)
+    }
+
     /// Balancers that were heard from in a zone.
     pub fn in_zone(&self, zone: ZoneId) -> impl Iterator<Item = Ipv4Addr> {
         let heard = self.peers.iter().filter(|(_, peer)| peer.heard_at.is_some());
@@ -167,6 +179,7 @@
             zone: ZoneId::default(),
             capacity: None,
             stopping: false,
+            overloaded: false,
             configured: false,
         };
         self.peers.entry(address).or_insert(peer);
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -31,6 +31,7 @@
     waiting: VecDeque<Waiting>,
     waited_at: Option<Millis>,
     dropped: u64,
+    longest_wait_ms: Millis,
 }
 
 impl Backlog {
@@ -52,6 +53,7 @@
     pub fn next(&mut self, now: Millis) -> Option<Vec<u8>> {
         while let Some(waiting) = self.waiting.pop_front() {
             let wait = now.saturating_sub(waiting.arrived_at);
+            self.longest_wait_ms = self.longest_wait_ms.max(wait);
             if wait >= PRESSING_WAIT_MS {
                 self.waited_at = Some(now);
             }
@@ -68,6 +70,11 @@
         self.waited_at.is_some_and(|at| now.saturating_sub(at) < PRESSED_MS)
     }
 
+    /// The longest wait of a packet since this was last asked.
+    pub fn take_longest_wait(&mut self) -> Millis {
+        std::mem::take(&mut self.longest_wait_ms)
+    }
+
     /// How many packets were dropped since this was last asked.
     pub fn take_dropped(&mut self) -> u64 {
         std::mem::take(&mut self.dropped)
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -138,8 +138,8 @@
     tokio::task::spawn_local(Rc::clone(daemon).take_datagrams());
     tokio::task::spawn_local(Rc::clone(daemon).continue_resting());
     tokio::task::spawn_local(Rc::clone(daemon).tick());
-    tokio::task::spawn_local(Rc::clone(daemon).watch_isolation(status));
-    tokio::task::spawn_local(Rc::clone(daemon).watch_pressure());
+    tokio::task::spawn_local(Rc::clone(daemon).watch_isolation(status.clone()));
+    tokio::task::spawn_local(Rc::clone(daemon).watch_pressure(status));
 }
 
 impl<P: Platform> Daemon<P> {
--- a/crates/relay/src/balancer/watch.rs
+++ b/crates/relay/src/balancer/watch.rs
@@ -6,6 +6,7 @@
 
 use slog::info;
 use weirhinge_fleet::Millis;
+use weirhinge_steering::OverloadMonitor;
 
 use super::Daemon;
 use crate::platform::Platform;
@@ -27,6 +28,16 @@
 const PRESSURE_POLL: Duration = Duration::from_millis(100);
 /// How many of these looks after which the helpers are asked again.
 const ASK_EVERY: u32 = 2;
+/// The same for the load of other balancers, while this one is overloaded.
+const COMPARE_EVERY: u32 = 3;
+
+/// What is followed of this balancer's overload.
+#[derive(Default)]
+struct OverloadWatch {
+    monitor: OverloadMonitor,
+    /// Looks since it counts as overloaded.
+    looks: u32,
+}
 
 impl<P: Platform> Daemon<P> {
     /// Is not ready while cut off from all agents, so that routers use others.
@@ -51,8 +62,9 @@
 
     /// While packets have to wait, leaves those of unknown flows to balancers of the
     /// zone that have far more processor time.
-    pub(super) async fn watch_pressure(self: Rc<Self>) {
+    pub(super) async fn watch_pressure(self: Rc<Self>, status: Status) {
         let mut pressed_polls = 0;
+        let mut overload = OverloadWatch::default();
         loop {
             tokio::time::sleep(PRESSURE_POLL).await;
             let now = self.clock.now();
@@ -62,6 +74,25 @@
             }
             pressed_polls = if pressed { pressed_polls + 1 } else { 0 };
             self.choose_helpers(now);
+            self.watch_overload(&mut overload, &status, now);
+        }
+    }
+
+    /// Is not ready while packets wait for too long and other balancers keep up.
+    fn watch_overload(&self, watch: &mut OverloadWatch, status: &Status, now: Millis) {
+        let longest_wait_ms = self.backlog.borrow_mut().take_longest_wait();
+        let peers = self.node.borrow().peer_load(now);
+        let withdrawn = watch.monitor.look(longest_wait_ms, peers, now);
+        let overloaded = watch.monitor.is_overloaded();
+        watch.looks = if overloaded { watch.looks + 1 } else { 0 };
+        let has_changed = self.node.borrow().overloaded != overloaded;
+        if has_changed || (overloaded && watch.looks.is_multiple_of(COMPARE_EVERY)) {
+            self.link.compare_loads(overloaded);
+        }
+        if status.set_withdrawn(withdrawn) {
+            info!(self.log, "balancer: readiness changed with load"; "event" => "overload",
+                "withdrawn" => withdrawn, "longest_wait_ms" => longest_wait_ms,
+                "peers_keeping_up" => peers.keeping_up, "peers_overloaded" => peers.overloaded);
         }
     }
 
--- a/crates/relay/src/fleet_node/contacts.rs
+++ b/crates/relay/src/fleet_node/contacts.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use weirhinge_fleet::{Millis, PeerRole};
+use weirhinge_steering::PeerLoad;
 
 use super::FleetNode;
 
@@ -30,6 +31,11 @@
 const MOST_HELPERS: usize = 4;
 /// A helper that was silent for this long gets no packets.
 const HELPER_SILENCE_MS: Millis = 700;
+/// How long a balancer's word of its load counts. It is asked every 300 ms, but the one
+/// that asks is slow and may read the answers late.
+const LOAD_WORD_MS: Millis = 1_500;
+/// Balancers asked whether they keep up, when this one does not.
+const LOADS_ASKED: usize = 16;
 
 impl FleetNode {
     /// Peers that get news at once.
@@ -64,6 +70,22 @@
         capable.map(|(address, _)| address).collect()
     }
 
+    /// Some balancers, to be asked whether they keep up with their packets.
+    pub fn load_sample(&self) -> Vec<Ipv4Addr> {
+        let balancers: Vec<Ipv4Addr> = self.peers.balancers().collect();
+        self.choose(&balancers, LOADS_ASKED)
+    }
+
+    /// How the balancers heard from lately fare.
+    pub fn peer_load(&self, now: Millis) -> PeerLoad {
+        let mut load = PeerLoad::default();
+        for overloaded in self.peers.overloads(now, LOAD_WORD_MS) {
+            let count = if overloaded { &mut load.overloaded } else { &mut load.keeping_up };
+            *count += 1;
+        }
+        load
+    }
+
     /// Whether no configuration is known yet.
     pub fn knows_nothing(&self) -> bool {
         self.view.label().is_none()
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -53,6 +53,8 @@
     capacity: Option<u32>,
     /// Whether this daemon is about to stop.
     pub stopping: bool,
+    /// Whether this balancer cannot keep up with its packets.
+    pub overloaded: bool,
     /// What an agent says about its target.
     pub claim: Option<TargetClaim>,
     log: Logger,
@@ -83,6 +85,7 @@
             zone: ZoneId::of(&settings.zone),
             capacity: settings.capacity,
             stopping: false,
+            overloaded: false,
             claim: None,
             log,
         }
@@ -172,6 +175,7 @@
             zone: self.zone,
             capacity: self.capacity,
             stopping: self.stopping,
+            overloaded: self.overloaded,
             revision: self.replica.revision(),
             configuration_revision: self.configuration_revision(),
             age_ms: self.replica.age(now),
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -134,6 +134,18 @@
         }
     }
 
+    /// Tells some balancers whether this one keeps up, and asks whether they do.
+    pub fn compare_loads(&self, overloaded: bool) {
+        let peers = {
+            let mut node = self.node.borrow_mut();
+            node.overloaded = overloaded;
+            node.load_sample()
+        };
+        for peer in peers {
+            self.send_digest(peer, true);
+        }
+    }
+
     /// Tells all known balancers that this one is about to stop.
     pub fn announce_stop(&self) {
         let balancers = {
--- a/crates/relay/src/status.rs
+++ b/crates/relay/src/status.rs
@@ -22,12 +22,19 @@
     needs_configuration: bool,
     stopping: Rc<Cell<bool>>,
     isolated: Rc<Cell<bool>>,
+    withdrawn: Rc<Cell<bool>>,
 }
 
 impl Status {
     /// A daemon that is ready once it knows a configuration.
     pub fn new(node: Rc<RefCell<FleetNode>>) -> Self {
-        Self { node, needs_configuration: true, stopping: Rc::default(), isolated: Rc::default() }
+        Self {
+            node,
+            needs_configuration: true,
+            stopping: Rc::default(),
+            isolated: Rc::default(),
+            withdrawn: Rc::default(),
+        }
     }
 
     /// A daemon that is ready as soon as it runs.
@@ -46,9 +53,15 @@
         self.isolated.replace(isolated) != isolated
     }
 
+    /// Notes whether this daemon leaves the packets to others for lack of time.
+    /// Returns whether that is new.
+    pub fn set_withdrawn(&self, withdrawn: bool) -> bool {
+        self.withdrawn.replace(withdrawn) != withdrawn
+    }
+
     fn is_ready(&self) -> bool {
         let knows = !self.needs_configuration || self.node.borrow().view().label().is_some();
-        knows && !self.stopping.get() && !self.isolated.get()
+        knows && !self.stopping.get() && !self.isolated.get() && !self.withdrawn.get()
     }
 }
 
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -11,6 +11,7 @@
 mod agent_status;
 mod balancer;
 mod flow_table;
+mod overload;
 mod packet;
 mod pending_packets;
 mod selection;
@@ -26,6 +27,7 @@
     SelectionInputs,
 };
 pub use flow_table::{FlowEntry, FlowStage, FlowTable};
+pub use overload::{OverloadMonitor, PeerLoad};
 pub use packet::{Flags, FlowKey, MalformedPacket, PacketHead};
 pub use view::{Candidate, FleetView, Locality, RouteChoice, Standing, VersionLabel};
 pub use waiting_room::WaitedOpening;
