Let overloaded balancers hand packets to any that keep up

Cause: a balancer that withdraws gets packets for another second, until routers have noticed; on a slow machine these waited 100 to 200 ms.

PeerTable::serving replaces two near-alike listings.

Tests: an_overloaded_balancer_hands_off_to_equals_that_keep_up fails without the change; the test of configured peers reads the same from the one listing left.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,7 +18,7 @@
     SearchPath, TargetClaim, decode, encode,
 };
 pub use model::{Configuration, Route, RoutePart, ServiceId, TargetRecord, TargetState, ZoneId};
-pub use peers::{PEER_LIFETIME_MS, PeerTable};
+pub use peers::{PEER_LIFETIME_MS, PeerTable, ServingPeer};
 pub use replica::{Change, Replica, TargetEntry, Update, VersionedConfiguration, VersionedTarget};
 pub use timing::{Bounds, Timing};
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -32,6 +32,24 @@
     configured: bool,
 }
 
+/// A balancer that takes packets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServingPeer {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// When it was last heard.
+    pub heard_at: Millis,
+    /// Whether it cannot keep up with its packets.
+    pub overloaded: bool,
+}
+
+impl ServingPeer {
+    /// Whether it was heard from within `window` milliseconds.
+    pub fn was_heard_within(&self, window: Millis, now: Millis) -> bool {
+        now.saturating_sub(self.heard_at) < window
+    }
+}
+
 /// The peers of this daemon.
 #[derive(Clone, Debug)]
 pub struct PeerTable {
@@ -144,24 +162,18 @@
         })
     }
 
-    /// Balancers that know a configuration and are not about to stop, each with the
-    /// time at which it was last heard.
-    pub fn configured(&self) -> impl Iterator<Item = (Ipv4Addr, Millis)> {
+    /// Balancers that were heard from, know a configuration and are not about to stop.
+    pub fn serving(&self) -> impl Iterator<Item = ServingPeer> {
         self.peers.iter().filter_map(|(address, peer)| {
-            let heard_at = peer.heard_at?;
-            (peer.configured && !peer.stopping).then_some((*address, heard_at))
+            let serving = ServingPeer {
+                address: *address,
+                heard_at: peer.heard_at?,
+                overloaded: peer.overloaded,
+            };
+            (peer.configured && !peer.stopping).then_some(serving)
         })
     }
 
-    /// Balancers that know a configuration, are not about to stop and were heard from
-    /// within `window`, each with whether it is overloaded.
-    pub fn overloads(&self, now: Millis, window: Millis) -> impl Iterator<Item = bool> {
-        let heard_lately = move |at: Millis| now.saturating_sub(at) < window;
-        let serving = self.peers.values().filter(|peer| peer.configured && !peer.stopping);
-        let heard = serving.filter(move |peer| peer.heard_at.is_some_and(heard_lately));
-        heard.map(|peer| peer.overloaded)
-    }
-
     /// Balancers that were heard from in a zone.
     pub fn in_zone(&self, zone: ZoneId) -> impl Iterator<Item = Ipv4Addr> {
         let heard = self.peers.iter().filter(|(_, peer)| peer.heard_at.is_some());
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -74,7 +74,8 @@
     peers.heard(&digest(address(1), false), 7);
     peers.heard(&Digest { configuration_revision: 0, ..digest(address(2), false) }, 7);
     peers.heard(&Digest { stopping: true, ..digest(address(3), false) }, 7);
-    assert_eq!(peers.configured().collect::<Vec<_>>(), vec![(address(1), 7)]);
+    let serving: Vec<_> = peers.serving().map(|peer| (peer.address, peer.heard_at)).collect();
+    assert_eq!(serving, vec![(address(1), 7)]);
 }
 
 #[test]
@@ -226,6 +227,7 @@
     table.heard(&overloaded(3, true), 1_000);
     table.heard(&Digest { stopping: true, ..digest(address(4), false) }, 1_000);
     table.heard(&Digest { configuration_revision: 0, ..digest(address(5), false) }, 1_000);
-    let overloads: Vec<bool> = table.overloads(1_200, 700).collect();
-    assert_eq!(overloads, [false, true]);
+    let heard_lately = table.serving().filter(|peer| peer.was_heard_within(700, 1_200));
+    let overloads: Vec<_> = heard_lately.map(|peer| (peer.address, peer.overloaded)).collect();
+    assert_eq!(overloads, [(address(2), false), (address(3), true)]);
 }
--- a/crates/relay/src/fleet_node/contacts.rs
+++ b/crates/relay/src/fleet_node/contacts.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 use rand::seq::IndexedRandom;
-use weirhinge_fleet::{Millis, PeerRole};
+use weirhinge_fleet::{Millis, PeerRole, ServingPeer};
 use weirhinge_steering::PeerLoad;
 
 use super::FleetNode;
@@ -27,7 +27,7 @@
 /// How many times this daemon's processor time a peer has to whom packets are
 /// handed off.
 const HELPER_CAPACITY: u32 = 3;
-/// Most balancers that help one which knows no configuration.
+/// Most balancers that help one which knows no configuration or is overloaded.
 const MOST_HELPERS: usize = 4;
 /// A helper that was silent for this long gets no packets.
 const HELPER_SILENCE_MS: Millis = 700;
@@ -55,19 +55,28 @@
     }
 
     /// Balancers to whom packets of unknown flows are handed off: those that know a
-    /// configuration while this daemon knows none, and far stronger ones of the zone
-    /// while it is pressed.
+    /// configuration while this daemon knows none; far stronger ones of the zone while it
+    /// is pressed; and where there are none, any that keep up while it is overloaded.
     pub fn helpers_now(&self, pressed: bool, now: Millis) -> Vec<Ipv4Addr> {
-        let answers = |heard_at: Millis| now.saturating_sub(heard_at) < HELPER_SILENCE_MS;
         if self.knows_nothing() {
-            let configured = self.peers.configured().filter(|(_, heard_at)| answers(*heard_at));
-            return configured.map(|(address, _)| address).take(MOST_HELPERS).collect();
+            return self.serving_helpers(|_| true, now);
         }
         if !pressed {
             return Vec::new();
         }
+        let answers = |heard_at: Millis| now.saturating_sub(heard_at) < HELPER_SILENCE_MS;
         let capable = self.capable().filter(|(_, heard_at)| answers(*heard_at));
-        capable.map(|(address, _)| address).collect()
+        let capable: Vec<Ipv4Addr> = capable.map(|(address, _)| address).collect();
+        if capable.is_empty() && self.overloaded {
+            return self.serving_helpers(|peer| !peer.overloaded, now);
+        }
+        capable
+    }
+
+    fn serving_helpers(&self, is_fit: impl Fn(&ServingPeer) -> bool, now: Millis) -> Vec<Ipv4Addr> {
+        let answering = |peer: &ServingPeer| peer.was_heard_within(HELPER_SILENCE_MS, now);
+        let fit = self.peers.serving().filter(|peer| answering(peer) && is_fit(peer));
+        fit.map(|peer| peer.address).take(MOST_HELPERS).collect()
     }
 
     /// Some balancers, to be asked whether they keep up with their packets.
@@ -79,8 +88,8 @@
     /// How the balancers heard from lately fare.
     pub fn peer_load(&self, now: Millis) -> PeerLoad {
         let mut load = PeerLoad::default();
-        for overloaded in self.peers.overloads(now, LOAD_WORD_MS) {
-            let count = if overloaded { &mut load.overloaded } else { &mut load.keeping_up };
+        for peer in self.peers.serving().filter(|peer| peer.was_heard_within(LOAD_WORD_MS, now)) {
+            let count = if peer.overloaded { &mut load.overloaded } else { &mut load.keeping_up };
             *count += 1;
         }
         load
--- a/crates/relay/tests/fleet_node.rs
+++ b/crates/relay/tests/fleet_node.rs
@@ -6,7 +6,10 @@
 
 use slog::{Discard, Logger, o};
 use support::settings;
-use weirhinge_fleet::{Millis, PeerRole, TargetRecord, TargetState, Update, VersionedTarget};
+use weirhinge_fleet::{
+    Configuration, Digest, Millis, PeerRole, TargetRecord, TargetState, Update,
+    VersionedConfiguration, VersionedTarget,
+};
 use weirhinge_relay::FleetNode;
 
 const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
@@ -71,3 +74,47 @@
     balancer.apply_from_store(update(0, 3, many), 5_000);
     assert!(balancer.take_recorded().len() <= 64);
 }
+
+/// A balancer that knows a configuration.
+fn serving(address: Ipv4Addr, now: Millis) -> FleetNode {
+    let mut balancer = node(address, PeerRole::Balancer);
+    let configuration = Configuration { version: 1, routes: Vec::new(), idle_timeout_ms: 15_000 };
+    let configuration = Some(VersionedConfiguration { revision: 2, configuration });
+    let update = Update { configuration, ..update(0, 2, Vec::new()) };
+    balancer.apply_from_store(update, now);
+    balancer
+}
+
+/// Once a slow machine whose neighbours are all of its own size had nobody to leave
+/// packets to, though the neighbours were idle.
+#[test]
+fn an_overloaded_balancer_hands_off_to_equals_that_keep_up() {
+    let now: Millis = 5_000;
+    let mut balancer = serving(BALANCER, now);
+    let says = |number, overloaded, at| {
+        let mut peer = serving(machine(number), at);
+        peer.overloaded = overloaded;
+        peer.digest(false, at)
+    };
+    balancer.on_digest(&says(1, false, now), now);
+    balancer.on_digest(&says(2, true, now), now);
+    balancer.on_digest(&Digest { stopping: true, ..says(3, false, now) }, now);
+    balancer.on_digest(&says(4, false, now - 1_000), now - 1_000);
+    assert!(balancer.helpers_now(true, now).is_empty(), "pressed for a moment only");
+    balancer.overloaded = true;
+    assert_eq!(balancer.helpers_now(true, now), [machine(1)]);
+    assert!(balancer.helpers_now(false, now).is_empty(), "no packet waits any more");
+}
+
+#[test]
+fn a_balancer_tells_how_its_peers_fare() {
+    let now: Millis = 5_000;
+    let mut balancer = serving(BALANCER, now);
+    for (number, overloaded) in [(1, false), (2, true), (3, false)] {
+        let mut peer = serving(machine(number), now);
+        peer.overloaded = overloaded;
+        balancer.on_digest(&peer.digest(false, now), now);
+    }
+    let load = balancer.peer_load(now);
+    assert_eq!((load.keeping_up, load.overloaded), (2, 1));
+}
