Choose the own zone's target among equally loaded ones

Ruled out: a fixed charge for other zones (a zone with one target and a fifth of the clients would keep flows at a target that is busier than the others: a flow stays where it opens, also in a burst).

Change: the balancer compares the first two targets of the flow's order and the first one of its own zone, and takes the nearest of the least loaded. Candidate holds its distance (zone, region, far) in place of near or not.

Tests: flows_stay_in_their_zone_while_its_targets_are_no_busier fails without the change (a balancer knew no zones).

--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -203,9 +203,12 @@
     }
 
     fn checked_locality(&self, file: &str) -> Result<Locality, ConfigError> {
-        let Some(regions) = &self.regions else { return Ok(Locality::default()) };
+        let zone = text(file, "zone", self.zone.as_deref())?;
+        let Some(regions) = &self.regions else {
+            return Ok(Locality::new(zone, String::new(), HashMap::new()));
+        };
         let region = text(file, "region", self.region.as_deref())?;
-        Ok(Locality::new(region, regions.clone()))
+        Ok(Locality::new(zone, region, regions.clone()))
     }
 
     fn checked_timing(&self, file: &str) -> Result<Timing, ConfigError> {
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -9,7 +9,7 @@
 use crate::flow_table::{FlowEntry, FlowStage};
 use crate::packet::{FlowKey, PacketHead};
 use crate::selection::{cheapest, load_permille, rendezvous_order};
-use crate::view::{Candidate, Standing};
+use crate::view::{Candidate, Distance, Standing};
 
 /// Opening packets of one flow come within this span; a later one opens another.
 const OPENING_SPAN_MS: Millis = 2_000;
@@ -215,5 +215,11 @@
 
 /// A target known by its agent's word alone.
 fn claimed_candidate(agent: Ipv4Addr, now: Millis) -> Candidate {
-    Candidate { agent, standing: Standing::Vanished(now), slots: 1, cold_until: 0, near: true }
+    Candidate {
+        agent,
+        standing: Standing::Vanished(now),
+        slots: 1,
+        cold_until: 0,
+        distance: Distance::Region,
+    }
 }
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -9,7 +9,7 @@
 use crate::flow_table::{FlowEntry, FlowStage};
 use crate::packet::{FlowKey, PacketHead};
 use crate::selection::rendezvous_order;
-use crate::view::{Candidate, FleetView, Standing};
+use crate::view::{Candidate, Distance, FleetView, Standing};
 
 /// A search that got no answer from a target for this long tries the next one.
 const SEARCH_STEP_MS: Millis = 120;
@@ -185,7 +185,7 @@
         let is_silent = self.has_left(candidate, now)
             || self.statuses.is_suspect(agent, now)
             || self.statuses.is_mute(agent, now);
-        SearchPlace { service, agent, is_silent, is_far: !candidate.near }
+        SearchPlace { service, agent, is_silent, is_far: candidate.distance == Distance::Far }
     }
 
     /// Whether a target left the store and its agent is silent too.
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -29,5 +29,5 @@
 pub use flow_table::{FlowEntry, FlowStage, FlowTable};
 pub use overload::{OverloadMonitor, PeerLoad};
 pub use packet::{Flags, FlowKey, MalformedPacket, PacketHead};
-pub use view::{Candidate, FleetView, Locality, RouteChoice, Standing, VersionLabel};
+pub use view::{Candidate, Distance, FleetView, Locality, RouteChoice, Standing, VersionLabel};
 pub use waiting_room::WaitedOpening;
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -5,7 +5,7 @@
 use weirhinge_fleet::Millis;
 
 use crate::agent_status::AgentStatuses;
-use crate::view::Candidate;
+use crate::view::{Candidate, Distance};
 
 /// Load of a target that is slow from its start, in percent of its load when warm.
 const COLD_LOAD_PERCENT: u64 = 160;
@@ -40,24 +40,27 @@
     daemons.iter().copied().max_by_key(|daemon| rank(flow_hash, *daemon))
 }
 
-/// The cheapest of the first `compared` near candidates and the first far one, in
-/// the flow's order. A far one is chosen only where the near ones are busy: every
-/// packet of the flow would cross regions.
+/// The cheapest of the first `compared` candidates of the region, the first one of the
+/// own zone and the first far one, in the flow's order. Of equally loaded ones the
+/// nearest is chosen: bytes between zones are paid for, but evenness goes first. A far
+/// one is chosen only where the others are busy: every packet of the flow would cross
+/// regions.
 pub fn cheapest(
     order: &[Candidate],
     compared: usize,
     statuses: &AgentStatuses,
     now: Millis,
 ) -> Option<Candidate> {
-    let near = order.iter().filter(|candidate| candidate.near).take(compared);
-    let far = order.iter().filter(|candidate| !candidate.near);
-    let any_near = order.iter().any(|candidate| candidate.near);
+    let near = order.iter().filter(|candidate| candidate.distance != Distance::Far).take(compared);
+    let own = order.iter().find(|candidate| candidate.distance == Distance::Zone);
+    let far = order.iter().filter(|candidate| candidate.distance == Distance::Far);
+    let any_near = order.iter().any(|candidate| candidate.distance != Distance::Far);
     let far = far.take(if any_near { FAR_COMPARED } else { compared });
     let cost = |candidate: &&Candidate| {
-        let distance = if candidate.near { 0 } else { FAR_PERMILLE };
-        load_permille(candidate, statuses, now) + distance
+        let charge = if candidate.distance == Distance::Far { FAR_PERMILLE } else { 0 };
+        (load_permille(candidate, statuses, now) + charge, candidate.distance)
     };
-    near.chain(far).min_by_key(cost).copied()
+    near.chain(own).chain(far).min_by_key(cost).copied()
 }
 
 /// Believed load in thousandths of the target's slots.
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -60,23 +60,38 @@
     Leaving,
 }
 
+/// How far a target is from this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same zone.
+    Zone,
+    /// In another zone of the region.
+    Region,
+    /// In another region.
+    Far,
+}
+
 /// Which zones lie in this daemon's region.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Locality {
+    zone: String,
     region: String,
     regions_by_zone: HashMap<String, String>,
 }
 
 impl Locality {
-    /// The locality of a daemon in `region`.
-    pub fn new(region: String, regions_by_zone: HashMap<String, String>) -> Self {
-        Self { region, regions_by_zone }
+    /// The locality of a daemon in `zone`.
+    pub fn new(zone: String, region: String, regions_by_zone: HashMap<String, String>) -> Self {
+        Self { zone, region, regions_by_zone }
     }
 
-    /// Whether a zone lies in the daemon's region. A zone of no known region is
-    /// taken to.
-    fn is_near(&self, zone: &str) -> bool {
-        self.regions_by_zone.get(zone).is_none_or(|region| *region == self.region)
+    /// How far a zone is. One of no known region is taken to be in the daemon's.
+    fn distance(&self, zone: &str) -> Distance {
+        if zone == self.zone {
+            return Distance::Zone;
+        }
+        let is_near = self.regions_by_zone.get(zone).is_none_or(|region| *region == self.region);
+        if is_near { Distance::Region } else { Distance::Far }
     }
 }
 
@@ -91,8 +106,8 @@
     pub slots: u32,
     /// Until when it is slow from its start.
     pub cold_until: Millis,
-    /// Whether it is in this daemon's region.
-    pub near: bool,
+    /// How far it is.
+    pub distance: Distance,
 }
 
 /// Everything that routing decisions need, compiled from a replica.
@@ -204,6 +219,6 @@
         standing,
         slots: record.slots.max(1),
         cold_until: entry.learned_at + Millis::from(record.warm_up_ms),
-        near: locality.is_near(&record.zone),
+        distance: locality.distance(&record.zone),
     }
 }
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -7,7 +7,7 @@
 
 use support::{
     Fixture, LATER, OTHER, SERVICE, Store, agent, claim, data, flow, forwarded, is_far, opening,
-    two_regions,
+    two_groups,
 };
 use weirhinge_fleet::{ReturnReason, ServiceId, TargetState};
 use weirhinge_steering::{Balancer, Decision, DropReason, ForwardReason, PacketHead, ResetReason};
@@ -331,9 +331,31 @@
     assert_eq!([urgent(443), urgent(444), urgent(445)], [true, false, false]);
 }
 
+/// Once three quarters of the packets of a deployment of four zones crossed zones.
+#[test]
+fn flows_stay_in_their_zone_while_its_targets_are_no_busier() {
+    let store = two_groups();
+    let mut fixture = Fixture::new(&store);
+    fixture.view = store.view_in_zone("b");
+    let chosen = |fixture: &mut Fixture, port, own_load, other_load| {
+        for number in (1..=3).chain(51..=53) {
+            let load = if number > 50 { own_load } else { other_load };
+            fixture.balancer.heard(agent(number), load, LATER);
+        }
+        forwarded(&fixture.client(&opening(flow(port)), LATER)).agent
+    };
+    let is_own = |agent: Ipv4Addr| agent.octets()[3] > 50;
+    assert!((0..100).all(|port| is_own(chosen(&mut fixture, port, 2, 2))));
+    assert!((100..200).all(|port| is_own(chosen(&mut fixture, port, 1, 2))));
+    // Evenness goes first: only flows whose first two targets are both in this zone,
+    // a fifth, stay at busier ones.
+    let stay = (200..1_200).filter(|port| is_own(chosen(&mut fixture, *port, 3, 2))).count();
+    assert!((150..250).contains(&stay), "{stay} of 1,000 flows went to busier targets");
+}
+
 #[test]
 fn flows_stay_in_their_region_until_its_targets_are_busy() {
-    let store = two_regions();
+    let store = two_groups();
     let mut fixture = Fixture::new(&store);
     for number in (1..=3).chain(51..=53) {
         fixture.balancer.heard(agent(number), 2, LATER);
--- a/crates/steering/tests/search.rs
+++ b/crates/steering/tests/search.rs
@@ -6,7 +6,7 @@
 
 use support::{
     Fixture, LATER, OTHER, SERVICE, Store, agent, claim, data, flow, forwarded, is_far, opening,
-    two_regions,
+    two_groups,
 };
 use weirhinge_fleet::TargetState;
 use weirhinge_steering::{Decision, DropReason, Forward, ForwardReason, ResetReason};
@@ -252,7 +252,7 @@
 
 #[test]
 fn a_search_asks_the_own_region_first_and_then_all_others() {
-    let mut fixture = Fixture::new(&two_regions());
+    let mut fixture = Fixture::new(&two_groups());
     let (visited, _) = fixture.bounce_to_the_end(&data(flow(1)), LATER);
     let far: Vec<bool> = visited.into_iter().map(is_far).collect();
     assert_eq!(far, [false, false, false, true, true, true]);
--- a/crates/steering/tests/support/fixture.rs
+++ b/crates/steering/tests/support/fixture.rs
@@ -87,8 +87,8 @@
     }
 }
 
-/// Six targets, half of them in another region.
-pub fn two_regions() -> Store {
+/// Six targets, half of them in another zone, which some views take for another region.
+pub fn two_groups() -> Store {
     let mut store = Store::with_targets(3);
     for number in 51..=53 {
         store.target(number, SERVICE, Some(TargetState::Ready), 0);
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -13,7 +13,7 @@
 };
 use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, Locality, PacketHead};
 
-pub use fixture::{Fixture, LATER, is_far, two_regions};
+pub use fixture::{Fixture, LATER, is_far, two_groups};
 
 pub const SERVICE: &str = "sheets";
 pub const OTHER: &str = "dispatch";
@@ -127,7 +127,15 @@
     pub fn view_from(&self, region: &str) -> FleetView {
         let zones = [("a", "near"), ("b", "far")];
         let regions = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
-        let locality = Locality::new(region.to_owned(), regions.into());
+        let locality = Locality::new("c".to_owned(), region.to_owned(), regions.into());
+        FleetView::compile(&self.replica, &locality)
+    }
+
+    /// The view of a daemon in this zone; targets numbered 50 and above are in zone
+    /// `b`, the others in `a`, both in its region.
+    pub fn view_in_zone(&self, zone: &str) -> FleetView {
+        let regions = ["a", "b"].map(|zone| (zone.to_owned(), "near".to_owned()));
+        let locality = Locality::new(zone.to_owned(), "near".to_owned(), regions.into());
         FleetView::compile(&self.replica, &locality)
     }
 
