Let openings wait after the first busy target

Ruled out: that the walk finds room that the balancer does not know of.

Change: an opening that a busy target sent back waits at the least loaded at once. The count of busy returns and the special case for few targets go.

--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -13,8 +13,6 @@
 
 /// Opening packets of one flow come within this span; a later one opens another.
 const OPENING_SPAN_MS: Millis = 2_000;
-/// Busy targets that an opening packet passes before it waits at one.
-const BUSY_RETURNS: u8 = 3;
 /// Targets compared by load. Two even out almost as well as all would (the power
 /// of two choices) and keep the flow near the front of its order, where a balancer
 /// that does not know the flow looks first.
@@ -67,8 +65,8 @@
         self.choose_target(context, head, ForwardReason::OpeningMoved)
     }
 
-    /// An opening packet that came back goes past busy targets a few times, then
-    /// waits at the least loaded one.
+    /// An opening packet that a busy target sent back waits at the least loaded one;
+    /// others go on to a target that they did not try yet.
     pub(super) fn returned_opening(
         &mut self,
         context: &Context<'_>,
@@ -81,33 +79,16 @@
             return self.choose_target(context, head, ForwardReason::OpeningReturned);
         };
         if entry.has_waited {
-            // All targets were busy before it waited, for nearly as long as the
-            // client waits; it gets its answer now.
+            // It waited for nearly as long as the client does, or had to make room for
+            // newer ones; it gets its answer now.
             self.flows.remove(&flow);
             return Decision::Reset { sequence: 0, reason: ResetReason::Refused };
         }
-        entry.busy_returns += 1;
-        if entry.busy_returns >= BUSY_RETURNS {
-            return self.wait_for_room(context, head);
-        }
-        self.choose_target(context, head, ForwardReason::OpeningReturned)
-    }
-
-    /// Sends an opening packet to wait at the least loaded of all targets, also of
-    /// those that were busy.
-    fn wait_for_room(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
-        if let Some(entry) = self.flows.get_mut(&head.client_flow()) {
-            entry.has_waited = true;
-            entry.tried.clear();
-        }
+        entry.has_waited = true;
+        entry.tried.clear();
         self.choose_target(context, head, ForwardReason::OpeningWaits)
     }
 
-    /// Whether an opening packet met a busy target and did not wait for room yet.
-    fn may_wait(&mut self, flow: &FlowKey) -> bool {
-        self.flows.get_mut(flow).is_some_and(|entry| entry.busy_returns > 0 && !entry.has_waited)
-    }
-
     /// Chooses a target for an opening packet among those not tried yet.
     fn choose_target(
         &mut self,
@@ -130,10 +111,6 @@
         let tier = if untried.answering.is_empty() { &untried.silent } else { &untried.answering };
         let compared = if reason == ForwardReason::OpeningWaits { tier.len() } else { COMPARED };
         let Some(chosen) = cheapest(tier, compared, &self.statuses, now) else {
-            // There may be fewer targets than it passes before it waits.
-            if any_eligible && self.may_wait(&flow) {
-                return self.wait_for_room(context, head);
-            }
             return self.nobody_takes(context, &flow, any_eligible, reason);
         };
         let inputs = SelectionInputs {
--- a/crates/steering/src/flow_table.rs
+++ b/crates/steering/src/flow_table.rs
@@ -46,8 +46,6 @@
     pub unheld_since: Option<Millis>,
     /// Whether the search now under way met a target that did not answer.
     pub search_met_silence: bool,
-    /// Busy targets that sent the opening packet back.
-    pub busy_returns: u8,
     /// Whether the opening packet was sent to wait at a target.
     pub has_waited: bool,
 }
@@ -66,7 +64,6 @@
             deferred: None,
             unheld_since: None,
             search_met_silence: false,
-            busy_returns: 0,
             has_waited: false,
         }
     }
