Let no waiting opening be refused after its copy was handed over

While a flow's first opening packet waited, a copy of it could find room (the target's size had become known, or expectations had run out between two looks) and was handed over. The first packet stayed in the room, went back after 1.1 s as busy, and its balancer refused a flow that was open by then. On the users' platform clients take no notice (the reset's sequence number fits only a flow that is not open), but the balancer forgot the flow, and a refusal must be true.

Ruled out: the balancer's side. It sends a copy where the first packet waits, and a return from another target than the holder goes on to the holder.

Change: an opening that is handed over takes a waiting packet of its flow out of the room.

--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -118,6 +118,9 @@
             if is_new && self.admission.is_busy(self.load(), arrival.urgent) {
                 return self.busy_opening(arrival, now);
             }
+            // This may be a copy that found room before the packet that waits: its flow
+            // must not be refused later.
+            self.openings.remove(&arrival.head.client_flow());
         }
         let notice = self.search_notice(arrival);
         // A balancer that is told now need not be told when the target answers.
--- a/crates/steering/src/waiting_room.rs
+++ b/crates/steering/src/waiting_room.rs
@@ -42,6 +42,11 @@
         self.openings.iter().any(|opening| opening.head.client_flow() == *flow)
     }
 
+    /// Drops a flow's packet.
+    pub fn remove(&mut self, flow: &FlowKey) {
+        self.openings.retain(|opening| opening.head.client_flow() != *flow);
+    }
+
     /// Lets a packet wait. Returns the one that makes room for it, if there is none:
     /// the one that would go last, and so most likely never.
     pub fn add(&mut self, arrival: &Arrival<'_>, now: Millis) -> Option<WaitedOpening> {
--- a/crates/steering/tests/admission.rs
+++ b/crates/steering/tests/admission.rs
@@ -198,3 +198,23 @@
         assert_eq!(displaced.source.port(), port - 999, "the oldest that is not urgent");
     }
 }
+
+/// The first packet once stayed in the room when a copy of it found room, and went back
+/// a second later: its balancer reset the flow, which was open by then.
+#[test]
+fn a_waiting_opening_ends_when_its_copy_is_handed_over() {
+    let mut beside = new_agent();
+    fill(&mut beside);
+    let head = opening(flow(50));
+    let waits = beside.delivery(&Arrival { may_wait: true, ..arrival(&head) }, 1);
+    assert_eq!(waits, DeliveryDecision::Wait { displaced: None });
+    // The target turns out to be larger than it was known to be.
+    beside.set_slots(8);
+    let copy = PacketHead { acknowledgment: 1, ..head };
+    deliver(&mut beside, &copy, 201);
+    for port in 60..70 {
+        deliver(&mut beside, &request(port, 0), 202);
+    }
+    let outcomes = (203..3_000).step_by(60).find_map(|now| beside.next_outcome(now));
+    assert_eq!(outcomes, None, "the flow is the target's now");
+}
