Keep the age of knowledge from before a process started

An agent that had run for 108 ms and fetched a confirmation of 680 ms ago stored 0, and told balancers that it was 108 ms old.

Ruled out: an empty answer of a watch (the trace shows no answer of the store between 14.78 and 22.95 s), a reader that can speak but not hear (a-1 only failed), echoes among balancers (a round of digests moves the age by a millisecond or two).

Change: the confirmation's time is signed. Beside it, three weaknesses of the same kind: a fetched update ages by the time that the fetch took; an answer of a watch that states an older position than the reader's confirms nothing (it counted as a confirmation of the newer one) and is an error; an answer without changes that came late is as old as its delay.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -51,6 +51,13 @@
     pub targets: Vec<VersionedTarget>,
 }
 
+impl Update {
+    /// The same after `elapsed_ms` on its way from the source.
+    pub fn delayed_by(self, elapsed_ms: Millis) -> Self {
+        Self { age_ms: self.age_ms.saturating_add(elapsed_ms), ..self }
+    }
+}
+
 /// What an update changed in the replica, for logs and dependents.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -94,8 +101,10 @@
     targets: BTreeMap<String, TargetEntry>,
     /// All changes up to here are known.
     revision: u64,
-    /// When the store last confirmed `revision`, to this daemon or to a peer.
-    confirmed_at: Option<Millis>,
+    /// When the store last confirmed `revision`, to this daemon or to a peer, on this
+    /// process's clock. Negative for a time before the process started: a daemon that
+    /// has just started must not take what peers confirmed long ago for fresh.
+    confirmed_at: Option<i64>,
     /// Removed targets were forgotten up to this revision.
     forgotten_through: u64,
 }
@@ -123,7 +132,8 @@
 
     /// Milliseconds since the store last confirmed the replica's revision.
     pub fn age(&self, now: Millis) -> Option<Millis> {
-        self.confirmed_at.map(|confirmed_at| now.saturating_sub(confirmed_at))
+        let age = self.confirmed_at.map(|confirmed_at| signed(now).saturating_sub(confirmed_at));
+        age.map(|age| age.max(0).unsigned_abs())
     }
 
     /// Takes in what a source says. Returns what changed.
@@ -153,8 +163,9 @@
         if revision < self.revision {
             return;
         }
-        let confirmed_at = now.saturating_sub(age_ms);
-        self.confirmed_at = Some(self.confirmed_at.unwrap_or(0).max(confirmed_at));
+        let confirmed_at = signed(now).saturating_sub(signed(age_ms));
+        let latest = self.confirmed_at.map_or(confirmed_at, |known| known.max(confirmed_at));
+        self.confirmed_at = Some(latest);
     }
 
     /// Everything that changed after `after`, for a peer.
@@ -266,6 +277,11 @@
     }
 }
 
+/// A time or span as a signed number; one too long for that counts as endless.
+fn signed(millis: Millis) -> i64 {
+    i64::try_from(millis).unwrap_or(i64::MAX)
+}
+
 /// Whether `offered` is newer than `known`. At one revision, a removal wins: a
 /// complete list proves the absence of a target at the very revision of its
 /// latest change only if that change was the removal.
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -220,3 +220,34 @@
     assert_eq!(restarted.configuration().map(|known| known.configuration.version), Some(31));
     assert_eq!((restarted.revision(), restarted.age(10)), (0, None));
 }
+
+/// A process that runs for 100 ms and learns of a confirmation 680 ms ago once counted
+/// it from its own start, and told its peers that it was 100 ms old. With a new agent
+/// every 600 ms the fleet held one old revision for fresh, and nobody read the store.
+#[test]
+fn a_confirmation_from_before_the_start_keeps_its_age() {
+    let mut replica = Replica::new();
+    replica.apply(Update { age_ms: 680, ..listing(347, Vec::new()) }, 100);
+    assert_eq!(replica.age(100), Some(680));
+    assert_eq!(replica.age(400), Some(980));
+    assert_eq!(replica.update_after(347, 400).age_ms, 980);
+    replica.confirm(347, 700, 400);
+    assert_eq!(replica.age(400), Some(700), "a fresher word counts");
+}
+
+#[test]
+fn a_confirmation_of_unknown_age_is_never_fresh() {
+    let mut replica = Replica::new();
+    replica.apply(Update { age_ms: u64::MAX, ..listing(5, Vec::new()) }, 50);
+    assert!(replica.age(60).is_some_and(|age| age > 1_000_000_000));
+    replica.confirm(5, 20, 60);
+    assert_eq!(replica.age(60), Some(20));
+}
+
+#[test]
+fn an_update_ages_on_its_way() {
+    let update = Update { age_ms: 108, ..listing(5, Vec::new()) };
+    assert_eq!(update.delayed_by(600).age_ms, 708);
+    let unknown = Update { age_ms: u64::MAX, ..listing(5, Vec::new()) };
+    assert_eq!(unknown.delayed_by(600).age_ms, u64::MAX);
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,6 @@
 pub use backlog::Backlog;
 pub use balancer::run as run_balancer;
 pub use fleet_node::{FleetNode, Reaction};
-pub use platform::{ListPage, Platform, RejectedItem, WatchPage};
+pub use platform::{AnswerBehind, ListPage, Platform, RejectedItem, WatchPage};
 pub use process::{ProcessLog, Signals, run_process};
 pub use settings::{AgentSettings, BalancerSettings, CommonSettings, RawSettings};
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -205,6 +205,8 @@
         match result {
             Ok(update) => {
                 self.metrics.fetches.increment("done");
+                // It is not known how much of the time was the answer's way.
+                let update = update.delayed_by(now.saturating_sub(began));
                 let changed = self.node.borrow_mut().apply(update, "peer", now);
                 if changed {
                     self.spread_news();
--- a/crates/relay/src/platform.rs
+++ b/crates/relay/src/platform.rs
@@ -1,7 +1,7 @@
 //! The seam towards the platform: how packets are laid out, and how the store is
 //! asked and answers. An implementation translates and decides nothing.
 
-use weirhinge_fleet::{Millis, VersionedConfiguration, VersionedTarget};
+use weirhinge_fleet::{Millis, Update, VersionedConfiguration, VersionedTarget};
 use weirhinge_steering::{FlowKey, MalformedPacket, PacketHead};
 
 /// An item of the store that cannot be used.
@@ -46,6 +46,45 @@
     pub rejected: Vec<RejectedItem>,
 }
 
+/// An answer that was made from an older state than the reader has seen already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("answer as of revision {at}, asked for changes after {after}")]
+pub struct AnswerBehind {
+    /// The revision that the answer states.
+    pub at: u64,
+    /// The revision that was known.
+    pub after: u64,
+}
+
+impl WatchPage {
+    /// What the answer to a watch for changes after `after` says, `elapsed_ms` after the
+    /// watch began. The store answers a watch without changes once `wait_ms` are over;
+    /// what the answer took longer it spent on its way. When an answer with changes was
+    /// made is not known; it is taken for new, which the limit on a call bounds.
+    ///
+    /// # Errors
+    /// When the answer does not prove that the store's state is the one known.
+    pub fn into_update(
+        self,
+        after: u64,
+        wait_ms: Millis,
+        elapsed_ms: Millis,
+    ) -> Result<Update, AnswerBehind> {
+        if self.at < after {
+            return Err(AnswerBehind { at: self.at, after });
+        }
+        let is_unchanged = self.at == after;
+        Ok(Update {
+            after,
+            through: self.at,
+            complete: false,
+            age_ms: if is_unchanged { elapsed_ms.saturating_sub(wait_ms) } else { 0 },
+            configuration: self.configuration,
+            targets: self.targets,
+        })
+    }
+}
+
 /// How the platform speaks.
 pub trait Platform: Clone + 'static {
     /// Reads a packet's head.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -17,7 +17,7 @@
 use crate::clock::Clock;
 use crate::fleet_node::FleetNode;
 use crate::metrics::StoreMetrics;
-use crate::platform::{Platform, RejectedItem};
+use crate::platform::{AnswerBehind, Platform, RejectedItem};
 use crate::settings::CommonSettings;
 
 /// Largest answer accepted, in bytes.
@@ -47,6 +47,8 @@
     Status { peer: SocketAddr, status: u16 },
     #[error("store {peer}: history before the revision is gone")]
     HistoryGone { peer: SocketAddr },
+    #[error("store {peer}: {behind}")]
+    Behind { peer: SocketAddr, behind: AnswerBehind },
     #[error("store {peer}: {rejected}")]
     Unusable { peer: SocketAddr, rejected: Box<RejectedItem> },
 }
@@ -178,20 +180,18 @@
     }
 
     async fn watch(&mut self, after: u64) -> Result<(), StoreError> {
-        let path = self.platform.watch_path(after, self.timing.watch_wait_ms);
-        let limit = Duration::from_millis(self.timing.watch_wait_ms) + WATCH_SLACK;
+        let asked_at = self.clock.now();
+        let wait_ms = self.timing.watch_wait_ms;
+        let path = self.platform.watch_path(after, wait_ms);
+        let limit = Duration::from_millis(wait_ms) + WATCH_SLACK;
         let body = self.call(&path, limit).await?;
         let page = self.platform.read_watch(&body);
         let page = page.map_err(|rejected| self.unusable(rejected))?;
         self.log_rejected(&page.rejected);
-        self.apply(Update {
-            after,
-            through: page.at.max(after),
-            complete: false,
-            age_ms: 0,
-            configuration: page.configuration,
-            targets: page.targets,
-        });
+        let elapsed_ms = self.clock.now().saturating_sub(asked_at);
+        let update = page.into_update(after, wait_ms, elapsed_ms);
+        let update = update.map_err(|behind| StoreError::Behind { peer: self.address, behind })?;
+        self.apply(update);
         Ok(())
     }
 
--- a/crates/relay/tests/fleet_node.rs
+++ b/crates/relay/tests/fleet_node.rs
@@ -118,3 +118,22 @@
     let load = balancer.peer_load(now);
     assert_eq!((load.keeping_up, load.overloaded), (2, 1));
 }
+
+/// The way in which the fleet once lost sight of the store: the reader is cut off, and
+/// every 600 ms a machine comes whose agent learns from a peer and speaks to others.
+#[test]
+fn agents_that_start_do_not_make_old_knowledge_fresh() {
+    let mut balancer = node(BALANCER, PeerRole::Balancer);
+    let confirmed_at: Millis = 20_000;
+    balancer.apply_from_store(update(0, 347, vec![target(1, 2)]), confirmed_at);
+    for started in 1..10_u8 {
+        let uptime: Millis = 100;
+        let now = confirmed_at + Millis::from(started) * 600;
+        let mut agent = node(machine(started), PeerRole::Agent);
+        agent.apply(balancer.answer(agent.request(), now), "peer", uptime);
+        let word = agent.digest(false, uptime);
+        balancer.on_digest(&word, now);
+        assert_eq!(balancer.age(now), Some(now - confirmed_at), "agent {started}");
+    }
+    assert!(balancer.should_read(confirmed_at + 5_400), "somebody asks the store again");
+}
