Search for a flow along rows that grow in number

Change: a search sends its packet along one row of eight agents, then along 4, 16 and at most 64 rows at the same time, so that its time grows with the logarithm of the number of targets (up to 512 at once). A target that sent the packet back is not asked a second time: it does not hold the flow and never will; only targets that became known during the 25 ms before a flow is given up are asked then. After a silence the agents of a row are asked alone, at once and no longer one after the other. The list of asked agents is a set, so that a search over n targets no longer takes n * n comparisons.

Ruled out, or not built: a directory of flows at drawn places, and agents that vouch for knowing all flows of their target. After a loss of everything both need a proof that a target started after its agent; neither the record (written about a second later, again after a lapse) nor the machine gives one that an agent's own restart cannot fake, and a wrong one resets living flows. The number of agents asked in vain stays one for each target (half as many messages as before).

Tests: search_at_size counts trips at 8, 163, 1,000 and 7,200 targets (9, 27, 45, 153 at most; before 9, 378, ...) and lets a network lose packets at random around a flow whose target lives: it is never reset.

--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -231,16 +231,13 @@
         let flow = head.client_flow();
         match decision {
             Decision::Forward(forward) => {
-                self.metrics.forwarded.increment(forward.reason.label());
                 self.log_forwarded(&flow, &forward, now);
-                let message = PeerMessage::Forward {
-                    service: forward.service.0,
-                    search: forward.is_search().then(|| self.search_path(&forward)),
-                    may_wait: forward.may_wait(),
-                    urgent: forward.urgent,
-                    packet,
-                };
-                self.link.send(forward.agent, &message);
+                self.forward(&forward, forward.agent, &forward.next, packet);
+                for row in &forward.further_rows {
+                    if let Some((first, next)) = row.split_first() {
+                        self.forward(&forward, *first, next, packet);
+                    }
+                }
             }
             Decision::Reset { sequence, reason } => {
                 self.metrics.resets.increment(reason.label());
@@ -254,7 +251,7 @@
                 self.metrics.handed_off.inc();
                 self.link.send(helper, &PeerMessage::HandOff { packet });
             }
-            Decision::Drop(DropReason::SearchEnded) => {}
+            Decision::Drop(DropReason::SearchEnded | DropReason::SearchGoesOn) => {}
             Decision::Drop(reason) => {
                 self.packet_rests.notify_one();
                 self.metrics.dropped.increment(reason.label());
@@ -263,8 +260,21 @@
         }
     }
 
-    fn search_path(&self, forward: &Forward) -> SearchPath {
-        let next = forward.next.iter().map(|agent| agent.to_bits()).collect();
+    /// Sends a packet to an agent; a searching one goes on to `next` in turn.
+    fn forward(&self, forward: &Forward, agent: Ipv4Addr, next: &[Ipv4Addr], packet: &[u8]) {
+        self.metrics.forwarded.increment(forward.reason.label());
+        let message = PeerMessage::Forward {
+            service: forward.service.0,
+            search: forward.is_search().then(|| self.search_path(next)),
+            may_wait: forward.may_wait(),
+            urgent: forward.urgent,
+            packet,
+        };
+        self.link.send(agent, &message);
+    }
+
+    fn search_path(&self, next: &[Ipv4Addr]) -> SearchPath {
+        let next = next.iter().map(|agent| agent.to_bits()).collect();
         SearchPath { balancer: self.address.to_bits(), next }
     }
 
--- a/crates/steering/src/balancer/decision.rs
+++ b/crates/steering/src/balancer/decision.rs
@@ -74,6 +74,8 @@
     BouncedByClient,
     /// No target held the flow this time.
     NobodyHoldsYet,
+    /// The search for the flow is under way already.
+    SearchGoesOn,
     /// The kept copy of a packet is no longer needed.
     SearchEnded,
 }
@@ -86,6 +88,7 @@
             DropReason::NoTargetYet => "no_target_yet",
             DropReason::BouncedByClient => "bounced_by_client",
             DropReason::NobodyHoldsYet => "nobody_holds_yet",
+            DropReason::SearchGoesOn => "search_goes_on",
             DropReason::SearchEnded => "search_ended",
         }
     }
@@ -115,6 +118,9 @@
     pub reason: ForwardReason,
     /// The agents that a searching packet visits in turn after this one.
     pub next: Vec<Ipv4Addr>,
+    /// Further rows of agents that copies of a searching packet visit at the same time,
+    /// each row in turn.
+    pub further_rows: Vec<Vec<Ipv4Addr>>,
     /// What was weighed, if a target was chosen by load.
     pub inputs: Option<SelectionInputs>,
 }
@@ -155,14 +161,24 @@
 impl Decision {
     /// Forwards a packet to an agent that was not chosen by load.
     pub(super) fn forward(agent: Ipv4Addr, service: ServiceId, reason: ForwardReason) -> Self {
-        let (next, inputs) = (Vec::new(), None);
-        Decision::Forward(Forward { agent, service, urgent: false, reason, next, inputs })
+        Decision::Forward(Forward {
+            agent,
+            service,
+            urgent: false,
+            reason,
+            next: Vec::new(),
+            further_rows: Vec::new(),
+            inputs: None,
+        })
     }
 
-    /// Sends a searching packet to the first of these agents, which passes it on to
-    /// the others in turn. Without any, drops it.
-    pub(super) fn search(asked: &[Ipv4Addr], service: ServiceId) -> Self {
-        let Some((agent, next)) = asked.split_first() else {
+    /// Sends a searching packet along each of these rows of agents: to the first of a
+    /// row, which passes it on to the others in turn. Without any, drops it.
+    pub(super) fn search(rows: &[Vec<Ipv4Addr>], service: ServiceId) -> Self {
+        let Some((first_row, further_rows)) = rows.split_first() else {
+            return Decision::Drop(DropReason::NobodyHoldsYet);
+        };
+        let Some((agent, next)) = first_row.split_first() else {
             return Decision::Drop(DropReason::NobodyHoldsYet);
         };
         Decision::Forward(Forward {
@@ -171,6 +187,7 @@
             urgent: false,
             reason: ForwardReason::Search,
             next: next.to_vec(),
+            further_rows: further_rows.to_vec(),
             inputs: None,
         })
     }
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -233,7 +233,7 @@
         let stage = if opens { FlowStage::Opening } else { FlowStage::Searching };
         let Some(entry) = self.flows.get_mut(flow) else {
             let mut entry = FlowEntry::new(from, stage, context.now);
-            entry.note_tried(from);
+            entry.tried.insert(from);
             self.flows.insert(*flow, entry);
             return None;
         };
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -1,5 +1,6 @@
 //! Where opening packets go.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId};
@@ -31,7 +32,7 @@
     }
 
     /// The targets that a flow did not try yet.
-    fn without(mut self, tried: &[Ipv4Addr]) -> Self {
+    fn without(mut self, tried: &BTreeSet<Ipv4Addr>) -> Self {
         let is_untried = |candidate: &Candidate| !tried.contains(&candidate.agent);
         self.answering.retain(is_untried);
         self.silent.retain(is_untried);
@@ -61,7 +62,7 @@
             let service = service_of(context.view, &flow, agent);
             return Decision::forward(agent, service, ForwardReason::OpeningWaits);
         }
-        entry.note_tried(agent);
+        entry.tried.insert(agent);
         self.choose_target(context, head, ForwardReason::OpeningMoved)
     }
 
@@ -122,8 +123,8 @@
         self.go_to(flow, chosen.agent, FlowStage::Opening, now);
         let urgent = route.is_urgent();
         let agent = chosen.agent;
-        let (next, inputs) = (Vec::new(), Some(inputs));
-        Decision::Forward(Forward { agent, service, urgent, reason, next, inputs })
+        let (next, further_rows, inputs) = (Vec::new(), Vec::new(), Some(inputs));
+        Decision::Forward(Forward { agent, service, urgent, reason, next, further_rows, inputs })
     }
 
     /// The outcome for an opening packet that no untried target can get.
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -1,5 +1,6 @@
 //! The search for the target that holds a flow which this balancer does not know.
 
+use std::collections::HashSet;
 use std::net::Ipv4Addr;
 
 use weirhinge_fleet::{Millis, ServiceId};
@@ -13,12 +14,19 @@
 
 /// A search that got no answer from a target for this long tries the next one.
 const SEARCH_STEP_MS: Millis = 120;
-/// Most agents that a searching packet visits in turn before it comes back.
+/// Most agents that a searching packet visits in turn before it comes back. Nearly all
+/// flows are held near the front of their order, within the first row.
 const ASKED_IN_TURN: usize = 8;
-/// A flow is given up when every target sent its packet back twice, at least this
-/// far apart, so that a target that was not known the first time is: a change that
-/// one balancer knows reaches the others in a few milliseconds. The client waits
-/// meanwhile, and after a total loss every flow meets this wait.
+/// How many times more rows each wave of a search has than the one before: the time of
+/// a search grows with the logarithm of the number of targets.
+const ROWS_GROWTH: usize = 4;
+/// Most rows of one wave, which bounds the packets sent at once. All of 512 targets are
+/// asked in four waves.
+const MOST_ROWS: usize = 64;
+/// A flow is given up this long after the last target sent its packet back, so that a
+/// target that was not known by then is asked too: a change that one balancer knows
+/// reaches the others in a few milliseconds. The client waits meanwhile, and after a
+/// total loss every flow meets this wait.
 const GIVE_UP_AFTER_MS: Millis = 25;
 /// How long after the store's word became fresh an agent has had the time to say
 /// what stands beside it.
@@ -38,62 +46,63 @@
 }
 
 impl Balancer {
-    /// Sends a packet of an unknown flow to the next target that may hold it.
+    /// Sends a packet of an unknown flow to the next targets that may hold it.
     pub(super) fn search(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
         let flow = head.client_flow();
         let Some(route) = context.view.route(head.destination) else {
             return Self::without_route(context.view, head);
         };
+        let is_under_way = self.flows.get_mut(&flow).is_some_and(|entry| !entry.asked.is_empty());
+        if is_under_way {
+            return Decision::Drop(DropReason::SearchGoesOn);
+        }
         let tried = self.flows.tried(&flow);
         let order = self.search_order(context, route.services(), flow.hash());
         let untried = order.into_iter().filter(|place| !tried.contains(&place.agent));
-        let mut untried: Vec<SearchPlace> = untried.collect();
-        let deferred = self.flows.get_mut(&flow).and_then(|entry| entry.deferred);
-        untried.sort_by_key(|place| Some(place.agent) == deferred);
+        let untried: Vec<SearchPlace> = untried.collect();
         let Some(first) = untried.first() else {
             return self.search_failed(context, &flow, head);
         };
-        let (agent, service) = (first.agent, first.service);
-        self.go_to(flow, agent, FlowStage::Searching, context.now);
+        self.go_to(flow, first.agent, FlowStage::Searching, context.now);
         let Some(entry) = self.flows.get_mut(&flow) else {
-            return Decision::search(&[agent], service);
+            return Decision::search(&[vec![first.agent]], first.service);
         };
-        entry.asked = asked_in_turn(&untried, entry.one_by_one);
-        Decision::search(&entry.asked, service)
+        entry.asked = next_rows(&untried, entry);
+        entry.waves += 1;
+        Decision::search(&entry.asked, first.service)
     }
 
-    /// Sends a further packet of a flow the way of the search under way.
+    /// Sends a further packet of a flow the way of the search under way, while that is
+    /// one row. With more rows its client sends it again when the target is found.
     pub(super) fn join_search(&mut self, context: &Context<'_>, flow: &FlowKey) -> Decision {
-        let Some(entry) = self.flows.get_mut(flow) else {
-            return Decision::Drop(DropReason::NobodyHoldsYet);
+        let Some(entry) = self.flows.get_mut(flow).filter(|entry| entry.asked.len() == 1) else {
+            return Decision::Drop(DropReason::SearchGoesOn);
         };
         let service = service_of(context.view, flow, entry.agent);
         Decision::search(&entry.asked, service)
     }
 
-    /// Goes past a target that did not answer.
+    /// Goes past targets that did not answer. Any of a row may be the one that does not:
+    /// all of the row are asked again, each alone.
     pub(super) fn search_past_silence(
         &mut self,
         context: &Context<'_>,
         head: &PacketHead,
     ) -> Decision {
         let flow = head.client_flow();
-        let Some(silent) = self.flows.get_mut(&flow).map(|entry| entry.agent) else {
-            return self.search(context, head);
-        };
-        let may_hold = !self.may_be_gone(context.view, &flow, silent, context.now);
-        let Some(entry) = self.flows.get_mut(&flow) else {
-            return self.search(context, head);
-        };
-        if entry.asked.len() > 1 {
-            // Any of those asked in turn may be the one that does not answer: all of
-            // them are asked again, each alone.
-            entry.one_by_one = true;
-            entry.deferred = Some(silent);
-        } else {
-            entry.note_tried(silent);
+        let asked = self.flows.get_mut(&flow).map(|entry| std::mem::take(&mut entry.asked));
+        let (rows, alone): (Vec<_>, Vec<_>) =
+            asked.unwrap_or_default().into_iter().partition(|row| row.len() > 1);
+        let silent: Vec<Ipv4Addr> = alone.into_iter().flatten().collect();
+        let is_gone = |agent: &Ipv4Addr| self.may_be_gone(context.view, &flow, *agent, context.now);
+        let may_hold = !silent.iter().all(is_gone);
+        for agent in &silent {
+            self.statuses.ignored_search(*agent, context.now);
+        }
+        if let Some(entry) = self.flows.get_mut(&flow) {
+            entry.tried.extend(silent);
             entry.search_met_silence |= may_hold;
-            self.statuses.ignored_search(silent, context.now);
+            entry.one_by_one |= !rows.is_empty();
         }
         self.search(context, head)
     }
@@ -107,6 +116,10 @@
         context: &Context<'_>,
     ) {
         let flow = packet.head.client_flow();
+        if *decision == Decision::Drop(DropReason::SearchGoesOn) {
+            // Those asked still have the rest of their time to answer.
+            return;
+        }
         let goes_on = match decision {
             Decision::Forward(forward) => forward.is_search(),
             Decision::Drop(reason) => *reason == DropReason::NobodyHoldsYet,
@@ -162,15 +175,17 @@
         flow_hash: u64,
     ) -> Vec<SearchPlace> {
         let mut order: Vec<SearchPlace> = Vec::new();
+        let mut listed: HashSet<Ipv4Addr> = HashSet::new();
         for service in services {
             let candidates = context.view.candidates(service).iter();
             for candidate in rendezvous_order(flow_hash, candidates) {
+                listed.insert(candidate.agent);
                 order.push(self.search_place(service, &candidate, context.now));
             }
             let certain = self.knows_all_targets(context);
             for agent in self.statuses.claimants(service, context.now) {
                 let is_mute = certain && self.statuses.is_mute(agent, context.now);
-                if !is_mute && !order.iter().any(|place| place.agent == agent) {
+                if !is_mute && listed.insert(agent) {
                     order.push(SearchPlace { service, agent, is_silent: false, is_far: false });
                 }
             }
@@ -215,13 +230,12 @@
         let Some(entry) = self.flows.get_mut(flow) else {
             return Decision::Drop(DropReason::NobodyHoldsYet);
         };
-        entry.tried.clear();
-        entry.asked.clear();
-        entry.one_by_one = false;
-        entry.deferred = None;
+        entry.end_round();
         entry.stage = FlowStage::Unheld;
-        // A target that did not answer may hold the flow.
+        // A target that did not answer may hold the flow. One that sent its packet back
+        // does not, and never will.
         if std::mem::take(&mut entry.search_met_silence) {
+            entry.tried.clear();
             entry.unheld_since = None;
             return Decision::Drop(DropReason::NobodyHoldsYet);
         }
@@ -235,12 +249,20 @@
     }
 }
 
-/// The agents to ask next, in turn: the first, and those after it that are not
-/// known to be silent.
-fn asked_in_turn(untried: &[SearchPlace], one_by_one: bool) -> Vec<Ipv4Addr> {
-    let length = if one_by_one { 1 } else { ASKED_IN_TURN };
-    let answering = untried.iter().take(length).take_while(|place| !place.is_silent).count();
-    untried.iter().take(answering.max(1)).map(|place| place.agent).collect()
+/// The rows of agents to ask next: in each wave more, of those that are not known to be
+/// silent; after them the silent ones, each alone.
+fn next_rows(untried: &[SearchPlace], entry: &FlowEntry) -> Vec<Vec<Ipv4Addr>> {
+    let (length, rows) = if entry.one_by_one {
+        (1, MOST_ROWS)
+    } else {
+        (ASKED_IN_TURN, ROWS_GROWTH.saturating_pow(entry.waves).min(MOST_ROWS))
+    };
+    let answering = untried.iter().take(length * rows).take_while(|place| !place.is_silent);
+    let answering: Vec<Ipv4Addr> = answering.map(|place| place.agent).collect();
+    if answering.is_empty() {
+        return untried.iter().take(MOST_ROWS).map(|place| vec![place.agent]).collect();
+    }
+    answering.chunks(length).map(<[Ipv4Addr]>::to_vec).collect()
 }
 
 /// Whether the target asked last has had its time to answer.
--- a/crates/steering/src/flow_table.rs
+++ b/crates/steering/src/flow_table.rs
@@ -1,6 +1,6 @@
 //! A bounded table of the flows that a balancer has seen.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::Ipv4Addr;
 
 use weirhinge_fleet::Millis;
@@ -33,15 +33,14 @@
     pub tried_at: Millis,
     /// Agents whose targets did not take the flow's packets. Empty for nearly all
     /// flows, and then without an allocation.
-    pub tried: Vec<Ipv4Addr>,
-    /// The agents that a searching packet visits in turn, `agent` first. Empty
-    /// while nothing is searched for.
-    pub asked: Vec<Ipv4Addr>,
-    /// Whether the search asks one agent at a time, as one in a row did not answer.
+    pub tried: BTreeSet<Ipv4Addr>,
+    /// The rows of agents that searching packets are visiting now, each in turn.
+    /// Empty while nothing is searched for.
+    pub asked: Vec<Vec<Ipv4Addr>>,
+    /// How often the search sent out rows.
+    pub waves: u32,
+    /// Whether the search asks each agent alone, as one in a row did not answer.
     pub one_by_one: bool,
-    /// The first agent of a row in which one did not answer: it may not be the one, and
-    /// is asked again after the others.
-    pub deferred: Option<Ipv4Addr>,
     /// When a search first found that no target held the flow.
     pub unheld_since: Option<Millis>,
     /// Whether the search now under way met a target that did not answer.
@@ -58,10 +57,10 @@
             stage,
             used_at: now,
             tried_at: now,
-            tried: Vec::new(),
+            tried: BTreeSet::new(),
             asked: Vec::new(),
+            waves: 0,
             one_by_one: false,
-            deferred: None,
             unheld_since: None,
             search_met_silence: false,
             has_waited: false,
@@ -73,29 +72,26 @@
         self.agent = agent;
         self.stage = FlowStage::Held;
         self.tried.clear();
-        self.asked.clear();
-        self.one_by_one = false;
-        self.deferred = None;
+        self.end_round();
         self.unheld_since = None;
         self.search_met_silence = false;
     }
 
-    /// Notes that an agent's target did not take the flow, nor did those that the
-    /// packet visited before it.
-    pub fn note_returned(&mut self, agent: Ipv4Addr) {
-        if let Some(place) = self.asked.iter().position(|asked| *asked == agent) {
-            for visited in self.asked.drain(..=place).collect::<Vec<_>>() {
-                self.note_tried(visited);
-            }
-        }
-        self.note_tried(agent);
+    /// Nobody is asked now; the next search begins with its first wave.
+    pub fn end_round(&mut self) {
+        self.asked.clear();
+        self.waves = 0;
+        self.one_by_one = false;
     }
 
-    /// Notes that an agent's target did not take the flow.
-    pub fn note_tried(&mut self, agent: Ipv4Addr) {
-        if !self.tried.contains(&agent) {
-            self.tried.push(agent);
-        }
+    /// Notes that an agent's target did not take the flow, nor did those that the
+    /// packet visited before it. The rest of its row was not asked.
+    pub fn note_returned(&mut self, agent: Ipv4Addr) {
+        let row = self.asked.iter().position(|row| row.contains(&agent));
+        let row = row.map(|place| self.asked.swap_remove(place)).unwrap_or_default();
+        let visited = row.into_iter().take_while(|visited| *visited != agent);
+        self.tried.extend(visited);
+        self.tried.insert(agent);
     }
 }
 
@@ -119,8 +115,9 @@
     }
 
     /// Agents whose targets did not take a flow's packets.
-    pub fn tried(&self, key: &FlowKey) -> &[Ipv4Addr] {
-        self.flows.get(key).map_or(&[], |entry| &entry.tried)
+    pub fn tried(&self, key: &FlowKey) -> &BTreeSet<Ipv4Addr> {
+        const NONE: &BTreeSet<Ipv4Addr> = &BTreeSet::new();
+        self.flows.get(key).map_or(NONE, |entry| &entry.tried)
     }
 
     /// Adds or replaces a flow's entry.
--- /dev/null
+++ b/crates/steering/tests/search_at_size.rs
@@ -0,0 +1,139 @@
+//! What the search for a flow costs as the fleet grows, and that it harms no flow.
+
+mod support;
+
+use std::net::Ipv4Addr;
+
+use proptest::prelude::*;
+use support::{Fixture, LATER, Store, data, flow, forwarded, many_agent};
+use weirhinge_steering::{Decision, DropReason, PacketHead};
+
+/// Most rows that are asked at once.
+const MOST_ROWS: usize = 64;
+
+/// What one search took.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Cost {
+    /// One-way trips that the search takes one after the other.
+    trips: usize,
+    /// Packets that the balancer sent and got back.
+    balancer_packets: usize,
+    /// Targets that were asked.
+    asked: usize,
+}
+
+fn rows(decision: &Decision) -> Vec<Vec<Ipv4Addr>> {
+    let forward = forwarded(decision);
+    let first = [vec![forward.agent], forward.next.clone()].concat();
+    [vec![first], forward.further_rows.clone()].concat()
+}
+
+/// Searches for a flow that no target holds.
+fn search_in_vain(fixture: &mut Fixture, head: &PacketHead) -> Cost {
+    let mut cost = Cost::default();
+    let mut decision = fixture.client(head, LATER);
+    while let Decision::Forward(_) = &decision {
+        let asked = rows(&decision);
+        assert!(asked.len() <= MOST_ROWS);
+        cost.trips += 1 + asked.iter().map(Vec::len).max().unwrap_or_default();
+        cost.balancer_packets += 2 * asked.len();
+        cost.asked += asked.iter().map(Vec::len).sum::<usize>();
+        for row in asked {
+            decision = fixture.bounced(head, row[row.len() - 1], LATER);
+        }
+    }
+    assert_eq!(decision, Decision::Drop(DropReason::NobodyHoldsYet));
+    let end = fixture.search_again(head, LATER + 25);
+    assert!(matches!(end, Decision::Reset { .. }), "nobody is asked a second time");
+    cost
+}
+
+/// It once took 9, 378 and 16,200 trips: eight targets after the other, all of them twice.
+#[test]
+fn the_time_of_a_search_hardly_grows_with_the_number_of_targets() {
+    for (targets, most_trips) in [(8, 9), (163, 27), (1_000, 45), (7_200, 153)] {
+        let mut fixture = Fixture::new(&Store::with_many_targets(targets));
+        let cost = search_in_vain(&mut fixture, &data(flow(1)));
+        assert_eq!(cost.asked, targets as usize);
+        assert!(cost.trips <= most_trips, "{targets} targets: {cost:?}");
+        assert!(cost.balancer_packets <= 2 * (targets as usize / 8 + 4), "{cost:?}");
+    }
+}
+
+/// What the network does to one row of a search.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    /// All of the row are asked; the holder, if it is among them, takes the packet.
+    Asked,
+    /// The packet is lost on its way.
+    Lost,
+    /// The packet is lost on its way back from the last of the row.
+    ReturnLost,
+}
+
+fn fates() -> impl Strategy<Value = Vec<Fate>> {
+    let fate =
+        prop_oneof![6 => Just(Fate::Asked), 1 => Just(Fate::Lost), 1 => Just(Fate::ReturnLost)];
+    prop::collection::vec(fate, 1..200)
+}
+
+/// Sends the packets of one decision and of those that follow at once. Returns whether
+/// the balancer knows the holder now, and the last decision.
+fn play(
+    fixture: &mut Fixture,
+    mut decision: Decision,
+    holder: Ipv4Addr,
+    now: u64,
+    mut fate: impl FnMut() -> Fate,
+) -> (bool, Decision) {
+    let head = data(flow(1));
+    while let Decision::Forward(forward) = &decision {
+        if !forward.is_search() {
+            return (forward.agent == holder, decision);
+        }
+        let mut next = Decision::Drop(DropReason::SearchGoesOn);
+        for row in rows(&decision) {
+            match fate() {
+                Fate::Lost => {}
+                _ if row.contains(&holder) => {
+                    fixture.balancer.holds(flow(1), holder, true, 0, now);
+                }
+                Fate::ReturnLost => {}
+                Fate::Asked => next = fixture.bounced(&head, row[row.len() - 1], now),
+            }
+        }
+        decision = next;
+    }
+    (false, decision)
+}
+
+proptest! {
+    /// Whatever is lost, a flow whose target lives is not reset, and is found once
+    /// packets come through again.
+    #[test]
+    fn a_flow_whose_target_lives_is_never_reset(
+        targets in 1_u32..200,
+        holder in any::<prop::sample::Index>(),
+        fates in fates(),
+        pauses in prop::collection::vec(1_u64..200, 40),
+    ) {
+        let holder = many_agent(holder.index(targets as usize) as u32);
+        let mut fixture = Fixture::new(&Store::with_many_targets(targets));
+        let head = data(flow(1));
+        let mut fates = fates.into_iter();
+        let mut now = LATER;
+        let calm = std::iter::repeat_n(130, 20);
+        let lossy = pauses.len();
+        for (step, pause) in pauses.into_iter().chain(calm).enumerate() {
+            let decision = fixture.client(&head, now);
+            let fate = || fates.next().filter(|_| step < lossy).unwrap_or(Fate::Asked);
+            let (is_found, last) = play(&mut fixture, decision, holder, now, fate);
+            prop_assert!(!matches!(last, Decision::Reset { .. }), "reset at {now}");
+            if is_found {
+                return Ok(());
+            }
+            now += pause;
+        }
+        prop_assert!(false, "never found");
+    }
+}
