Turn new flows away from targets that fail

Hypothesis: a target that answers 500 or resets within a millisecond always looks idle and draws flows; only its own agent sees all its answers (a balancer of 59 meets a given target once in 24 s), so a circuit breaker at the agent leaves it soonest.

Change: each agent reads the status in the first packet of an answer (platform/ tells good, failed, not run; nothing is changed). Three failures in a row or 5 of 16, resets of requests included, eject the target: its agent sends new flows back to their balancer, which tries another target and passes this one over for a second. After 1 s (doubling to 16 s with each relapse) flows test the target one at a time; three good answers end the ejection. An opening packet that two failing targets sent back is taken by any, so where most targets fail nobody is out. Open flows stay. One log line and a counter for each verdict, a gauge for its state. The datagrams' version is raised, as agents and balancers of both kinds cannot mix.

Not built: requests that hang, and service times above the median (an overloaded fleet looks alike, and after a loss of power every target would be out).

Changed: the version byte in the test of foreign datagrams.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -5,7 +5,7 @@
 use crate::model::ZoneId;
 
 /// First byte of every datagram between daemons.
-const PROTOCOL_VERSION: u8 = 3;
+const PROTOCOL_VERSION: u8 = 4;
 
 /// Why a datagram from a peer was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -167,6 +167,8 @@
     OtherService,
     /// The agent is about to stop and takes no new flows.
     Leaving,
+    /// The target fails requests; others are better off elsewhere for now.
+    Failing,
     /// The target has no room now, or had none for as long as the opening packet
     /// could wait.
     Busy,
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -145,7 +145,7 @@
 }
 
 /// First byte of the datagrams of this version of the protocol.
-const OUR_VERSION: u8 = 3;
+const OUR_VERSION: u8 = 4;
 
 #[test]
 fn foreign_datagrams_are_refused() {
--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -136,6 +136,7 @@
             ReturnReason::Bounced => "bounced",
             ReturnReason::OtherService => "other_service",
             ReturnReason::Leaving => "leaving",
+            ReturnReason::Failing => "failing",
             ReturnReason::Busy => "busy",
         };
         self.metrics.returned.increment(label);
--- a/crates/relay/src/agent/output.rs
+++ b/crates/relay/src/agent/output.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
+use slog::info;
 use weirhinge_fleet::{Millis, PeerMessage, ReturnReason, ServiceId};
-use weirhinge_steering::{HoldsNotice, OutputDecision, PacketHead};
+use weirhinge_steering::{BreakerChange, HoldsNotice, OutputDecision, PacketHead};
 
 use super::Daemon;
 use crate::platform::Platform;
@@ -26,7 +27,11 @@
             Ok(head) => head,
             Err(malformed) => return self.metrics.dropped.increment(malformed.label()),
         };
+        if let Some(status) = self.platform.answer_status(packet) {
+            self.core.borrow_mut().answer_begins(&head.target_flow(), status, now);
+        }
         let decision = self.core.borrow_mut().output(&head, now);
+        self.report_breaker();
         match decision {
             OutputDecision::ToClient { notice } => {
                 let client = SocketAddrV4::new(*head.destination.ip(), self.client_port);
@@ -44,6 +49,24 @@
         }
     }
 
+    /// Logs and counts it if new flows are turned away from now on, or no longer.
+    fn report_breaker(&self) {
+        match self.core.borrow_mut().take_breaker_change() {
+            None => {}
+            Some(BreakerChange::Opened { consecutive, recent, span_ms }) => {
+                self.metrics.ejections.inc();
+                self.metrics.ejected.set(1);
+                info!(self.log, "agent: target ejected"; "event" => "target_ejected",
+                    "failures_in_a_row" => consecutive, "failures_of_16" => recent,
+                    "span_ms" => span_ms);
+            }
+            Some(BreakerChange::Closed) => {
+                self.metrics.ejected.set(0);
+                info!(self.log, "agent: target readmitted"; "event" => "target_readmitted");
+            }
+        }
+    }
+
     /// Sends a packet that the target did not take where it goes next.
     pub(super) fn carry_on(
         &self,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -58,6 +58,10 @@
     pub to_clients: Counter,
     /// Packets dropped, by reason.
     pub dropped: ReasonCounters,
+    /// Times that the target was ejected: it failed, and gets no new flows for a while.
+    pub ejections: Counter,
+    /// Whether the target is ejected now.
+    pub ejected: Gauge,
     /// Requests that wait for an answer of the target.
     pub waiting: Gauge,
     /// Flows followed.
@@ -74,6 +78,8 @@
                 .counter("openings_waited", "Opening packets that waited for room"),
             to_clients: metrics.counter("packets_to_clients", "Packets sent to clients"),
             dropped: metrics.reasons("packets_dropped", "Packets dropped"),
+            ejections: metrics.counter("target_ejections", "Times that the target was ejected"),
+            ejected: metrics.gauge("target_ejected", "Whether the target is ejected now"),
             waiting: metrics.gauge("requests_waiting", "Requests waiting for the target"),
             flows: metrics.gauge("flows", "Flows followed"),
         }
--- a/crates/relay/src/platform.rs
+++ b/crates/relay/src/platform.rs
@@ -2,7 +2,7 @@
 //! asked and answers. An implementation translates and decides nothing.
 
 use weirhinge_fleet::{Millis, Update, VersionedConfiguration, VersionedTarget};
-use weirhinge_steering::{FlowKey, MalformedPacket, PacketHead};
+use weirhinge_steering::{AnswerStatus, FlowKey, MalformedPacket, PacketHead};
 
 /// An item of the store that cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -105,6 +105,9 @@
     /// The identifier of the request that begins in this packet, if one does.
     fn request_id<'a>(&self, packet: &'a [u8]) -> Option<&'a str>;
 
+    /// How a target answers a request, if its answer begins in this packet.
+    fn answer_status(&self, packet: &[u8]) -> Option<AnswerStatus>;
+
     /// Path and query that list the store's items after a key.
     fn list_path(&self, after: Option<&str>) -> String;
 
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! An agent's decisions about packets to and from the target beside it.
 
 mod admission;
+mod breaker;
 mod decision;
 mod deliveries;
 mod flow;
@@ -10,13 +11,15 @@
 
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId};
 
+pub use breaker::BreakerChange;
 pub use decision::{
     Arrival, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, WaitOutcome,
 };
 
-use crate::packet::{FlowKey, PacketHead};
+use crate::packet::{AnswerStatus, FlowKey, PacketHead};
 use crate::waiting_room::WaitingRoom;
 use admission::Admission;
+use breaker::CircuitBreaker;
 use deliveries::Deliveries;
 use flow::Flow;
 
@@ -59,6 +62,9 @@
     /// When the target last wrote anything.
     wrote_at: Option<Millis>,
     admission: Admission,
+    breaker: CircuitBreaker,
+    /// The latest change of the breaker, not told yet.
+    breaker_change: Option<BreakerChange>,
     leaving: bool,
 }
 
@@ -76,6 +82,8 @@
             searches: VecDeque::new(),
             wrote_at: None,
             admission: Admission::default(),
+            breaker: CircuitBreaker::default(),
+            breaker_change: None,
             leaving: false,
         }
     }
@@ -115,6 +123,10 @@
                 return DeliveryDecision::Return(ReturnReason::Leaving);
             }
             let is_new = !self.flows.contains_key(&arrival.head.client_flow());
+            // One that may wait found no better target.
+            if is_new && !arrival.may_wait && !self.breaker.admits(now) {
+                return DeliveryDecision::Return(ReturnReason::Failing);
+            }
             if is_new && self.admission.is_busy(self.load(), arrival.urgent) {
                 return self.busy_opening(arrival, now);
             }
@@ -188,6 +200,26 @@
         }
     }
 
+    /// Takes in how the target answered a request, from the packet in which its answer
+    /// begins; to be called before [`Self::output`] for the same packet.
+    pub fn answer_begins(&mut self, flow: &FlowKey, status: AnswerStatus, now: Millis) {
+        let waits = self.flows.get(flow).is_some_and(|flow| flow.waiting_since.is_some());
+        if !waits {
+            return;
+        }
+        let change = match status {
+            AnswerStatus::Good => self.breaker.succeeded(now),
+            AnswerStatus::Failed => self.breaker.failed(now),
+            AnswerStatus::NotRun => None,
+        };
+        self.breaker_change = change.or(self.breaker_change);
+    }
+
+    /// The latest change in whether the target gets new flows; given out once.
+    pub fn take_breaker_change(&mut self) -> Option<BreakerChange> {
+        self.breaker_change.take()
+    }
+
     /// Decides about a packet that the target sent.
     pub fn output(&mut self, head: &PacketHead, now: Millis) -> OutputDecision {
         self.wrote_at = Some(now);
@@ -204,6 +236,9 @@
         if let Some(since) = answered {
             self.admission.answered(now.saturating_sub(since), self.waiting);
             self.waiting -= 1;
+            if head.flags.rst {
+                self.breaker_change = self.breaker.failed(now).or(self.breaker_change);
+            }
         }
         let answers_opening = head.flags.syn && head.flags.ack;
         let notice = HoldsNotice { balancer: entry.balancer, flow, confirmed: !answers_opening };
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -12,6 +12,9 @@
 const RETRY_MS: Millis = 700;
 /// How long an agent that left a search unanswered is asked last.
 const MUTE_MS: Millis = 3_000;
+/// How long an agent's word that its target fails counts; about the time for which the
+/// agent turns new flows away at first.
+const FAILING_MS: Millis = 1_000;
 /// How long an agent's word about its target counts.
 const CLAIM_LIFETIME_MS: Millis = 2_500;
 /// How long after the last sign of life an agent is forgotten.
@@ -30,6 +33,8 @@
     /// When it last left a searching packet unanswered, and was not heard since.
     ignored_search_at: Option<Millis>,
     leaving: bool,
+    /// When it last said that its target fails.
+    failing_at: Option<Millis>,
     claim: Option<(ServiceId, Millis)>,
 }
 
@@ -113,6 +118,17 @@
         self.statuses.entry(agent).or_default().leaving = true;
     }
 
+    /// Records that an agent refused a new flow because its target fails.
+    pub fn note_failing(&mut self, agent: Ipv4Addr, now: Millis) {
+        self.statuses.entry(agent).or_default().failing_at = Some(now);
+    }
+
+    /// Whether an agent said lately that its target fails.
+    pub fn is_failing(&self, agent: Ipv4Addr, now: Millis) -> bool {
+        let said_at = self.statuses.get(&agent).and_then(|status| status.failing_at);
+        said_at.is_some_and(|at| now.saturating_sub(at) < FAILING_MS)
+    }
+
     /// Whether new flows should pass the agent over: it is about to stop or left
     /// opening packets unanswered. Lets one packet through now and then.
     pub fn is_suspect(&self, agent: Ipv4Addr, now: Millis) -> bool {
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -132,8 +132,10 @@
         from: Ipv4Addr,
         reason: ReturnReason,
     ) -> Decision {
-        if reason == ReturnReason::Leaving {
-            self.statuses.is_stopping(from);
+        match reason {
+            ReturnReason::Leaving => self.statuses.is_stopping(from),
+            ReturnReason::Failing => self.statuses.note_failing(from, context.now),
+            ReturnReason::Bounced | ReturnReason::OtherService | ReturnReason::Busy => {}
         }
         let opens = packet.head.is_opening();
         let flow = packet.head.client_flow();
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -19,10 +19,14 @@
 /// that does not know the flow looks first.
 const COMPARED: usize = 2;
 
+/// Failing targets that send an opening packet back before one has to take it.
+const MOST_FAILING_RETURNS: u32 = 2;
+
 /// Targets that may take a new flow, each tier in the flow's order.
 struct Eligible {
     answering: Vec<Candidate>,
-    /// Ready targets whose agent does not answer or is about to stop.
+    /// Ready targets whose agent does not answer, is about to stop, or said that its
+    /// target fails.
     silent: Vec<Candidate>,
 }
 
@@ -66,8 +70,9 @@
         self.choose_target(context, head, ForwardReason::OpeningMoved)
     }
 
-    /// An opening packet that a busy target sent back waits at the least loaded one;
-    /// others go on to a target that they did not try yet.
+    /// An opening packet that a busy target sent back waits at the least loaded one, and
+    /// so does one that met several failing targets, which then take it; others go on to
+    /// a target that they did not try yet.
     pub(super) fn returned_opening(
         &mut self,
         context: &Context<'_>,
@@ -75,8 +80,12 @@
         returned: ReturnReason,
     ) -> Decision {
         let flow = head.client_flow();
-        let Some(entry) = self.flows.get_mut(&flow).filter(|_| returned == ReturnReason::Busy)
-        else {
+        let goes_on = match returned {
+            ReturnReason::Busy => false,
+            ReturnReason::Failing => self.passes_failing(context, head),
+            ReturnReason::Bounced | ReturnReason::OtherService | ReturnReason::Leaving => true,
+        };
+        let Some(entry) = self.flows.get_mut(&flow).filter(|_| !goes_on) else {
             return self.choose_target(context, head, ForwardReason::OpeningReturned);
         };
         if entry.has_waited {
@@ -90,6 +99,23 @@
         self.choose_target(context, head, ForwardReason::OpeningWaits)
     }
 
+    /// Whether an opening packet that a failing target sent back tries another one: only
+    /// a few times, as most of them may fail.
+    fn passes_failing(&mut self, context: &Context<'_>, head: &PacketHead) -> bool {
+        let flow = head.client_flow();
+        let Some(entry) = self.flows.get_mut(&flow) else { return true };
+        entry.failing_returns += 1;
+        if entry.failing_returns >= MOST_FAILING_RETURNS {
+            return false;
+        }
+        let service =
+            context.view.route(head.destination).and_then(|route| route.pick(flow.hash()));
+        service.is_some_and(|service| {
+            let eligible = self.eligible(context, service, flow.hash());
+            !eligible.without(self.flows.tried(&flow)).is_empty()
+        })
+    }
+
     /// Chooses a target for an opening packet among those not tried yet.
     fn choose_target(
         &mut self,
@@ -155,7 +181,10 @@
         let candidates = context.view.candidates(service);
         let ready = candidates.iter().filter(|candidate| candidate.standing == Standing::Ready);
         let ready = rendezvous_order(flow_hash, ready);
-        let is_silent = |candidate: &Candidate| self.statuses.is_suspect(candidate.agent, now);
+        let is_silent = |candidate: &Candidate| {
+            self.statuses.is_suspect(candidate.agent, now)
+                || self.statuses.is_failing(candidate.agent, now)
+        };
         let (silent, mut answering): (Vec<_>, Vec<_>) = ready.into_iter().partition(is_silent);
         if answering.is_empty() {
             let unrecorded = self.unrecorded(context, candidates, service);
--- a/crates/steering/src/flow_table.rs
+++ b/crates/steering/src/flow_table.rs
@@ -47,6 +47,8 @@
     pub search_met_silence: bool,
     /// Whether the opening packet was sent to wait at a target.
     pub has_waited: bool,
+    /// How many agents sent the opening packet back because their targets fail.
+    pub failing_returns: u32,
 }
 
 impl FlowEntry {
@@ -64,6 +66,7 @@
             unheld_since: None,
             search_met_silence: false,
             has_waited: false,
+            failing_returns: 0,
         }
     }
 
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -19,7 +19,8 @@
 mod waiting_room;
 
 pub use agent::{
-    Agent, Arrival, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, WaitOutcome,
+    Agent, Arrival, BreakerChange, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop,
+    WaitOutcome,
 };
 pub use agent_status::AgentStatuses;
 pub use balancer::{
@@ -28,6 +29,6 @@
 };
 pub use flow_table::{FlowEntry, FlowStage, FlowTable};
 pub use overload::{OverloadMonitor, PeerLoad};
-pub use packet::{Flags, FlowKey, MalformedPacket, PacketHead};
+pub use packet::{AnswerStatus, Flags, FlowKey, MalformedPacket, PacketHead};
 pub use view::{Candidate, Distance, FleetView, Locality, RouteChoice, Standing, VersionLabel};
 pub use waiting_room::WaitedOpening;
--- a/crates/steering/src/packet.rs
+++ b/crates/steering/src/packet.rs
@@ -81,6 +81,17 @@
     }
 }
 
+/// What the beginning of a target's answer says about the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerStatus {
+    /// The target served it, or found fault with the request itself.
+    Good,
+    /// The target failed.
+    Failed,
+    /// The target turned it away without running it.
+    NotRun,
+}
+
 /// Identifies a flow by its two ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct FlowKey {
