Take a target that left the store and answers nothing for gone

Only a silent agent counted as gone with its target, so every lost flow was searched for again and again, each time at all 109 targets, until its client gave up.

Change: a target without a record that left two searching packets unanswered, asked alone, no longer holds a flow up, once the store's word is settled (living targets have renewed their records by then). A recorded one may only stand still and still does. A further round of a search asks those that did not answer, not all targets again.

Tests fail first: a_target_without_a_record_that_answers_nothing_does_not_hold_flows_up, only_targets_that_did_not_answer_are_asked_again. Beside them the opposite case.

--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -10,7 +10,7 @@
 use crate::flow_table::{FlowEntry, FlowStage};
 use crate::packet::{FlowKey, PacketHead};
 use crate::selection::rendezvous_order;
-use crate::view::{Candidate, Distance, FleetView, Standing};
+use crate::view::{Candidate, Distance, Standing};
 
 /// A search that got no answer from a target for this long tries the next one.
 const SEARCH_STEP_MS: Millis = 120;
@@ -94,14 +94,14 @@
         let (rows, alone): (Vec<_>, Vec<_>) =
             asked.unwrap_or_default().into_iter().partition(|row| row.len() > 1);
         let silent: Vec<Ipv4Addr> = alone.into_iter().flatten().collect();
-        let is_gone = |agent: &Ipv4Addr| self.may_be_gone(context.view, &flow, *agent, context.now);
-        let may_hold = !silent.iter().all(is_gone);
+        let may_hold = |agent: &&Ipv4Addr| !self.may_be_gone(context, &flow, **agent);
+        let unanswered: Vec<Ipv4Addr> = silent.iter().filter(may_hold).copied().collect();
         for agent in &silent {
             self.statuses.ignored_search(*agent, context.now);
         }
         if let Some(entry) = self.flows.get_mut(&flow) {
             entry.tried.extend(silent);
-            entry.search_met_silence |= may_hold;
+            entry.unanswered.extend(unanswered);
             entry.one_by_one |= !rows.is_empty();
         }
         self.search(context, head)
@@ -210,12 +210,19 @@
         candidate.standing != Standing::Ready && is_silent
     }
 
-    /// Whether an agent that does not answer most likely ended with its target.
-    fn may_be_gone(&self, view: &FleetView, flow: &FlowKey, agent: Ipv4Addr, now: Millis) -> bool {
+    /// Whether a target that does not answer is most likely gone: it left the store, and
+    /// its agent is silent too, or lives but had no answer of the target before either.
+    fn may_be_gone(&self, context: &Context<'_>, flow: &FlowKey, agent: Ipv4Addr) -> bool {
+        let (view, now) = (context.view, context.now);
         let services = view.route(flow.service).into_iter().flat_map(|route| route.services());
         let mut candidates = services.flat_map(|service| view.candidates(service));
-        let candidate = candidates.find(|candidate| candidate.agent == agent);
-        candidate.is_none_or(|candidate| self.has_left(candidate, now))
+        let Some(candidate) = candidates.find(|candidate| candidate.agent == agent) else {
+            return true;
+        };
+        let is_unrecorded = matches!(candidate.standing, Standing::Vanished(_));
+        let is_settled = context.fresh && !self.is_unsettled(now);
+        let is_mute = is_unrecorded && is_settled && self.statuses.is_mute(agent, now);
+        is_mute || self.has_left(candidate, now)
     }
 
     /// No target that is known holds the flow.
@@ -232,10 +239,12 @@
         };
         entry.end_round();
         entry.stage = FlowStage::Unheld;
-        // A target that did not answer may hold the flow. One that sent its packet back
-        // does not, and never will.
-        if std::mem::take(&mut entry.search_met_silence) {
-            entry.tried.clear();
+        // A target that did not answer may hold the flow, and is asked again. One that
+        // sent its packet back does not, and never will.
+        if !entry.unanswered.is_empty() {
+            for agent in std::mem::take(&mut entry.unanswered) {
+                entry.tried.remove(&agent);
+            }
             entry.unheld_since = None;
             return Decision::Drop(DropReason::NobodyHoldsYet);
         }
--- a/crates/steering/src/flow_table.rs
+++ b/crates/steering/src/flow_table.rs
@@ -43,8 +43,9 @@
     pub one_by_one: bool,
     /// When a search first found that no target held the flow.
     pub unheld_since: Option<Millis>,
-    /// Whether the search now under way met a target that did not answer.
-    pub search_met_silence: bool,
+    /// Agents that the search asked alone, that did not answer, and whose targets may
+    /// hold the flow.
+    pub unanswered: Vec<Ipv4Addr>,
     /// Whether the opening packet was sent to wait at a target.
     pub has_waited: bool,
     /// How many agents sent the opening packet back because their targets fail.
@@ -64,7 +65,7 @@
             waves: 0,
             one_by_one: false,
             unheld_since: None,
-            search_met_silence: false,
+            unanswered: Vec::new(),
             has_waited: false,
             failing_returns: 0,
         }
@@ -77,7 +78,7 @@
         self.tried.clear();
         self.end_round();
         self.unheld_since = None;
-        self.search_met_silence = false;
+        self.unanswered.clear();
     }
 
     /// Nobody is asked now; the next search begins with its first wave.
--- a/crates/steering/tests/search.rs
+++ b/crates/steering/tests/search.rs
@@ -120,6 +120,67 @@
     panic!("never given up");
 }
 
+/// Each round once asked all targets again, 109 of them for the sake of one.
+#[test]
+fn only_targets_that_did_not_answer_are_asked_again() {
+    let mut fixture = Fixture::new(&Store::with_targets(4));
+    let head = data(flow(1));
+    let silent = path(&fixture.client(&head, LATER))[1];
+    for row in rows(&fixture.search_again(&head, LATER + 130)) {
+        if row != [silent] {
+            fixture.bounced(&head, row[0], LATER + 131);
+        }
+    }
+    let end = fixture.search_again(&head, LATER + 260);
+    assert_eq!(end, Decision::Drop(DropReason::NobodyHoldsYet));
+    assert_eq!(rows(&fixture.search_again(&head, LATER + 390)), vec![vec![silent]]);
+    let found = fixture.balancer.holds(flow(1), silent, true, 0, LATER + 400);
+    assert_eq!(found, None);
+    assert_eq!(forwarded(&fixture.client(&head, LATER + 401)).agent, silent);
+}
+
+/// After a loss of power an agent came back whose target had left for good. The agent
+/// was heard, its target answered nothing, and lost flows were not given up for as long
+/// as the agent lived.
+#[test]
+fn a_target_without_a_record_that_answers_nothing_does_not_hold_flows_up() {
+    let mut store = Store::with_targets(3);
+    store.target(3, SERVICE, None, LATER - 3_000);
+    let mut fixture = Fixture::new(&store);
+    let head = data(flow(1));
+    let mut now = LATER;
+    let mut decision = fixture.client(&head, now);
+    while !matches!(decision, Decision::Reset { .. }) {
+        assert!(now < LATER + 1_000, "not given up");
+        fixture.balancer.claimed(agent(3), &claim(SERVICE), now);
+        let asked = match &decision {
+            Decision::Forward(_) => rows(&decision),
+            _ => Vec::new(),
+        };
+        for row in asked.iter().filter(|row| !row.contains(&agent(3))) {
+            decision = fixture.bounced(&head, row[row.len() - 1], now);
+        }
+        if !matches!(decision, Decision::Reset { .. }) {
+            now += 130;
+            decision = fixture.search_again(&head, now);
+        }
+    }
+    assert!(now >= LATER + 300, "given up after one unanswered packet, at {now}");
+}
+
+/// One that has its record may only stand still.
+#[test]
+fn a_recorded_target_that_answers_nothing_may_hold_the_flow() {
+    let mut fixture = Fixture::new(&Store::with_targets(1));
+    let head = data(flow(1));
+    fixture.client(&head, LATER);
+    for step in 1..30 {
+        fixture.balancer.claimed(agent(1), &claim(SERVICE), LATER + step * 130);
+        let decision = fixture.search_again(&head, LATER + step * 130);
+        assert!(!matches!(decision, Decision::Reset { .. }));
+    }
+}
+
 #[test]
 fn nothing_is_given_up_on_old_knowledge() {
     let mut fixture = Fixture::new(&Store::with_targets(2));
