Send agents the records of their targets, and let them fetch anywhere

Hypothesis: the connections of the busiest balancer grow with the fleet (22, 50 and 164 at 30, 100 and 300 machines) because at a start all agents know only the few daemons of the settings and fetch from those, mostly for the record of their own target, which is small.

Change: a balancer sends a record to its target's agent in a datagram, when the store brings it and in answer to a digest in which the agent says that it lacks it. Agents fetch only newer configurations, from any balancer that they know instead of the one that told them.

Tried before and dropped: 24 exchanges served at a time; those that wait in the queue are connections too (180 at 300 machines, serving after all were killed 7,000 ms).

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -3,6 +3,7 @@
 use musli::{Decode, Encode};
 
 use crate::model::ZoneId;
+use crate::replica::VersionedTarget;
 
 /// First byte of every datagram between daemons.
 const PROTOCOL_VERSION: u8 = 4;
@@ -41,6 +42,8 @@
     pub waiting: u32,
     /// Whether the agent is about to stop.
     pub leaving: bool,
+    /// Whether the agent knows the target's record in the store.
+    pub recorded: bool,
 }
 
 /// A daemon's summary of what it knows, sent often.
@@ -98,6 +101,8 @@
 pub enum PeerMessage<'a> {
     /// What the sender knows.
     Digest(Digest),
+    /// The record of the target beside the agent that gets this.
+    Record(VersionedTarget),
     /// A client's packet on its way to a target.
     Forward {
         /// Hash of the service's name; the agent checks it.
--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use slog::info;
-use weirhinge_fleet::{Millis, PeerMessage, ReturnReason, ServiceId, decode};
+use weirhinge_fleet::{Millis, PeerMessage, ReturnReason, ServiceId, VersionedTarget, decode};
 use weirhinge_steering::{Arrival, DeliveryDecision, PacketHead, WaitOutcome, WaitedOpening};
 
 use super::Daemon;
@@ -21,6 +21,7 @@
     fn peer_message(&self, datagram: &[u8], sender: Ipv4Addr) {
         match decode(datagram) {
             Ok(PeerMessage::Digest(digest)) => self.link.on_digest(&digest, sender),
+            Ok(PeerMessage::Record(target)) => self.take_record(target),
             Ok(PeerMessage::Forward { service, search, may_wait, urgent, packet }) => {
                 match self.platform.decode(packet) {
                     Ok(head) => self.deliver(&Arrival {
@@ -42,6 +43,15 @@
         }
     }
 
+    fn take_record(&self, target: VersionedTarget) {
+        let is_own = target.record.as_ref().is_some_and(|known| known.machine() == self.address);
+        if !is_own {
+            return self.link.refuse_unexpected();
+        }
+        self.node.borrow_mut().apply_record(target, self.clock.now());
+        self.learn_slots();
+    }
+
     pub(super) fn deliver(&self, arrival: &Arrival<'_>) {
         let now = self.clock.now();
         if arrival.head.is_opening() && !self.core.borrow().is_sized() {
--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -175,6 +175,7 @@
             alive: !self.target_gone.get(),
             waiting: core.waiting(),
             leaving: self.leaving.get(),
+            recorded: core.is_sized(),
         });
     }
 
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -216,7 +216,9 @@
                 self.core.borrow_mut().heard(sender, waiting, now);
             }
             PeerMessage::HandOff { packet } => self.handed_packet(packet, now),
-            PeerMessage::Forward { .. } => self.link.refuse_unexpected(),
+            PeerMessage::Forward { .. } | PeerMessage::Record(_) => {
+                self.link.refuse_unexpected();
+            }
         }
     }
 
--- a/crates/relay/src/fleet_node/contacts.rs
+++ b/crates/relay/src/fleet_node/contacts.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 use rand::seq::IndexedRandom;
-use weirhinge_fleet::{Millis, PeerRole, ServingPeer};
+use weirhinge_fleet::{Digest, Millis, PeerRole, ServingPeer};
 use weirhinge_steering::PeerLoad;
 
 use super::FleetNode;
@@ -138,6 +138,18 @@
         receivers.into_iter().map(|receiver| (receiver, ask(receiver))).collect()
     }
 
+    /// Whom to fetch from what a digest tells of. Agents need the configuration only for
+    /// balancers that know none, and ask any balancer for it: a start of the whole fleet
+    /// brings all of them to the few that are in the settings.
+    pub(super) fn fetch_source(&self, digest: &Digest) -> Ipv4Addr {
+        let sender = Ipv4Addr::from_bits(digest.sender);
+        if self.role == PeerRole::Balancer {
+            return sender;
+        }
+        let balancers: Vec<Ipv4Addr> = self.peers.balancers().collect();
+        self.choose(&balancers, 1).pop().unwrap_or(sender)
+    }
+
     fn choose(&self, addresses: &[Ipv4Addr], count: usize) -> Vec<Ipv4Addr> {
         addresses.sample(&mut *self.random.borrow_mut(), count).copied().collect()
     }
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -10,7 +10,7 @@
 use slog::{Logger, info};
 use weirhinge_fleet::{
     Change, Digest, FetchRequest, FetchScope, Millis, PeerRole, PeerTable, Replica, TargetClaim,
-    TargetRecord, Timing, Update, ZoneId, reader,
+    Timing, Update, VersionedTarget, ZoneId, reader,
 };
 use weirhinge_steering::{FleetView, Locality};
 
@@ -18,19 +18,22 @@
 
 /// A digest this much fresher than what was known is passed on.
 const NEWS_MS: Millis = 300;
-/// Agents told at once that the store has a new record of their target; the others
-/// learn of it from their next digest.
+/// Agents told at once of a new record of their target; the others are told in answer to
+/// their next digest.
 const AGENTS_TOLD: usize = 64;
 
 /// What a digest calls for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Reaction {
-    /// The sender knows more: fetch its changes.
-    pub fetch: bool,
+    /// The sender knows more: fetch its changes, or those of another daemon that is
+    /// likely to know them as well.
+    pub fetch_from: Option<Ipv4Addr>,
     /// The sender knows less, or asks.
     pub reply: bool,
     /// The digest brought news: pass it on.
     pub spread: bool,
+    /// The sender is an agent that lacks this record of its target.
+    pub record: Option<VersionedTarget>,
 }
 
 /// A daemon's knowledge of the store and of its peers.
@@ -45,8 +48,8 @@
     timing: Timing,
     locality: Locality,
     random: RefCell<StdRng>,
-    /// Agents whose targets' records the store changed, not told yet.
-    recorded: Vec<Ipv4Addr>,
+    /// Records that the store changed and that their targets' agents were not told yet.
+    recorded: Vec<VersionedTarget>,
     /// Whether this daemon reads the store for the others.
     pub reading: bool,
     zone: ZoneId,
@@ -161,9 +164,8 @@
             (PeerRole::Balancer, PeerRole::Agent) => {
                 self.configuration_revision() == 0 && newer_configuration
             }
-            (PeerRole::Agent, _) => {
-                newer_configuration || (newer && self.replica.targets().next().is_none())
-            }
+            // Agents are told of their targets' records.
+            (PeerRole::Agent, _) => newer_configuration,
         }
     }
 
@@ -206,12 +208,36 @@
             (before, after) => before.is_none() && after.is_some(),
         };
         Reaction {
-            fetch: self.wants(digest),
+            fetch_from: self.wants(digest).then(|| self.fetch_source(digest)),
             reply: is_new || digest.reply || self.has_news_for(digest),
             spread: fresher && self.role == PeerRole::Balancer,
+            record: self.record_for(digest),
         }
     }
 
+    /// The record of a target whose agent says that it does not know it.
+    fn record_for(&self, digest: &Digest) -> Option<VersionedTarget> {
+        digest.target.as_ref().filter(|claim| !claim.recorded)?;
+        let is_own = |target: &&VersionedTarget| {
+            let record = target.record.as_ref().filter(|_| target.present);
+            record.is_some_and(|record| record.address == digest.sender)
+        };
+        self.replica.targets().map(|entry| &entry.target).find(is_own).cloned()
+    }
+
+    /// Takes in what a balancer says of the target beside this agent.
+    pub fn apply_record(&mut self, target: VersionedTarget, now: Millis) {
+        let update = Update {
+            after: 0,
+            through: 0,
+            complete: false,
+            age_ms: 0,
+            configuration: None,
+            targets: vec![target],
+        };
+        self.apply(update, "peer", now);
+    }
+
     /// Whether the sender of a digest would want what this daemon knows.
     fn has_news_for(&self, digest: &Digest) -> bool {
         match digest.role {
@@ -239,12 +265,12 @@
         let known = self.replica.revision();
         self.apply(update, "store", now);
         let changed = self.replica.targets().filter(|entry| entry.target.revision > known);
-        let records = changed.filter_map(|entry| entry.target.record.as_ref());
-        self.recorded = records.map(TargetRecord::machine).take(AGENTS_TOLD).collect();
+        let records = changed.map(|entry| &entry.target).filter(|target| target.record.is_some());
+        self.recorded = records.take(AGENTS_TOLD).cloned().collect();
     }
 
-    /// Agents to be told of their targets' new records; given out once.
-    pub fn take_recorded(&mut self) -> Vec<Ipv4Addr> {
+    /// New records, to be told to their targets' agents; given out once.
+    pub fn take_recorded(&mut self) -> Vec<VersionedTarget> {
         std::mem::take(&mut self.recorded)
     }
 
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -7,7 +7,7 @@
 use eyre::WrapErr;
 use slog::{Logger, warn};
 use tokio::net::UdpSocket;
-use weirhinge_fleet::{Digest, MessageError, Millis, PeerMessage, encode};
+use weirhinge_fleet::{Digest, MessageError, Millis, PeerMessage, TargetRecord, encode};
 
 use crate::clock::Clock;
 use crate::fleet_node::FleetNode;
@@ -106,8 +106,11 @@
         if reaction.reply {
             self.send_digest(sender, false);
         }
-        if reaction.fetch {
-            self.fetch(sender, digest.revision, now);
+        if let Some(source) = reaction.fetch_from {
+            self.fetch(source, digest.revision, now);
+        }
+        if let Some(record) = reaction.record {
+            self.send(sender, &PeerMessage::Record(record));
         }
         if reaction.spread {
             self.spread_news();
@@ -116,14 +119,18 @@
 
     /// Tells some peers what this daemon knows, and agents of new records.
     pub fn spread_news(&self) {
-        let receivers = {
+        let (receivers, records) = {
             let mut node = self.node.borrow_mut();
-            let recorded = node.take_recorded();
-            node.news_receivers().into_iter().chain(recorded)
+            (node.news_receivers(), node.take_recorded())
         };
         for receiver in receivers {
             self.send_digest(receiver, false);
         }
+        for target in records {
+            if let Some(agent) = target.record.as_ref().map(TargetRecord::machine) {
+                self.send(agent, &PeerMessage::Record(target));
+            }
+        }
     }
 
     /// Asks the balancers to whom packets may be handed off whether they are there.
