Leave targets out of searches that left the store and stay mute

Change: a candidate says whether the store still has its record. One without, that left two searching packets in a row unanswered, is not asked for the next three seconds. Any answer of its agent to a packet ends that.

--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -12,6 +12,8 @@
 const RETRY_MS: Millis = 700;
 /// How long an agent that left a search unanswered is asked last.
 const MUTE_MS: Millis = 3_000;
+/// Searching packets left unanswered that are no accident any more.
+const PERSISTENTLY_MUTE: u32 = 2;
 /// How long an agent's word that its target fails counts; about the time for which the
 /// agent turns new flows away at first.
 const FAILING_MS: Millis = 1_000;
@@ -32,6 +34,8 @@
     last_tried: Millis,
     /// When it last left a searching packet unanswered, and was not heard since.
     ignored_search_at: Option<Millis>,
+    /// How many searching packets it left unanswered since it last answered a packet.
+    ignored_searches: u32,
     leaving: bool,
     /// When it last said that its target fails.
     failing_at: Option<Millis>,
@@ -89,6 +93,7 @@
         status.sent_since = 0;
         status.unanswered_since = None;
         status.ignored_search_at = None;
+        status.ignored_searches = 0;
         self.any_heard_at = Some(now);
         self.unanswered = 0;
         self.unanswered_since = None;
@@ -141,7 +146,16 @@
 
     /// Records that an agent, asked alone, left a searching packet unanswered.
     pub fn ignored_search(&mut self, agent: Ipv4Addr, now: Millis) {
-        self.statuses.entry(agent).or_default().ignored_search_at = Some(now);
+        let status = self.statuses.entry(agent).or_default();
+        status.ignored_search_at = Some(now);
+        status.ignored_searches += 1;
+    }
+
+    /// Whether an agent lately left several searching packets unanswered and answered
+    /// none: a single one may have been lost on its way.
+    pub fn is_persistently_mute(&self, agent: Ipv4Addr, now: Millis) -> bool {
+        let ignored = self.statuses.get(&agent).map_or(0, |status| status.ignored_searches);
+        ignored >= PERSISTENTLY_MUTE && self.is_mute(agent, now)
     }
 
     /// Whether an agent left a searching packet unanswered lately: its target does not
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -225,6 +225,7 @@
     Candidate {
         agent,
         standing: Standing::Vanished(now),
+        recorded: false,
         slots: 1,
         cold_until: 0,
         distance: Distance::Region,
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -94,11 +94,11 @@
         let (rows, alone): (Vec<_>, Vec<_>) =
             asked.unwrap_or_default().into_iter().partition(|row| row.len() > 1);
         let silent: Vec<Ipv4Addr> = alone.into_iter().flatten().collect();
-        let may_hold = |agent: &&Ipv4Addr| !self.may_be_gone(context, &flow, **agent);
-        let unanswered: Vec<Ipv4Addr> = silent.iter().filter(may_hold).copied().collect();
         for agent in &silent {
             self.statuses.ignored_search(*agent, context.now);
         }
+        let may_hold = |agent: &&Ipv4Addr| !self.may_be_gone(context, &flow, **agent);
+        let unanswered: Vec<Ipv4Addr> = silent.iter().filter(may_hold).copied().collect();
         if let Some(entry) = self.flows.get_mut(&flow) {
             entry.tried.extend(silent);
             entry.unanswered.extend(unanswered);
@@ -180,6 +180,9 @@
             let candidates = context.view.candidates(service).iter();
             for candidate in rendezvous_order(flow_hash, candidates) {
                 listed.insert(candidate.agent);
+                if self.is_gone_for_good(context, &candidate) {
+                    continue;
+                }
                 order.push(self.search_place(service, &candidate, context.now));
             }
             let certain = self.knows_all_targets(context);
@@ -210,8 +213,15 @@
         candidate.standing != Standing::Ready && is_silent
     }
 
-    /// Whether a target that does not answer is most likely gone: it left the store, and
-    /// its agent is silent too, or lives but had no answer of the target before either.
+    /// Whether a target left the store and answered none of several searching packets
+    /// either, though its agent may live. A living one has renewed its record by then.
+    fn is_gone_for_good(&self, context: &Context<'_>, candidate: &Candidate) -> bool {
+        let is_settled = context.fresh && !self.is_unsettled(context.now);
+        let agent = candidate.agent;
+        !candidate.recorded && is_settled && self.statuses.is_persistently_mute(agent, context.now)
+    }
+
+    /// Whether a target that does not answer is most likely gone.
     fn may_be_gone(&self, context: &Context<'_>, flow: &FlowKey, agent: Ipv4Addr) -> bool {
         let (view, now) = (context.view, context.now);
         let services = view.route(flow.service).into_iter().flat_map(|route| route.services());
@@ -219,10 +229,7 @@
         let Some(candidate) = candidates.find(|candidate| candidate.agent == agent) else {
             return true;
         };
-        let is_unrecorded = matches!(candidate.standing, Standing::Vanished(_));
-        let is_settled = context.fresh && !self.is_unsettled(now);
-        let is_mute = is_unrecorded && is_settled && self.statuses.is_mute(agent, now);
-        is_mute || self.has_left(candidate, now)
+        self.has_left(candidate, now) || self.is_gone_for_good(context, candidate)
     }
 
     /// No target that is known holds the flow.
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -102,6 +102,8 @@
     pub agent: Ipv4Addr,
     /// What the store says about it.
     pub standing: Standing,
+    /// Whether the store still has its record.
+    pub recorded: bool,
     /// Requests that it works on at once, at least 1.
     pub slots: u32,
     /// Until when it is slow from its start.
@@ -217,6 +219,7 @@
     Candidate {
         agent: record.machine(),
         standing,
+        recorded: entry.target.present,
         slots: record.slots.max(1),
         cold_until: entry.learned_at + Millis::from(record.warm_up_ms),
         distance: locality.distance(&record.zone),
--- a/crates/steering/tests/search.rs
+++ b/crates/steering/tests/search.rs
@@ -145,27 +145,34 @@
 #[test]
 fn a_target_without_a_record_that_answers_nothing_does_not_hold_flows_up() {
     let mut store = Store::with_targets(3);
+    store.target(3, SERVICE, Some(TargetState::Draining), LATER - 9_000);
     store.target(3, SERVICE, None, LATER - 3_000);
     let mut fixture = Fixture::new(&store);
-    let head = data(flow(1));
-    let mut now = LATER;
-    let mut decision = fixture.client(&head, now);
-    while !matches!(decision, Decision::Reset { .. }) {
-        assert!(now < LATER + 1_000, "not given up");
-        fixture.balancer.claimed(agent(3), &claim(SERVICE), now);
-        let asked = match &decision {
-            Decision::Forward(_) => rows(&decision),
-            _ => Vec::new(),
-        };
-        for row in asked.iter().filter(|row| !row.contains(&agent(3))) {
-            decision = fixture.bounced(&head, row[row.len() - 1], now);
-        }
-        if !matches!(decision, Decision::Reset { .. }) {
-            now += 130;
-            decision = fixture.search_again(&head, now);
+    let mut outcomes = Vec::new();
+    for port in [1, 2] {
+        let head = data(flow(port));
+        let began = LATER + u64::from(port) * 1_000;
+        let mut now = began;
+        let mut decision = fixture.client(&head, now);
+        while !matches!(decision, Decision::Reset { .. }) {
+            assert!(now < began + 1_000, "not given up");
+            fixture.balancer.claimed(agent(3), &claim(SERVICE), now);
+            let asked = match &decision {
+                Decision::Forward(_) => rows(&decision),
+                _ => Vec::new(),
+            };
+            for row in asked.iter().filter(|row| !row.contains(&agent(3))) {
+                decision = fixture.bounced(&head, row[row.len() - 1], now);
+            }
+            if !matches!(decision, Decision::Reset { .. }) {
+                now = fixture.balancer.next_due().expect("the packet is kept").max(now);
+                decision = fixture.search_again(&head, now);
+            }
         }
+        outcomes.push(now - began);
     }
-    assert!(now >= LATER + 300, "given up after one unanswered packet, at {now}");
+    assert!(outcomes[0] >= 300, "given up after one unanswered packet: {outcomes:?} ms");
+    assert!(outcomes[1] < 50, "the second flow does not ask it at all: {outcomes:?} ms");
 }
 
 /// One that has its record may only stand still.
@@ -181,6 +188,21 @@
     }
 }
 
+/// A target that left without a word serves on for many seconds.
+#[test]
+fn a_target_without_a_record_that_answers_others_may_hold_the_flow() {
+    let mut store = Store::with_targets(1);
+    store.target(1, SERVICE, None, LATER - 3_000);
+    let mut fixture = Fixture::new(&store);
+    let head = data(flow(1));
+    fixture.client(&head, LATER);
+    for step in 1..30 {
+        fixture.balancer.heard(agent(1), 0, LATER + step * 130 - 1);
+        let decision = fixture.search_again(&head, LATER + step * 130);
+        assert!(!matches!(decision, Decision::Reset { .. }));
+    }
+}
+
 #[test]
 fn nothing_is_given_up_on_old_knowledge() {
     let mut fixture = Fixture::new(&Store::with_targets(2));
