Let a balancer drawn at random check the store now and then

Hypothesis: whatever makes a fleet take old knowledge for fresh, as ages from before a start did, keeps all balancers from reading; only a reading that does not depend on what peers say finds it out.

Change: balancers draw times, exponentially distributed with a mean of ten seconds times the number of balancers, at which they read as well though all seems fresh: one reading in ten seconds of the whole fleet, whatever its size.

Tests: the rate at 4, 91 and 1,000 balancers, and that the one whose turn it is reads.

A first draw, uniform up to twice the mean, checked half as often for as long as a fleet is young (29 times in ten minutes with 1,000 balancers).

Conclusion: kept as a guard.

--- a/crates/fleet/src/reader.rs
+++ b/crates/fleet/src/reader.rs
@@ -5,10 +5,19 @@
 //! read when what it knows is no longer fresh, later the more balancers stand
 //! before it, and stops when one that stands before it reads as well. Two
 //! readers at once cost calls and nothing else.
+//!
+//! Knowledge that somebody wrongly takes for fresh would keep everybody from reading. So
+//! now and then a balancer drawn at random reads too, about as often in a large fleet as
+//! in a small one.
 
 use crate::Millis;
 use crate::timing::Timing;
 
+/// Mean time between the readings of balancers that only check, in the whole fleet.
+const CHECK_EVERY_MS: Millis = 10_000;
+/// Time after its start in which a balancer does not check: it does not know yet how many
+/// there are.
+const NO_CHECKS_MS: Millis = 5_000;
 /// How long a daemon that knows nothing waits for peers before it reads.
 const FIRST_WAIT_MS: Millis = 12;
 
@@ -25,6 +34,29 @@
     pub reading: bool,
     /// Whether a balancer with a lower address said lately that it reads.
     pub lower_reader: bool,
+    /// Whether it is this balancer's turn to check what the others say.
+    pub checks: bool,
+}
+
+/// When this balancer checks the store's word itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CheckSchedule {
+    next_at: Option<Millis>,
+}
+
+impl CheckSchedule {
+    /// Whether it is time; then the next time is drawn. `fraction` is a random number
+    /// of at least 0 and below 1.
+    pub fn is_due(&mut self, uptime_ms: Millis, balancers: usize, fraction: f64) -> bool {
+        if uptime_ms < NO_CHECKS_MS || self.next_at.is_some_and(|next_at| uptime_ms < next_at) {
+            return false;
+        }
+        // Exponentially distributed: all balancers together check at an even rate, also
+        // soon after they started together.
+        let mean = (CHECK_EVERY_MS * balancers.max(1) as Millis) as f64;
+        let wait = (-mean * (1.0 - fraction).ln()) as Millis;
+        self.next_at.replace(uptime_ms + wait.max(1)).is_some()
+    }
 }
 
 /// Whether to make the next call to the store.
@@ -34,6 +66,6 @@
     match inputs.age_ms {
         None => inputs.uptime_ms >= FIRST_WAIT_MS,
         Some(age) if age > patience => true,
-        Some(_) => inputs.reading && !inputs.lower_reader,
+        Some(_) => inputs.checks || (inputs.reading && !inputs.lower_reader),
     }
 }
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use proptest::prelude::*;
-use weirhinge_fleet::reader::{ReaderInputs, should_read};
+use weirhinge_fleet::reader::{CheckSchedule, ReaderInputs, should_read};
 use weirhinge_fleet::{
     Bounds, Digest, MessageError, PEER_LIFETIME_MS, PeerMessage, PeerRole, PeerTable, SearchPath,
     Timing, ZoneId, decode, encode,
@@ -40,6 +40,7 @@
         rank: 0,
         reading: false,
         lower_reader: false,
+        checks: false,
     }
 }
 
@@ -231,3 +232,31 @@
     let overloads: Vec<_> = heard_lately.map(|peer| (peer.address, peer.overloaded)).collect();
     assert_eq!(overloads, [(address(2), false), (address(3), true)]);
 }
+
+/// A fleet that wrongly took old knowledge for fresh once read nothing for 15 seconds.
+#[test]
+fn about_one_balancer_in_ten_seconds_checks_whatever_the_size() {
+    for balancers in [4_usize, 91, 1_000] {
+        let mut schedules = vec![CheckSchedule::default(); balancers];
+        let (mut checks, mut random) = (0, 1_u64);
+        let end = 600_000;
+        for now in (0..end).step_by(1_000) {
+            for schedule in &mut schedules {
+                // A linear congruential generator (Knuth's MMIX).
+                random = random
+                    .wrapping_mul(6_364_136_223_846_793_005)
+                    .wrapping_add(1_442_695_040_888_963_407);
+                let fraction = (random >> 11) as f64 / (1_u64 << 53) as f64;
+                checks += u32::from(schedule.is_due(now, balancers, fraction));
+            }
+        }
+        assert!((30..120).contains(&checks), "{checks} checks of {balancers} in ten minutes");
+    }
+}
+
+#[test]
+fn a_balancer_whose_turn_it_is_reads_though_all_seems_fresh() {
+    let fresh = ReaderInputs { age_ms: Some(100), lower_reader: true, ..inputs() };
+    assert!(!should_read(&fresh, &Timing::default()));
+    assert!(should_read(&ReaderInputs { checks: true, ..fresh }, &Timing::default()));
+}
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -2,7 +2,7 @@
 
 mod contacts;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::Ipv4Addr;
 
 use rand::rngs::StdRng;
@@ -50,6 +50,8 @@
     random: RefCell<StdRng>,
     /// Records that the store changed and that their targets' agents were not told yet.
     recorded: Vec<VersionedTarget>,
+    /// When this balancer checks what the others say of the store.
+    checks: Cell<reader::CheckSchedule>,
     /// Whether this daemon reads the store for the others.
     pub reading: bool,
     zone: ZoneId,
@@ -84,6 +86,7 @@
             locality: settings.locality.clone(),
             random: RefCell::new(StdRng::seed_from_u64(seed)),
             recorded: Vec::new(),
+            checks: Cell::default(),
             reading: false,
             zone: ZoneId::of(&settings.zone),
             capacity: settings.capacity,
@@ -282,10 +285,20 @@
             rank: self.peers.rank(),
             reading: self.reading,
             lower_reader: self.peers.lower_reader(now, self.timing.reader_word_ms),
+            checks: self.is_due_to_check(now),
         };
         reader::should_read(&inputs, &self.timing)
     }
 
+    fn is_due_to_check(&self, now: Millis) -> bool {
+        let balancers = self.peers.balancers().count() + 1;
+        let fraction = self.random.borrow_mut().random();
+        let mut checks = self.checks.get();
+        let is_due = checks.is_due(now, balancers, fraction);
+        self.checks.set(checks);
+        is_due
+    }
+
     fn note_freshness(&mut self, now: Millis) {
         // Agents decide nothing by the age of what they know.
         if self.role == PeerRole::Agent {
