Remove the scale run of our own

Gone: `rehearse scale`, its measurements of balancers, agents and hollow followers, and the reading of a process's usage that only they used. No test went with it.

--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod report;
 pub mod run;
 pub mod sampler;
-pub mod scale;
 pub mod scenario;
 pub mod scrape;
 pub mod simulate;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -10,7 +10,6 @@
 use weirhinge_rehearsal::processes::Program;
 use weirhinge_rehearsal::report;
 use weirhinge_rehearsal::run::rehearse;
-use weirhinge_rehearsal::scale::{measure_balancer_size, measure_flow_memory, measure_followers};
 use weirhinge_rehearsal::scenario::Scenario;
 use weirhinge_rehearsal::simulate::{Policy, PolicyResult, Simulation, simulate};
 use weirhinge_rehearsal::simulate_changes::{ChangeResult, Scheme, simulate_changes};
@@ -25,7 +24,6 @@
   rehearse bench [OPTIONS]          Compare the balancer with a bare UDP relay
   rehearse simulate [OPTIONS]       Compare policies and schemes in simulated time
   rehearse agreement                Measure writes to the configuration and leaders' deaths
-  rehearse scale                    Measure the slopes behind docs/CAPACITY.md
   rehearse soak [OPTIONS]           Run the relay under faults that a seed draws
 
 OPTIONS OF run:
@@ -78,7 +76,6 @@
         Some("check") => check(arguments),
         Some("bench") => bench(arguments),
         Some("simulate") => simulate_policies(arguments),
-        Some("scale") => Ok(measure(measure_scale())),
         Some("soak") => soak(arguments),
         Some("agreement") => Ok(measure(print_agreement())),
         _ => Err(format!("expected a command\n\n{HELP}")),
@@ -180,13 +177,6 @@
 /// Changes of configuration that are simulated.
 const CHANGES: u64 = 10_000;
 
-/// Shares of the size aimed at that are measured.
-const SHARES: [f64; 4] = [0.125, 0.25, 0.5, 1.0];
-/// Flows at one agent that are measured.
-const FLOWS: [usize; 4] = [0, 700, 1_400, 2_800];
-/// Hollow daemons that are measured.
-const DAEMONS: [usize; 4] = [125, 250, 500, 1_000];
-
 /// Writes, and deaths of leaders, that are measured.
 const AGREEMENT: (usize, usize) = (40, 4);
 
@@ -237,20 +227,6 @@
     Ok(())
 }
 
-/// Prints one JSON object per measurement, as it is made.
-async fn measure_scale() -> eyre::Result<()> {
-    for share in SHARES {
-        println!("{}", serde_json::to_string(&measure_balancer_size(share).await?)?);
-    }
-    for flows in FLOWS {
-        println!("{}", serde_json::to_string(&measure_flow_memory(flows).await?)?);
-    }
-    for followers in DAEMONS {
-        println!("{}", serde_json::to_string(&measure_followers(followers, 1.0).await?)?);
-    }
-    Ok(())
-}
-
 fn read_run(mut arguments: Arguments) -> Result<RunOptions, String> {
     let seconds: Option<u64> = option(&mut arguments, "--seconds")?;
     let seed = option(&mut arguments, "--seed")?.unwrap_or(1);
--- a/crates/rehearsal/src/processes.rs
+++ b/crates/rehearsal/src/processes.rs
@@ -12,8 +12,6 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 
-use crate::scale::ProcessUsage;
-
 /// Longest wait for a process to say that it is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -117,15 +115,6 @@
 }
 
 impl Process {
-    /// What the process uses at this moment.
-    ///
-    /// # Errors
-    /// When the process has ended.
-    pub fn usage(&self) -> eyre::Result<ProcessUsage> {
-        let id = self.child.id().ok_or_else(|| eyre!("{} has ended", self.name))?;
-        ProcessUsage::read(id)
-    }
-
     /// Sends a signal to this process, if it still runs.
     pub fn signal(&self, signal: Signal) {
         if let Some(id) = self.child.id()
