--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! the higher revision wins, whoever passed it on. The [`PeerTable`] spreads who
 //! exists, and [`reader`] settles which few daemons read the store for all.
 
+mod evacuation;
 mod message;
 mod model;
 mod peers;
@@ -13,6 +14,7 @@
 mod replica;
 mod timing;
 
+pub use evacuation::{EvacuatedZones, ZoneChange, ZoneNews};
 pub use message::{
     Digest, FetchRequest, FetchScope, MessageError, PeerMessage, PeerRole, ReturnReason,
     SearchPath, TargetClaim, decode, encode,
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -2,11 +2,12 @@
 
 use musli::{Decode, Encode};
 
+use crate::evacuation::EvacuatedZones;
 use crate::model::ZoneId;
 use crate::replica::VersionedTarget;
 
 /// First byte of every datagram between daemons.
-const PROTOCOL_VERSION: u8 = 4;
+const PROTOCOL_VERSION: u8 = 5;
 
 /// Why a datagram from a peer was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -66,6 +67,9 @@
     pub revision: u64,
     /// The store revision of the configuration that the sender knows; 0 if none.
     pub configuration_revision: u64,
+    /// The zones whose targets are to get no new flows. They come with every digest, so
+    /// that they reach all daemons without a fetch; nearly always there are none.
+    pub evacuated: EvacuatedZones,
     /// Milliseconds since the store confirmed that revision; none if never.
     pub age_ms: Option<u64>,
     /// Whether the sender reads the store for its peers.
@@ -172,6 +176,8 @@
     OtherService,
     /// The agent is about to stop and takes no new flows.
     Leaving,
+    /// The zone of the target is evacuated; it takes no new flows.
+    Evacuated,
     /// The target fails requests; others are better off elsewhere for now.
     Failing,
     /// The target has no room now, or had none for as long as the opening packet
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -5,6 +5,7 @@
 use musli::{Decode, Encode};
 
 use crate::Millis;
+use crate::evacuation::{EvacuatedZones, ZoneNews};
 use crate::model::{Configuration, TargetRecord};
 
 /// How long a removed target is remembered, so that an older report does not
@@ -35,7 +36,7 @@
 }
 
 /// What one source says about the store.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Update {
     /// The update holds every change after this revision.
     pub after: u64,
@@ -49,6 +50,8 @@
     pub configuration: Option<VersionedConfiguration>,
     /// Targets that changed in this span.
     pub targets: Vec<VersionedTarget>,
+    /// Evacuated zones.
+    pub zones: ZoneNews,
 }
 
 impl Update {
@@ -82,6 +85,16 @@
         /// The last record known.
         record: Option<TargetRecord>,
     },
+    /// The targets of a zone are to get no new flows from now on.
+    ZoneEvacuated {
+        /// The zone's name.
+        zone: String,
+    },
+    /// A zone's evacuation ended.
+    ZoneReturned {
+        /// The zone's name.
+        zone: String,
+    },
 }
 
 /// A target's latest known change and when this daemon learned of it.
@@ -99,6 +112,9 @@
 pub struct Replica {
     configuration: Option<VersionedConfiguration>,
     targets: BTreeMap<String, TargetEntry>,
+    evacuated: EvacuatedZones,
+    /// When this daemon learned that a zone's evacuation ended, by zone.
+    returned_at: BTreeMap<String, Millis>,
     /// All changes up to here are known.
     revision: u64,
     /// When the store last confirmed `revision`, to this daemon or to a peer, on this
@@ -125,6 +141,16 @@
         self.targets.values()
     }
 
+    /// The evacuated zones.
+    pub fn evacuated(&self) -> &EvacuatedZones {
+        &self.evacuated
+    }
+
+    /// When this daemon learned that a zone's evacuation ended.
+    pub fn returned_at(&self, zone: &str) -> Option<Millis> {
+        self.returned_at.get(zone).copied()
+    }
+
     /// The revision up to which all changes are known.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -140,6 +166,9 @@
     pub fn apply(&mut self, update: Update, now: Millis) -> Vec<Change> {
         let mut changes = Vec::new();
         self.apply_configuration(update.configuration, &mut changes);
+        if let Some(zones) = self.evacuated.updated(update.zones, update.after, update.through) {
+            self.set_evacuated(zones, now, &mut changes);
+        }
         let absent = if update.complete {
             self.absent_targets(&update.targets, update.through)
         } else {
@@ -158,6 +187,18 @@
         changes
     }
 
+    /// Takes in a peer's word about evacuated zones, unless this daemon knows as much.
+    /// Returns what changed.
+    pub fn learn_evacuated(&mut self, zones: &EvacuatedZones, now: Millis) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if zones.is_news_for(&self.evacuated) {
+            self.set_evacuated(zones.clone(), now, &mut changes);
+        } else {
+            self.evacuated.as_of = self.evacuated.as_of.max(zones.as_of);
+        }
+        changes
+    }
+
     /// Records that somebody saw the store confirm `revision` `age_ms` ago.
     pub fn confirm(&mut self, revision: u64, age_ms: u64, now: Millis) {
         if revision < self.revision {
@@ -185,6 +226,7 @@
                 .filter(|configuration| complete || configuration.revision > after)
                 .cloned(),
             targets: targets.filter(|target| is_wanted(target)).cloned().collect(),
+            zones: ZoneNews::Whole(self.evacuated.clone()),
         }
     }
 
@@ -198,16 +240,24 @@
         Update { targets, complete: false, ..self.update_after(after, now) }
     }
 
-    /// The configuration alone, from a replica that does not have all targets.
+    /// The configuration and the evacuated zones alone, from a replica that does not have
+    /// all targets.
     pub fn configuration_only(&self) -> Update {
         Update {
-            after: 0,
-            through: 0,
-            complete: false,
-            age_ms: 0,
             configuration: self.configuration.clone(),
-            targets: Vec::new(),
+            zones: ZoneNews::Whole(self.evacuated.clone()),
+            ..Update::default()
+        }
+    }
+
+    fn set_evacuated(&mut self, zones: EvacuatedZones, now: Millis, changes: &mut Vec<Change>) {
+        let begins = zones.iter().filter(|zone| !self.evacuated.contains(zone));
+        changes.extend(begins.map(|zone| Change::ZoneEvacuated { zone: zone.to_owned() }));
+        for zone in self.evacuated.iter().filter(|zone| !zones.contains(zone)) {
+            changes.push(Change::ZoneReturned { zone: zone.to_owned() });
+            self.returned_at.insert(zone.to_owned(), now);
         }
+        self.evacuated = zones;
     }
 
     fn apply_configuration(
@@ -264,6 +314,7 @@
     }
 
     fn forget_removed(&mut self, now: Millis) {
+        self.returned_at.retain(|_, at| now.saturating_sub(*at) < REMOVED_TARGET_LIFETIME_MS);
         let mut forgotten_through = self.forgotten_through;
         self.targets.retain(|_, entry| {
             let age = now.saturating_sub(entry.learned_at);
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -5,8 +5,8 @@
 use proptest::prelude::*;
 use weirhinge_fleet::reader::{CheckSchedule, ReaderInputs, should_read};
 use weirhinge_fleet::{
-    Bounds, Digest, MessageError, PEER_LIFETIME_MS, PeerMessage, PeerRole, PeerTable, SearchPath,
-    Timing, ZoneId, decode, encode,
+    Bounds, Digest, EvacuatedZones, MessageError, PEER_LIFETIME_MS, PeerMessage, PeerRole,
+    PeerTable, SearchPath, Timing, ZoneId, decode, encode,
 };
 
 const OWN: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 5);
@@ -25,6 +25,7 @@
         overloaded: false,
         revision: 1,
         configuration_revision: 1,
+        evacuated: EvacuatedZones::default(),
         age_ms: Some(0),
         reading,
         reply: false,
@@ -146,7 +147,7 @@
 }
 
 /// First byte of the datagrams of this version of the protocol.
-const OUR_VERSION: u8 = 4;
+const OUR_VERSION: u8 = 5;
 
 #[test]
 fn foreign_datagrams_are_refused() {
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -32,7 +32,7 @@
 }
 
 fn events(after: u64, through: u64, targets: Vec<VersionedTarget>) -> Update {
-    Update { after, through, complete: false, age_ms: 0, configuration: None, targets }
+    Update { after, through, targets, ..Update::default() }
 }
 
 fn listing(through: u64, targets: Vec<VersionedTarget>) -> Update {
--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -20,7 +20,10 @@
 
     fn peer_message(&self, datagram: &[u8], sender: Ipv4Addr) {
         match decode(datagram) {
-            Ok(PeerMessage::Digest(digest)) => self.link.on_digest(&digest, sender),
+            Ok(PeerMessage::Digest(digest)) => {
+                self.link.on_digest(&digest, sender);
+                self.note_evacuation();
+            }
             Ok(PeerMessage::Record(target)) => self.take_record(target),
             Ok(PeerMessage::Forward { service, search, may_wait, urgent, packet }) => {
                 match self.platform.decode(packet) {
@@ -70,7 +73,7 @@
             }
             DeliveryDecision::Wait { displaced } => {
                 if let Some(opening) = displaced {
-                    self.return_opening(&opening, now);
+                    self.return_opening(&opening, ReturnReason::Busy, now);
                 }
                 let waiting = self.core.borrow().waiting();
                 self.metrics.openings_waited.inc();
@@ -91,13 +94,14 @@
                 Some(WaitOutcome::Deliver(opening, echo)) => {
                     self.hand_labelled(&opening.head, &opening.packet, echo, now);
                 }
-                Some(WaitOutcome::Return(opening)) => self.return_opening(&opening, now),
+                Some(WaitOutcome::Return(opening, reason)) => {
+                    self.return_opening(&opening, reason, now);
+                }
             }
         }
     }
 
-    fn return_opening(&self, opening: &WaitedOpening, now: Millis) {
-        let reason = ReturnReason::Busy;
+    fn return_opening(&self, opening: &WaitedOpening, reason: ReturnReason, now: Millis) {
         self.return_packet(&opening.head, &opening.packet, opening.balancer, reason, now);
     }
 
@@ -146,6 +150,7 @@
             ReturnReason::Bounced => "bounced",
             ReturnReason::OtherService => "other_service",
             ReturnReason::Leaving => "leaving",
+            ReturnReason::Evacuated => "evacuated",
             ReturnReason::Failing => "failing",
             ReturnReason::Busy => "busy",
         };
--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -149,6 +149,7 @@
             let now = self.clock.now();
             self.core.borrow_mut().expire(now);
             self.learn_slots();
+            self.note_evacuation();
             self.renew_claim();
             self.link.tick();
             let tick = if now < EAGER_MS { EAGER_TICK } else { TICK };
@@ -166,6 +167,12 @@
         }
     }
 
+    /// Takes over whether this agent's zone is evacuated.
+    fn note_evacuation(&self) {
+        let evacuated = self.node.borrow().is_evacuated();
+        self.core.borrow_mut().set_evacuated(evacuated);
+    }
+
     fn renew_claim(&self) {
         let core = self.core.borrow();
         self.metrics.waiting.set(i64::from(core.waiting()));
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -188,7 +188,7 @@
         match message {
             PeerMessage::Digest(digest) => {
                 if let Some(claim) = &digest.target {
-                    self.core.borrow_mut().claimed(sender, claim, now);
+                    self.core.borrow_mut().claimed(sender, digest.zone, claim, now);
                 }
                 self.link.on_digest(&digest, sender);
                 self.note_regained();
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -183,6 +183,7 @@
             overloaded: self.overloaded,
             revision: self.replica.revision(),
             configuration_revision: self.configuration_revision(),
+            evacuated: self.replica.evacuated().clone(),
             age_ms: self.replica.age(now),
             reading: self.reading,
             reply,
@@ -205,6 +206,8 @@
         if let Some(age_ms) = age_ms {
             self.replica.confirm(known, age_ms, now);
         }
+        let evacuations = self.replica.learn_evacuated(&digest.evacuated, now);
+        self.note_changes(&evacuations, "peer", now);
         self.note_freshness(now);
         let fresher = match (age_before, self.replica.age(now)) {
             (Some(before), Some(after)) => before >= after + NEWS_MS,
@@ -213,7 +216,7 @@
         Reaction {
             fetch_from: self.wants(digest).then(|| self.fetch_source(digest)),
             reply: is_new || digest.reply || self.has_news_for(digest),
-            spread: fresher && self.role == PeerRole::Balancer,
+            spread: (fresher || !evacuations.is_empty()) && self.role == PeerRole::Balancer,
             record: self.record_for(digest),
         }
     }
@@ -230,14 +233,7 @@
 
     /// Takes in what a balancer says of the target beside this agent.
     pub fn apply_record(&mut self, target: VersionedTarget, now: Millis) {
-        let update = Update {
-            after: 0,
-            through: 0,
-            complete: false,
-            age_ms: 0,
-            configuration: None,
-            targets: vec![target],
-        };
+        let update = Update { targets: vec![target], ..Update::default() };
         self.apply(update, "peer", now);
     }
 
@@ -245,7 +241,10 @@
     fn has_news_for(&self, digest: &Digest) -> bool {
         match digest.role {
             PeerRole::Balancer => digest.revision < self.replica.revision(),
-            PeerRole::Agent => digest.configuration_revision < self.configuration_revision(),
+            PeerRole::Agent => {
+                digest.configuration_revision < self.configuration_revision()
+                    || self.replica.evacuated().is_news_for(&digest.evacuated)
+            }
         }
     }
 
@@ -253,14 +252,24 @@
     pub fn apply(&mut self, update: Update, source: &str, now: Millis) -> bool {
         let before = self.replica.revision();
         let changes = self.replica.apply(update, now);
-        for change in &changes {
+        self.note_changes(&changes, source, now);
+        self.note_freshness(now);
+        !changes.is_empty() || self.replica.revision() > before
+    }
+
+    /// Logs changes and brings the view up to date.
+    fn note_changes(&mut self, changes: &[Change], source: &str, now: Millis) {
+        for change in changes {
             self.log_change(change, source, now);
         }
         if !changes.is_empty() {
             self.view = FleetView::compile(&self.replica, &self.locality);
         }
-        self.note_freshness(now);
-        !changes.is_empty() || self.replica.revision() > before
+    }
+
+    /// Whether this daemon's zone is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.view.is_evacuated(self.zone)
     }
 
     /// Takes in what the store itself says.
@@ -338,6 +347,16 @@
                     "service" => &record.service, "cold_ms" => record.warm_up_ms,
                     "source" => source, "age_ms" => age_ms);
             }
+            Change::ZoneEvacuated { zone } => {
+                info!(self.log, "fleet: zone evacuated"; "event" => "zone_evacuated",
+                    "zone" => zone, "revision" => self.replica.evacuated().as_of,
+                    "source" => source, "age_ms" => age_ms);
+            }
+            Change::ZoneReturned { zone } => {
+                info!(self.log, "fleet: zone taken back"; "event" => "zone_returned",
+                    "zone" => zone, "revision" => self.replica.evacuated().as_of,
+                    "source" => source, "age_ms" => age_ms);
+            }
             Change::Removed { id, record } => {
                 let agent = record.as_ref().map(|record| record.machine().to_string());
                 info!(self.log, "fleet: target removed"; "event" => "target_removed",
--- a/crates/relay/src/platform.rs
+++ b/crates/relay/src/platform.rs
@@ -1,7 +1,9 @@
 //! The seam towards the platform: how packets are laid out, and how the store is
 //! asked and answers. An implementation translates and decides nothing.
 
-use weirhinge_fleet::{Millis, Update, VersionedConfiguration, VersionedTarget};
+use weirhinge_fleet::{
+    Millis, Update, VersionedConfiguration, VersionedTarget, ZoneChange, ZoneNews,
+};
 use weirhinge_steering::{AnswerStatus, FlowKey, MalformedPacket, PacketHead};
 
 /// An item of the store that cannot be used.
@@ -29,6 +31,8 @@
     pub configuration: Option<VersionedConfiguration>,
     /// The targets on this page.
     pub targets: Vec<VersionedTarget>,
+    /// The names of the evacuated zones on this page.
+    pub evacuated: Vec<String>,
     /// Items that cannot be used; each is left out whole.
     pub rejected: Vec<RejectedItem>,
 }
@@ -42,6 +46,8 @@
     pub configuration: Option<VersionedConfiguration>,
     /// Targets that changed, in the store's order.
     pub targets: Vec<VersionedTarget>,
+    /// Evacuations that began or ended, in the store's order.
+    pub zones: Vec<ZoneChange>,
     /// Items that cannot be used; each is left out whole.
     pub rejected: Vec<RejectedItem>,
 }
@@ -81,6 +87,7 @@
             age_ms: if is_unchanged { elapsed_ms.saturating_sub(wait_ms) } else { 0 },
             configuration: self.configuration,
             targets: self.targets,
+            zones: ZoneNews::Changes(self.zones),
         })
     }
 }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -12,7 +12,9 @@
 use hyper_util::rt::TokioIo;
 use slog::{Logger, info, warn};
 use tokio::net::TcpStream;
-use weirhinge_fleet::{Millis, Timing, Update, VersionedConfiguration, VersionedTarget};
+use weirhinge_fleet::{
+    EvacuatedZones, Millis, Timing, Update, VersionedConfiguration, VersionedTarget, ZoneNews,
+};
 
 use crate::clock::Clock;
 use crate::fleet_node::FleetNode;
@@ -161,6 +163,7 @@
             listed.at.get_or_insert(page.at);
             listed.configuration = listed.configuration.or(page.configuration);
             listed.targets.extend(page.targets);
+            listed.evacuated.extend(page.evacuated);
             after = page.next_after;
             if after.is_none() {
                 break;
@@ -175,6 +178,7 @@
             age_ms: self.clock.now().saturating_sub(asked_at),
             configuration: listed.configuration,
             targets: listed.targets,
+            zones: ZoneNews::Whole(EvacuatedZones::new(through, listed.evacuated)),
         });
         Ok(())
     }
@@ -291,6 +295,7 @@
     at: Option<u64>,
     configuration: Option<VersionedConfiguration>,
     targets: Vec<VersionedTarget>,
+    evacuated: Vec<String>,
 }
 
 fn jittered(wait: Duration) -> Duration {
--- a/crates/relay/tests/fleet_node.rs
+++ b/crates/relay/tests/fleet_node.rs
@@ -9,7 +9,7 @@
 use support::settings;
 use weirhinge_fleet::{
     Configuration, Digest, Millis, PeerRole, ServiceId, TargetClaim, TargetRecord, TargetState,
-    Update, VersionedConfiguration, VersionedTarget,
+    Update, VersionedConfiguration, VersionedTarget, ZoneChange, ZoneNews,
 };
 use weirhinge_relay::FleetNode;
 
@@ -41,7 +41,7 @@
 }
 
 fn update(after: u64, through: u64, targets: Vec<VersionedTarget>) -> Update {
-    Update { after, through, complete: after == 0, age_ms: 0, configuration: None, targets }
+    Update { after, through, complete: after == 0, targets, ..Update::default() }
 }
 
 /// Agents once learned of their targets' size from their next digest, up to half a
@@ -181,3 +181,33 @@
     }
     assert!(balancer.should_read(confirmed_at + 5_400), "somebody asks the store again");
 }
+
+/// An update from the store in which an evacuation of zone `a` began.
+fn evacuation(after: u64, through: u64) -> Update {
+    let change = ZoneChange { zone: "a".to_owned(), revision: through, begins: true };
+    Update { zones: ZoneNews::Changes(vec![change]), ..update(after, through, Vec::new()) }
+}
+
+#[test]
+fn an_evacuation_travels_with_digests_and_is_passed_on_at_once() {
+    let now: Millis = 5_000;
+    let mut reader = serving(BALANCER, now);
+    reader.apply_from_store(evacuation(2, 7), now);
+    let mut other = serving(machine(9), now);
+    let reaction = other.on_digest(&reader.digest(false, now), now + 1);
+    assert!(other.view().evacuated_count() == 1 && reaction.spread);
+    let again = other.on_digest(&reader.digest(false, now), now + 2);
+    assert!(!again.spread, "passed on once");
+    // An agent of the zone is answered, and knows.
+    let mut agent = node(machine(2), PeerRole::Agent);
+    agent.apply(other.answer(agent.request(), now), "peer", 100);
+    let unaware = node(machine(3), PeerRole::Agent);
+    let mut unaware_digest = unaware.digest(false, 100);
+    unaware_digest.configuration_revision = 2;
+    assert!(other.on_digest(&unaware_digest, now + 3).reply);
+    assert!(agent.is_evacuated());
+    // A balancer without memory hears of it from that agent.
+    let mut restarted = node(machine(8), PeerRole::Balancer);
+    restarted.on_digest(&agent.digest(false, 200), 50);
+    assert_eq!(restarted.view().evacuated_count(), 1);
+}
--- a/crates/relay/tests/fleet_scale.rs
+++ b/crates/relay/tests/fleet_scale.rs
@@ -202,6 +202,7 @@
             configuration: is_new
                 .then_some(VersionedConfiguration { revision: through, configuration }),
             targets: if after == 0 { targets.collect() } else { Vec::new() },
+            ..Update::default()
         }
     }
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use weirhinge_platform_standins::{Fleet, Impairment, LinkFault, ProcessHandle, StoreFault};
+use weirhinge_platform_standins::{
+    Fleet, Impairment, LinkFault, NEAR_ZONE, ProcessHandle, StoreFault,
+};
 
 use crate::callers::{FIRST_PORT, SECOND_PORT};
 use crate::plan::{Fault, LinkTrouble, StoreTrouble};
@@ -35,6 +37,10 @@
             fleet.targets[place].drain();
             Ok(())
         }
+        Fault::EvacuateZone => {
+            fleet.evacuate(NEAR_ZONE);
+            Ok(())
+        }
         Fault::Reload(place) => fleet.balancers[place].signal(Signal::SIGHUP),
         Fault::Configure => {
             configure(fleet);
@@ -75,6 +81,10 @@
             fleet.targets[place].renew();
             Ok(())
         }
+        Fault::EvacuateZone => {
+            fleet.take_back(NEAR_ZONE);
+            Ok(())
+        }
         Fault::KillBalancer(place) => fleet.balancers[place].restart(),
         Fault::PauseBalancer(place) => fleet.balancers[place].signal(Signal::SIGCONT),
         Fault::KillAgent(place) => fleet.agents[place].restart(),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -53,6 +53,8 @@
     StopBalancer(usize),
     /// A target drains and comes back under a new identity.
     DrainTarget(usize),
+    /// The operator empties the zone that some of the targets are in.
+    EvacuateZone,
     /// A process is told to read its settings again.
     Reload(usize),
     /// The operator changes the configuration.
@@ -84,6 +86,7 @@
             self,
             Fault::StopBalancer(_)
                 | Fault::DrainTarget(_)
+                | Fault::EvacuateZone
                 | Fault::Reload(_)
                 | Fault::Configure
                 // Not planned, but as harmless: flows do not need the store.
@@ -94,7 +97,10 @@
 
     /// Whether changes of the configuration reach all balancers meanwhile.
     pub fn lets_changes_through(self) -> bool {
-        matches!(self, Fault::DrainTarget(_) | Fault::Reload(_) | Fault::Configure)
+        matches!(
+            self,
+            Fault::DrainTarget(_) | Fault::EvacuateZone | Fault::Reload(_) | Fault::Configure
+        )
     }
 }
 
@@ -140,7 +146,8 @@
         }
     }
     faults.shuffle(random);
-    let drains = faults.iter().any(|fault| matches!(fault, Fault::DrainTarget(_)));
+    let is_drain = |fault: &Fault| matches!(fault, Fault::DrainTarget(_) | Fault::EvacuateZone);
+    let drains = faults.iter().any(is_drain);
     let lasts = Duration::from_millis(random.random_range(LASTS_MS));
     Episode { faults, lasts: if drains { DRAIN_LASTS } else { lasts } }
 }
@@ -162,7 +169,7 @@
         LinkTrouble::LosesRequests,
         LinkTrouble::LosesAnswers,
     ];
-    match random.random_range(0..13) {
+    match random.random_range(0..14) {
         0 => Fault::StopBalancer(balancer),
         1 => Fault::DrainTarget(target),
         2 => Fault::Reload(balancer),
@@ -177,13 +184,20 @@
         11 => {
             Fault::StoreLink(balancer, link.choose(random).copied().unwrap_or(LinkTrouble::Reset))
         }
+        12 => Fault::EvacuateZone,
         _ => Fault::LossyClients,
     }
 }
 
-/// Whether two faults concern the same process or store; mending one would undo the
-/// other.
+/// Whether two faults concern the same process or store, so that mending one would undo
+/// the other, or could together leave a service without a target.
 fn touch_the_same(one: Fault, other: Fault) -> bool {
+    let takes_targets = |fault: Fault| {
+        matches!(fault, Fault::EvacuateZone | Fault::DrainTarget(_) | Fault::CrashTarget(_))
+    };
+    if takes_targets(one) && takes_targets(other) {
+        return true;
+    }
     let touched = |fault: Fault| match fault {
         Fault::StopBalancer(place)
         | Fault::Reload(place)
@@ -197,6 +211,7 @@
         Fault::Configure => (3, 0),
         Fault::LossyClients => (4, 0),
         Fault::KillAll => (5, 0),
+        Fault::EvacuateZone => (6, 0),
     };
     touched(one) == touched(other)
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use weirhinge_platform_standins::{
-    Fleet, FleetPlan, RouterHash, SETTINGS_TEMPLATE, counter, http_get,
+    Fleet, FleetPlan, HOME_ZONE, NEAR_ZONE, RouterHash, SETTINGS_TEMPLATE, counter, http_get,
 };
 
 use crate::callers::Callers;
@@ -17,6 +17,8 @@
 const BALANCERS: u8 = 3;
 /// The service of each of its targets.
 const TARGETS: [&str; 5] = [SERVICES[0], SERVICES[0], SERVICES[0], SERVICES[1], SERVICES[1]];
+/// The zone of each of them: each service has targets in both.
+const TARGET_ZONES: [&str; 5] = [HOME_ZONE, HOME_ZONE, NEAR_ZONE, HOME_ZONE, NEAR_ZONE];
 /// Balancers and targets of the deployment that soaks.
 pub const SIZE: Size = Size { balancers: BALANCERS as usize, targets: TARGETS.len() };
 /// Time between episodes, in which everything must be served again.
@@ -75,6 +77,7 @@
     let plan = FleetPlan {
         balancers: BALANCERS,
         targets: TARGETS.to_vec(),
+        target_zones: TARGET_ZONES.to_vec(),
         hash: if options.seed.is_multiple_of(2) { RouterHash::Steady } else { RouterHash::Mod },
         processor_shares: Vec::new(),
     };
@@ -119,6 +122,16 @@
     })
 }
 
+/// The targets that must get no new flow while a fault lasts.
+fn drained(fault: Fault) -> impl Iterator<Item = usize> {
+    let is_drained = move |place: &usize| match fault {
+        Fault::DrainTarget(target) => target == *place,
+        Fault::EvacuateZone => TARGET_ZONES[*place] == NEAR_ZONE,
+        _ => false,
+    };
+    (0..SIZE.targets).filter(is_drained)
+}
+
 impl Soak {
     async fn play(&mut self, episode: &Episode) -> eyre::Result<()> {
         let from = Instant::now();
@@ -134,9 +147,9 @@
         }
         self.look_for(episode.lasts.saturating_sub(from.elapsed())).await;
         for fault in &episode.faults {
-            if let (Fault::DrainTarget(target), true) = (fault, store_serves) {
+            if store_serves {
                 let span = Span { from: from + DRAIN_BOUND, to: Instant::now() };
-                self.drains.push(Drain { target: *target, span });
+                self.drains.extend(drained(*fault).map(|target| Drain { target, span }));
             }
             faults::mend(&mut self.fleet, *fault)?;
         }
--- a/crates/soak/tests/verdict.rs
+++ b/crates/soak/tests/verdict.rs
@@ -122,5 +122,5 @@
         .collect();
     kinds.sort();
     kinds.dedup();
-    assert_eq!(kinds.len(), 13);
+    assert_eq!(kinds.len(), 14);
 }
--- a/crates/steering/src/agent/decision.rs
+++ b/crates/steering/src/agent/decision.rs
@@ -33,7 +33,7 @@
     /// Hand it to the target under this label.
     Deliver(WaitedOpening, u32),
     /// Send it back to its balancer.
-    Return(WaitedOpening),
+    Return(WaitedOpening, ReturnReason),
 }
 
 /// What to do with a packet for the target.
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -45,6 +45,10 @@
 const SEARCH_LIFETIME_MS: Millis = 120;
 /// Most searches followed at a time.
 const SEARCH_CAPACITY: usize = 1_024;
+/// Copies of an opening packet come within this span after the first one: a client sends
+/// the last of them after 600 ms, and none waits longer than 1.1 s on its way.
+const OPENING_SPAN_MS: Millis = 2_000;
+
 /// The state of an agent.
 #[derive(Clone, Debug)]
 pub struct Agent {
@@ -66,6 +70,8 @@
     /// The latest change of the breaker, not told yet.
     breaker_change: Option<BreakerChange>,
     leaving: bool,
+    /// Whether the zone of the target is evacuated.
+    evacuated: bool,
 }
 
 impl Agent {
@@ -85,6 +91,7 @@
             breaker: CircuitBreaker::default(),
             breaker_change: None,
             leaving: false,
+            evacuated: false,
         }
     }
 
@@ -103,6 +110,12 @@
         self.leaving = true;
     }
 
+    /// Notes whether the zone of the target is evacuated: then it takes no new flows, also
+    /// not from balancers that do not know of that yet.
+    pub fn set_evacuated(&mut self, evacuated: bool) {
+        self.evacuated = evacuated;
+    }
+
     /// Whether it is known how many requests the target works on at once.
     pub fn is_sized(&self) -> bool {
         self.admission.is_sized()
@@ -122,6 +135,9 @@
             if self.leaving {
                 return DeliveryDecision::Return(ReturnReason::Leaving);
             }
+            if self.evacuated && !self.is_copy(&arrival.head.client_flow(), now) {
+                return DeliveryDecision::Return(ReturnReason::Evacuated);
+            }
             let is_new = !self.flows.contains_key(&arrival.head.client_flow());
             // One that may wait found no better target.
             if is_new && !arrival.may_wait && !self.breaker.admits(now) {
@@ -145,8 +161,13 @@
     /// The next waiting opening packet that has an outcome.
     pub fn next_outcome(&mut self, now: Millis) -> Option<WaitOutcome> {
         self.drop_expectations(now);
-        if let Some(opening) = self.openings.take_over(self.leaving, now) {
-            return Some(WaitOutcome::Return(opening));
+        if let Some(reason) = self.takes_nothing()
+            && let Some(opening) = self.openings.take_any()
+        {
+            return Some(WaitOutcome::Return(opening, reason));
+        }
+        if let Some(opening) = self.openings.take_over(now) {
+            return Some(WaitOutcome::Return(opening, ReturnReason::Busy));
         }
         let load = self.load();
         let admission = &self.admission;
@@ -156,6 +177,22 @@
         Some(WaitOutcome::Deliver(opening, echo))
     }
 
+    /// Why no new flow is taken at all, if so.
+    fn takes_nothing(&self) -> Option<ReturnReason> {
+        match (self.leaving, self.evacuated) {
+            (true, _) => Some(ReturnReason::Leaving),
+            (false, true) => Some(ReturnReason::Evacuated),
+            (false, false) => None,
+        }
+    }
+
+    /// Whether an opening packet of this flow was handed to the target lately; the target
+    /// takes a further one for the same flow.
+    fn is_copy(&self, flow: &FlowKey, now: Millis) -> bool {
+        let opened_at = self.flows.get(flow).map(|flow| flow.opened_at);
+        opened_at.is_some_and(|at| now.saturating_sub(at) < OPENING_SPAN_MS)
+    }
+
     /// The answer to a search for a flow that the target holds as far as this agent
     /// knows. The target itself may take longer to answer than a balancer waits
     /// before it looks elsewhere; if it lost the flow, its bounce corrects this.
@@ -313,6 +350,7 @@
             expected: is_expected,
             searched_since: None,
             confirmed: false,
+            opened_at: now,
             used_at: now,
         });
         entry.balancer = balancer;
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::{Millis, ServiceId, TargetClaim};
+use weirhinge_fleet::{Millis, ServiceId, TargetClaim, ZoneId};
 
 /// An agent that leaves an opening packet unanswered for this long is passed
 /// over. Far above a journey between zones and a handshake.
@@ -39,7 +39,15 @@
     leaving: bool,
     /// When it last said that its target fails.
     failing_at: Option<Millis>,
-    claim: Option<(ServiceId, Millis)>,
+    claim: Option<Claim>,
+}
+
+/// An agent's word that a target works beside it.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    service: ServiceId,
+    zone: ZoneId,
+    said_at: Millis,
 }
 
 /// Silence of all agents after which this balancer takes itself for cut off.
@@ -101,7 +109,7 @@
 
     /// Records an agent's word about its target. Unlike an answer to a packet it
     /// does not show that the target works.
-    pub fn claimed(&mut self, agent: Ipv4Addr, claim: &TargetClaim, now: Millis) {
+    pub fn claimed(&mut self, agent: Ipv4Addr, zone: ZoneId, claim: &TargetClaim, now: Millis) {
         let status = self.statuses.entry(agent).or_default();
         status.heard_at = now;
         status.waiting = claim.waiting;
@@ -109,7 +117,8 @@
         status.leaving = claim.leaving;
         let usable = claim.alive && !claim.leaving;
         self.claims_seen += u64::from(usable && status.claim.is_none());
-        status.claim = usable.then(|| (ServiceId::of(&claim.service), now));
+        let service = ServiceId::of(&claim.service);
+        status.claim = usable.then_some(Claim { service, zone, said_at: now });
         self.any_heard_at = Some(now);
     }
 
@@ -179,8 +188,8 @@
     /// Agents that lately said that a target of this service works beside them.
     pub fn claimants(&self, service: ServiceId, now: Millis) -> Vec<Ipv4Addr> {
         let is_fresh = |status: &AgentStatus| {
-            status.claim.is_some_and(|(claimed, at)| {
-                claimed == service && now.saturating_sub(at) < CLAIM_LIFETIME_MS
+            status.claim.is_some_and(|claim| {
+                claim.service == service && now.saturating_sub(claim.said_at) < CLAIM_LIFETIME_MS
             })
         };
         let fresh = self.statuses.iter().filter(|(_, status)| is_fresh(status));
@@ -189,6 +198,11 @@
         agents
     }
 
+    /// The zone that an agent with a target said it runs in.
+    pub fn claimed_zone(&self, agent: Ipv4Addr) -> Option<ZoneId> {
+        self.statuses.get(&agent)?.claim.map(|claim| claim.zone)
+    }
+
     /// Forgets agents that were silent for long.
     pub fn expire(&mut self, now: Millis) {
         self.statuses.retain(|_, status| {
--- a/crates/steering/src/balancer/decision.rs
+++ b/crates/steering/src/balancer/decision.rs
@@ -45,6 +45,8 @@
     NoRoute,
     /// The route's service has no target that takes new flows.
     NoTarget,
+    /// All targets of the route's service are in evacuated zones.
+    Evacuated,
     /// Every target sent the opening packet back.
     Refused,
     /// Every target sent the flow's packet back, repeatedly.
@@ -57,6 +59,7 @@
         match self {
             ResetReason::NoRoute => "no_route",
             ResetReason::NoTarget => "no_target",
+            ResetReason::Evacuated => "evacuated",
             ResetReason::Refused => "refused",
             ResetReason::NobodyHolds => "nobody_holds",
         }
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -7,7 +7,7 @@
 
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::{Millis, ReturnReason, ServiceId, TargetClaim, Timing};
+use weirhinge_fleet::{Millis, ReturnReason, ServiceId, TargetClaim, Timing, ZoneId};
 
 pub use decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
 
@@ -135,7 +135,10 @@
         match reason {
             ReturnReason::Leaving => self.statuses.is_stopping(from),
             ReturnReason::Failing => self.statuses.note_failing(from, context.now),
-            ReturnReason::Bounced | ReturnReason::OtherService | ReturnReason::Busy => {}
+            ReturnReason::Bounced
+            | ReturnReason::OtherService
+            | ReturnReason::Evacuated
+            | ReturnReason::Busy => {}
         }
         let opens = packet.head.is_opening();
         let flow = packet.head.client_flow();
@@ -179,9 +182,9 @@
         self.statuses.heard(agent, waiting, now);
     }
 
-    /// Takes in an agent's word about the target beside it.
-    pub fn claimed(&mut self, agent: Ipv4Addr, claim: &TargetClaim, now: Millis) {
-        self.statuses.claimed(agent, claim, now);
+    /// Takes in the word of an agent, which runs in `zone`, about the target beside it.
+    pub fn claimed(&mut self, agent: Ipv4Addr, zone: ZoneId, claim: &TargetClaim, now: Millis) {
+        self.statuses.claimed(agent, zone, claim, now);
     }
 
     /// Whether this balancer seems to be cut off from all agents.
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -83,7 +83,8 @@
         let goes_on = match returned {
             ReturnReason::Busy => false,
             ReturnReason::Failing => self.passes_failing(context, head),
-            ReturnReason::Bounced | ReturnReason::OtherService | ReturnReason::Leaving => true,
+            ReturnReason::Bounced | ReturnReason::OtherService => true,
+            ReturnReason::Leaving | ReturnReason::Evacuated => self.waits_elsewhere(&flow),
         };
         let Some(entry) = self.flows.get_mut(&flow).filter(|_| !goes_on) else {
             return self.choose_target(context, head, ForwardReason::OpeningReturned);
@@ -99,6 +100,15 @@
         self.choose_target(context, head, ForwardReason::OpeningWaits)
     }
 
+    /// An opening packet may have waited at a target that now takes no new flows: it did
+    /// not get its turn, and waits once more at another one. Always true.
+    fn waits_elsewhere(&mut self, flow: &FlowKey) -> bool {
+        if let Some(entry) = self.flows.get_mut(flow) {
+            entry.has_waited = false;
+        }
+        true
+    }
+
     /// Whether an opening packet that a failing target sent back tries another one: only
     /// a few times, as most of them may fail.
     fn passes_failing(&mut self, context: &Context<'_>, head: &PacketHead) -> bool {
@@ -165,6 +175,9 @@
         // back will not take it now.
         self.flows.remove(flow);
         let settled = context.fresh && !self.is_unsettled(context.now);
+        if !any_eligible && self.is_evacuated(context, flow) {
+            return Decision::Reset { sequence: 0, reason: ResetReason::Evacuated };
+        }
         match (any_eligible, reason) {
             (true, ForwardReason::OpeningReturned) => {
                 Decision::Reset { sequence: 0, reason: ResetReason::Refused }
@@ -174,12 +187,25 @@
         }
     }
 
+    /// Whether a flow's service has ready targets, but in evacuated zones alone. That is
+    /// known without any news of the store: nothing is waited for.
+    fn is_evacuated(&self, context: &Context<'_>, flow: &FlowKey) -> bool {
+        let route = context.view.route(flow.service);
+        let service = route.and_then(|route| route.pick(flow.hash()));
+        service.is_some_and(|service| {
+            let mut candidates = context.view.candidates(service).iter();
+            candidates.any(|candidate| candidate.standing == Standing::Ready && candidate.evacuated)
+        })
+    }
+
     /// Targets that may take a new flow: ready ones, or where none of them answers
     /// also those that lost their record but may well live.
     fn eligible(&self, context: &Context<'_>, service: ServiceId, flow_hash: u64) -> Eligible {
         let now = context.now;
         let candidates = context.view.candidates(service);
-        let ready = candidates.iter().filter(|candidate| candidate.standing == Standing::Ready);
+        let is_ready =
+            |candidate: &&Candidate| candidate.standing == Standing::Ready && !candidate.evacuated;
+        let ready = candidates.iter().filter(is_ready);
         let ready = rendezvous_order(flow_hash, ready);
         let is_silent = |candidate: &Candidate| {
             self.statuses.is_suspect(candidate.agent, now)
@@ -205,13 +231,18 @@
         let unsettled = !context.fresh || self.is_unsettled(now);
         let grace_ms = self.timing.vanished_grace_ms;
         let may_live = |candidate: &&Candidate| match candidate.standing {
-            Standing::Vanished(at) => unsettled || now.saturating_sub(at) < grace_ms,
+            Standing::Vanished(at) => {
+                !candidate.evacuated && (unsettled || now.saturating_sub(at) < grace_ms)
+            }
             Standing::Ready | Standing::Leaving => false,
         };
         let mut unrecorded: Vec<Candidate> = candidates.iter().filter(may_live).copied().collect();
         if unsettled {
             for agent in self.statuses.claimants(service, now) {
-                if candidates.iter().all(|candidate| candidate.agent != agent) {
+                let zone = self.statuses.claimed_zone(agent);
+                let is_evacuated = zone.is_some_and(|zone| context.view.is_evacuated(zone));
+                let is_known = candidates.iter().any(|candidate| candidate.agent == agent);
+                if !is_known && !is_evacuated {
                     unrecorded.push(claimed_candidate(agent, now));
                 }
             }
@@ -226,6 +257,7 @@
         agent,
         standing: Standing::Vanished(now),
         recorded: false,
+        evacuated: false,
         slots: 1,
         cold_until: 0,
         distance: Distance::Region,
--- a/crates/steering/src/balancer/undecided.rs
+++ b/crates/steering/src/balancer/undecided.rs
@@ -22,6 +22,7 @@
     targets: usize,
     claims: u64,
     helpers: usize,
+    evacuated: usize,
 }
 
 /// The packets, decided about again once there is news.
@@ -83,6 +84,7 @@
             targets: context.view.target_count(),
             claims: self.statuses.claims_seen(),
             helpers: context.helpers.len(),
+            evacuated: context.view.evacuated_count(),
         };
         self.undecided.look(known, context.now)
     }
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -1,9 +1,9 @@
 //! Routes and targets in the form that decisions are made from.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use weirhinge_fleet::{Millis, Replica, ServiceId, TargetEntry, TargetRecord, TargetState};
+use weirhinge_fleet::{Millis, Replica, ServiceId, TargetEntry, TargetRecord, TargetState, ZoneId};
 
 /// A configuration's version and the store revision that wrote it, for logs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -104,6 +104,8 @@
     pub standing: Standing,
     /// Whether the store still has its record.
     pub recorded: bool,
+    /// Whether its zone is evacuated: it keeps its open flows and gets no new ones.
+    pub evacuated: bool,
     /// Requests that it works on at once, at least 1.
     pub slots: u32,
     /// Until when it is slow from its start.
@@ -119,13 +121,15 @@
     services: HashMap<ServiceId, Vec<Candidate>>,
     label: Option<VersionLabel>,
     idle_timeout_ms: Option<Millis>,
+    evacuated: HashSet<ZoneId>,
 }
 
 impl FleetView {
     /// Compiles what a replica knows.
     pub fn compile(replica: &Replica, locality: &Locality) -> Self {
         let services = compile_services(replica, locality);
-        let mut view = Self { services, ..Self::default() };
+        let evacuated = replica.evacuated().iter().map(ZoneId::of).collect();
+        let mut view = Self { services, evacuated, ..Self::default() };
         let Some(versioned) = replica.configuration() else { return view };
         let configuration = &versioned.configuration;
         let label = VersionLabel { version: configuration.version, revision: versioned.revision };
@@ -161,6 +165,16 @@
         self.services.get(&service).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether the targets of a zone are to get no new flows.
+    pub fn is_evacuated(&self, zone: ZoneId) -> bool {
+        self.evacuated.contains(&zone)
+    }
+
+    /// Number of evacuated zones.
+    pub fn evacuated_count(&self) -> usize {
+        self.evacuated.len()
+    }
+
     /// Number of targets known, of all services.
     pub fn target_count(&self) -> usize {
         self.services.values().map(Vec::len).sum()
@@ -201,7 +215,8 @@
     }
     let mut services: HashMap<ServiceId, Vec<Candidate>> = HashMap::new();
     for (entry, record) in newest.into_values() {
-        let candidate = candidate(entry, record, locality);
+        let mut candidate = candidate(entry, record, locality);
+        candidate.evacuated = replica.evacuated().contains(&record.zone);
         services.entry(ServiceId::of(&record.service)).or_default().push(candidate);
     }
     for candidates in services.values_mut() {
@@ -220,6 +235,7 @@
         agent: record.machine(),
         standing,
         recorded: entry.target.present,
+        evacuated: false,
         slots: record.slots.max(1),
         cold_until: entry.learned_at + Millis::from(record.warm_up_ms),
         distance: locality.distance(&record.zone),
--- a/crates/steering/src/waiting_room.rs
+++ b/crates/steering/src/waiting_room.rs
@@ -72,11 +72,15 @@
         self.openings.remove(place)
     }
 
-    /// Takes out a packet that waited too long, or any if `all` have to go.
-    pub fn take_over(&mut self, all: bool, now: Millis) -> Option<WaitedOpening> {
-        let is_over = |opening: &WaitedOpening| {
-            all || now.saturating_sub(opening.arrived_at) >= LONGEST_WAIT_MS
-        };
+    /// Takes out any packet, the newest first.
+    pub fn take_any(&mut self) -> Option<WaitedOpening> {
+        self.openings.pop_back()
+    }
+
+    /// Takes out a packet that waited too long.
+    pub fn take_over(&mut self, now: Millis) -> Option<WaitedOpening> {
+        let is_over =
+            |opening: &WaitedOpening| now.saturating_sub(opening.arrived_at) >= LONGEST_WAIT_MS;
         let place = self.openings.iter().position(is_over)?;
         self.openings.remove(place)
     }
--- a/crates/steering/tests/accounting.rs
+++ b/crates/steering/tests/accounting.rs
@@ -68,7 +68,7 @@
         while let Some(outcome) = beside.next_outcome(now) {
             match outcome {
                 WaitOutcome::Deliver(opening, _) => self.hand_over(&opening.head),
-                WaitOutcome::Return(opening) => self.send_back(&opening),
+                WaitOutcome::Return(opening, _) => self.send_back(&opening),
             }
         }
     }
@@ -139,7 +139,7 @@
     }
     let mut returned = 0;
     while let Some(outcome) = beside.next_outcome(AFTER_ALL_WAITS_MS) {
-        assert!(matches!(outcome, WaitOutcome::Return(_)), "{outcome:?}");
+        assert!(matches!(outcome, WaitOutcome::Return(_, _)), "{outcome:?}");
         returned += 1;
     }
     assert_eq!(returned, 50);
--- a/crates/steering/tests/admission.rs
+++ b/crates/steering/tests/admission.rs
@@ -119,7 +119,7 @@
     let head = opening(flow(50));
     beside.delivery(&Arrival { may_wait: true, ..arrival(&head) }, 0);
     assert_eq!(beside.next_outcome(1_000), None);
-    let Some(WaitOutcome::Return(opening)) = beside.next_outcome(1_100) else {
+    let Some(WaitOutcome::Return(opening, ReturnReason::Busy)) = beside.next_outcome(1_100) else {
         panic!("expected a return");
     };
     assert_eq!(opening.balancer, agent(100));
@@ -134,7 +134,7 @@
     let copy = PacketHead { acknowledgment: 1, ..opening(flow(51)) };
     beside.delivery(&Arrival { may_wait: true, ..arrival(&copy) }, 500);
     // The first packet is due although the copy stands at the end it leaves from.
-    let Some(WaitOutcome::Return(returned)) = beside.next_outcome(1_100) else {
+    let Some(WaitOutcome::Return(returned, ReturnReason::Busy)) = beside.next_outcome(1_100) else {
         panic!("expected a return");
     };
     assert_eq!(returned.head.client_flow(), flow(50));
--- a/crates/steering/tests/agent.rs
+++ b/crates/steering/tests/agent.rs
@@ -232,7 +232,7 @@
     beside.leave();
     let leaving = DeliveryDecision::Return(ReturnReason::Leaving);
     assert_eq!(beside.delivery(&arrival(&opening(flow(9))), 1), leaving);
-    assert!(matches!(beside.next_outcome(1), Some(WaitOutcome::Return(_))));
+    assert!(matches!(beside.next_outcome(1), Some(WaitOutcome::Return(_, ReturnReason::Leaving))));
     deliver(&mut beside, &request(3, 100), 2);
 }
 
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -9,7 +9,7 @@
     Fixture, LATER, OTHER, SERVICE, Store, agent, claim, data, flow, forwarded, is_far, opening,
     two_groups,
 };
-use weirhinge_fleet::{ReturnReason, ServiceId, TargetState};
+use weirhinge_fleet::{ReturnReason, ServiceId, TargetState, ZoneId};
 use weirhinge_steering::{Balancer, Decision, DropReason, ForwardReason, PacketHead, ResetReason};
 
 #[test]
@@ -225,7 +225,7 @@
     store.target(1, SERVICE, None, LATER);
     let mut fixture = Fixture::new(&store);
     fixture.balancer.store_regained(LATER);
-    fixture.balancer.claimed(agent(9), &claim(SERVICE), LATER);
+    fixture.claimed(agent(9), LATER);
     let mut chosen: Vec<Ipv4Addr> = (0..50)
         .map(|port| forwarded(&fixture.client(&opening(flow(port)), LATER + 100)).agent)
         .collect();
@@ -244,7 +244,7 @@
     let mut store = Store::with_targets(1);
     store.target(1, SERVICE, None, LATER);
     let mut fixture = Fixture::new(&store);
-    fixture.balancer.claimed(agent(1), &claim(SERVICE), LATER);
+    fixture.claimed(agent(1), LATER);
     assert!(matches!(fixture.client(&opening(flow(1)), LATER + 1_000), Decision::Forward(_)));
     assert!(matches!(fixture.client(&opening(flow(2)), LATER + 2_000), Decision::Reset { .. }));
 }
@@ -262,16 +262,16 @@
 fn a_balancer_that_no_agent_answers_is_isolated() {
     let mut fixture = Fixture::new(&Store::with_targets(3));
     assert!(!fixture.balancer.is_isolated(LATER), "not before it was in touch");
-    fixture.balancer.claimed(agent(1), &claim(SERVICE), LATER);
+    fixture.claimed(agent(1), LATER);
     assert!(!fixture.balancer.is_isolated(LATER + 600));
     assert!(fixture.balancer.is_isolated(LATER + 700));
-    fixture.balancer.claimed(agent(2), &claim(SERVICE), LATER + 800);
+    fixture.claimed(agent(2), LATER + 800);
     assert!(!fixture.balancer.is_isolated(LATER + 801));
     // Heard but not reached: openings stay unanswered.
     for port in 0..10 {
         fixture.client(&opening(flow(port)), LATER + 900);
     }
-    fixture.balancer.claimed(agent(1), &claim(SERVICE), LATER + 1_700);
+    fixture.claimed(agent(1), LATER + 1_700);
     assert!(fixture.balancer.is_isolated(LATER + 1_700));
     fixture.balancer.heard(agent(1), 0, LATER + 1_800);
     assert!(!fixture.balancer.is_isolated(LATER + 1_801));
@@ -393,8 +393,8 @@
 fn without_the_store_flows_go_by_the_agents_word() {
     let mut fixture = Fixture::new(&Store::with_targets(0));
     fixture.fresh = false;
-    fixture.balancer.claimed(agent(1), &claim(SERVICE), LATER);
-    fixture.balancer.claimed(agent(2), &claim(OTHER), LATER);
+    fixture.claimed(agent(1), LATER);
+    fixture.balancer.claimed(agent(2), ZoneId::of("a"), &claim(OTHER), LATER);
     let decision = fixture.client(&opening(flow(1)), LATER + 100);
     assert_eq!(forwarded(&decision).agent, agent(1));
 }
--- /dev/null
+++ b/crates/steering/tests/evacuation.rs
@@ -0,0 +1,150 @@
+//! Targets of an evacuated zone get no new flows and keep their open ones.
+
+mod support;
+
+use std::net::Ipv4Addr;
+
+use support::{Fixture, LATER, SERVICE, Store, agent, claim, data, flow, forwarded, opening};
+use weirhinge_fleet::{ReturnReason, ServiceId, TargetState, ZoneId};
+use weirhinge_steering::{Agent, Arrival, Decision, DeliveryDecision, ResetReason, WaitOutcome};
+
+/// Targets 1 and 2 are in zone `a`, 51 and 52 in zone `b`.
+fn store() -> Store {
+    let mut store = Store::with_targets(2);
+    for number in [51, 52] {
+        store.target(number, SERVICE, Some(TargetState::Ready), 0);
+    }
+    store
+}
+
+fn fixture(store: &Store) -> Fixture {
+    let mut fixture = Fixture::new(store);
+    fixture.view = store.view_in_zone("a");
+    fixture
+}
+
+fn evacuated() -> Decision {
+    Decision::Reset { sequence: 0, reason: ResetReason::Evacuated }
+}
+
+#[test]
+fn no_new_flow_goes_to_the_zone_and_all_return_afterwards() {
+    let mut store = store();
+    store.evacuate(&["a"], LATER);
+    let mut fixture = fixture(&store);
+    for port in 0..200 {
+        let chosen = forwarded(&fixture.client(&opening(flow(port)), LATER)).agent;
+        assert!([agent(51), agent(52)].contains(&chosen), "{chosen}");
+    }
+    store.evacuate(&[], LATER + 1_000);
+    fixture.view = store.view_in_zone("a");
+    let mut choose = |port| forwarded(&fixture.client(&opening(flow(port)), LATER + 5_000)).agent;
+    let chosen: Vec<Ipv4Addr> = (500..700).map(&mut choose).collect();
+    assert!(chosen.contains(&agent(1)) && chosen.contains(&agent(2)));
+}
+
+#[test]
+fn with_nothing_left_openings_are_refused_at_once_also_while_the_store_is_down() {
+    let mut store = store();
+    store.evacuate(&["a", "b"], LATER);
+    for fresh in [true, false] {
+        let mut fixture = Fixture { fresh, ..fixture(&store) };
+        assert_eq!(fixture.client(&opening(flow(1)), LATER), evacuated());
+    }
+}
+
+#[test]
+fn targets_known_by_their_agents_word_alone_are_left_out_too() {
+    let mut store = Store::default();
+    store.route(&[(SERVICE, 1)]);
+    store.evacuate(&["a"], LATER);
+    let mut fixture = Fixture { fresh: false, ..fixture(&store) };
+    fixture.claimed(agent(9), LATER);
+    assert!(!matches!(fixture.client(&opening(flow(1)), LATER), Decision::Forward(_)));
+    fixture.balancer.claimed(agent(60), ZoneId::of("b"), &claim(SERVICE), LATER);
+    assert_eq!(forwarded(&fixture.client(&opening(flow(2)), LATER)).agent, agent(60));
+}
+
+#[test]
+fn targets_that_lost_their_record_are_left_out_too() {
+    let mut store = store();
+    for number in [1, 2] {
+        store.target(number, SERVICE, None, LATER);
+    }
+    for number in [51, 52] {
+        store.target(number, SERVICE, Some(TargetState::Draining), LATER);
+    }
+    store.evacuate(&["a"], LATER);
+    let mut fixture = Fixture { fresh: false, ..fixture(&store) };
+    assert!(!matches!(fixture.client(&opening(flow(1)), LATER), Decision::Forward(_)));
+}
+
+#[test]
+fn open_flows_of_the_zone_are_still_found() {
+    let mut store = store();
+    store.evacuate(&["a", "b"], LATER);
+    let mut fixture = fixture(&store);
+    let search = forwarded(&fixture.client(&data(flow(1)), LATER)).clone();
+    let mut asked: Vec<Ipv4Addr> = search.next.clone();
+    asked.push(search.agent);
+    asked.sort();
+    assert_eq!(asked, [agent(1), agent(2), agent(51), agent(52)]);
+}
+
+#[test]
+fn an_opening_that_an_agent_of_the_zone_sends_back_waits_elsewhere() {
+    let mut store = store();
+    let mut fixture = fixture(&store);
+    let head = opening(flow(1));
+    let first = forwarded(&fixture.client(&head, LATER)).agent;
+    let second = forwarded(&fixture.returned(&head, first, ReturnReason::Busy, LATER + 2)).clone();
+    assert!(second.may_wait());
+    let zone = if second.agent.octets()[3] < 50 { "a" } else { "b" };
+    store.evacuate(&[zone], LATER + 10);
+    fixture.view = store.view_in_zone("a");
+    let third = fixture.returned(&head, second.agent, ReturnReason::Evacuated, LATER + 20);
+    let third = forwarded(&third).clone();
+    assert_ne!(third.agent.octets()[3] < 50, zone == "a");
+    // It met a target without room here for the first time: it may wait there.
+    let fourth = fixture.returned(&head, third.agent, ReturnReason::Busy, LATER + 22);
+    assert!(forwarded(&fourth).may_wait());
+}
+
+fn arrival(head: &weirhinge_steering::PacketHead) -> Arrival<'_> {
+    Arrival {
+        head,
+        packet: b"packet",
+        balancer: Ipv4Addr::new(10, 0, 0, 1),
+        service: ServiceId::of(SERVICE),
+        search: None,
+        may_wait: true,
+        urgent: false,
+    }
+}
+
+#[test]
+fn the_agent_refuses_what_a_balancer_sent_in_ignorance() {
+    let mut beside = Agent::new(ServiceId::of(SERVICE));
+    beside.set_slots(1);
+    let open = opening(flow(1));
+    assert!(matches!(beside.delivery(&arrival(&open), 0), DeliveryDecision::Deliver { .. }));
+    let waiting = opening(flow(2));
+    beside.delivery(&arrival(&data(flow(1))), 1);
+    beside.delivery(&arrival(&data(flow(8))), 1);
+    assert!(matches!(beside.delivery(&arrival(&waiting), 2), DeliveryDecision::Wait { .. }));
+    beside.set_evacuated(true);
+    let refused = DeliveryDecision::Return(ReturnReason::Evacuated);
+    assert_eq!(beside.delivery(&arrival(&opening(flow(3))), 3), refused);
+    let outcome = beside.next_outcome(3);
+    assert!(matches!(outcome, Some(WaitOutcome::Return(_, ReturnReason::Evacuated))));
+    // The flow that is open goes on, and so does a copy of its opening packet; the same
+    // port much later is another flow.
+    let later = beside.delivery(&arrival(&data(flow(1))), 4);
+    assert!(matches!(later, DeliveryDecision::Deliver { .. }));
+    let copy = beside.delivery(&arrival(&open), 200);
+    assert!(matches!(copy, DeliveryDecision::Deliver { .. }));
+    assert_eq!(beside.delivery(&arrival(&open), 2_500), refused);
+    beside.set_evacuated(false);
+    let again = beside.delivery(&arrival(&opening(flow(4))), 2_600);
+    assert!(matches!(again, DeliveryDecision::Deliver { .. } | DeliveryDecision::Wait { .. }));
+}
--- a/crates/steering/tests/search_past_silence.rs
+++ b/crates/steering/tests/search_past_silence.rs
@@ -4,9 +4,7 @@
 
 use std::net::Ipv4Addr;
 
-use support::{
-    Fixture, LATER, SERVICE, Store, agent, claim, data, flow, forwarded, opening, path, rows,
-};
+use support::{Fixture, LATER, SERVICE, Store, agent, data, flow, forwarded, opening, path, rows};
 use weirhinge_fleet::TargetState;
 use weirhinge_steering::{Decision, DropReason};
 
@@ -91,7 +89,7 @@
         let mut decision = fixture.client(&head, now);
         while !matches!(decision, Decision::Reset { .. }) {
             assert!(now < began + 1_000, "not given up");
-            fixture.balancer.claimed(agent(3), &claim(SERVICE), now);
+            fixture.claimed(agent(3), now);
             let asked = match &decision {
                 Decision::Forward(_) => rows(&decision),
                 _ => Vec::new(),
@@ -117,7 +115,7 @@
     let head = data(flow(1));
     fixture.client(&head, LATER);
     for step in 1..30 {
-        fixture.balancer.claimed(agent(1), &claim(SERVICE), LATER + step * 130);
+        fixture.claimed(agent(1), LATER + step * 130);
         let decision = fixture.search_again(&head, LATER + step * 130);
         assert!(!matches!(decision, Decision::Reset { .. }));
     }
@@ -173,7 +171,7 @@
 fn a_claimed_target_that_says_nothing_does_not_hold_flows_up() {
     let mut fixture = Fixture::new(&Store::with_targets(3));
     let mute = agent(9);
-    fixture.balancer.claimed(mute, &claim(SERVICE), LATER - 500);
+    fixture.claimed(mute, LATER - 500);
     let mut outcomes = Vec::new();
     for port in [1, 2] {
         let head = data(flow(port));
--- a/crates/steering/tests/support/fixture.rs
+++ b/crates/steering/tests/support/fixture.rs
@@ -2,10 +2,10 @@
 
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::{ReturnReason, TargetState};
+use weirhinge_fleet::{ReturnReason, TargetState, ZoneId};
 use weirhinge_steering::{Balancer, ClientPacket, Context, Decision, FleetView, PacketHead};
 
-use super::{SERVICE, Store, agent, flow, forwarded, opening};
+use super::{SERVICE, Store, agent, claim, flow, forwarded, opening};
 
 /// Long after the start, when nothing is unsettled.
 pub const LATER: u64 = 100_000;
@@ -52,6 +52,11 @@
         self.returned(head, from, ReturnReason::Bounced, now)
     }
 
+    /// An agent in zone `a` says that a target of the service works beside it.
+    pub fn claimed(&mut self, agent: Ipv4Addr, now: u64) {
+        self.balancer.claimed(agent, ZoneId::of("a"), &claim(SERVICE), now);
+    }
+
     pub fn search_again(&mut self, head: &PacketHead, now: u64) -> Decision {
         let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
         self.balancer.search_again(&context, ClientPacket { head, bytes: b"packet" })
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -8,8 +8,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use weirhinge_fleet::{
-    Configuration, Replica, Route, RoutePart, TargetClaim, TargetRecord, TargetState, Update,
-    VersionedConfiguration, VersionedTarget,
+    Configuration, EvacuatedZones, Replica, Route, RoutePart, TargetClaim, TargetRecord,
+    TargetState, Update, VersionedConfiguration, VersionedTarget, ZoneNews,
 };
 use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, Locality, PacketHead};
 
@@ -154,6 +154,14 @@
         self.replica.apply(update, now);
     }
 
+    /// Evacuates these zones, and takes all others back.
+    pub fn evacuate(&mut self, zones: &[&str], now: u64) {
+        self.revision += 1;
+        let zones = zones.iter().map(|zone| (*zone).to_owned());
+        let zones = ZoneNews::Whole(EvacuatedZones::new(self.revision, zones));
+        self.replica.apply(Update { zones, ..self.change() }, now);
+    }
+
     pub fn view(&self) -> FleetView {
         self.view_from("near")
     }
@@ -176,14 +184,7 @@
     }
 
     fn change(&self) -> Update {
-        Update {
-            after: self.revision - 1,
-            through: self.revision,
-            complete: false,
-            age_ms: 0,
-            configuration: None,
-            targets: Vec::new(),
-        }
+        Update { after: self.revision - 1, through: self.revision, ..Update::default() }
     }
 }
 
--- a/crates/steering/tests/undecided.rs
+++ b/crates/steering/tests/undecided.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use support::{Fixture, LATER, SERVICE, Store, agent, claim, data, flow, forwarded, opening};
+use support::{Fixture, LATER, Store, agent, data, flow, forwarded, opening};
 use weirhinge_fleet::Timing;
 use weirhinge_steering::{Balancer, Decision, DropReason, PacketHead};
 
@@ -37,7 +37,7 @@
     assert_eq!(empty.client(&opening(flow(2)), LATER), dropped);
     empty.due_undecided(LATER + 8);
     assert!(empty.due_undecided(LATER + 16).is_empty());
-    empty.balancer.claimed(agent(9), &claim(SERVICE), LATER + 20);
+    empty.claimed(agent(9), LATER + 20);
     let due = empty.due_undecided(LATER + 24);
     assert_eq!(due.len(), 1);
     let decision = empty.decide_again(&due[0].0, LATER + 24);
--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -7,8 +7,8 @@
 
 use nix::sys::signal::Signal;
 use weirhinge_platform_standins::{
-    ClientFlow, Fleet, FleetPlan, FlowError, RouterHash, SETTINGS_TEMPLATE, StoreFault,
-    TargetBehaviour, counter, http_get,
+    ClientFlow, Fleet, FleetPlan, FlowError, HOME_ZONE, NEAR_ZONE, RouterHash, SETTINGS_TEMPLATE,
+    StoreFault, TargetBehaviour, counter, http_get,
 };
 
 /// Long enough for several attempts on a busy machine.
@@ -20,6 +20,7 @@
     FleetPlan {
         balancers: 3,
         targets: vec!["dispatch", "dispatch", "dispatch", "sheets"],
+        target_zones: Vec::new(),
         hash: RouterHash::Mod,
         processor_shares: Vec::new(),
     }
@@ -251,6 +252,74 @@
     Ok(())
 }
 
+/// Sends one request on each of some new flows. Returns how many each target ran.
+async fn ran_meanwhile(fleet: &Fleet, name: &str) -> eyre::Result<Vec<usize>> {
+    let count = |fleet: &Fleet| fleet.targets.iter().map(|target| target.ran().len()).collect();
+    let before: Vec<usize> = count(fleet);
+    for number in 0..20 {
+        let mut flow = open(fleet).await?;
+        request(&mut flow, &format!("{name}-{number}")).await?;
+    }
+    let after: Vec<usize> = count(fleet);
+    Ok(after.iter().zip(before).map(|(after, before)| after - before).collect())
+}
+
+/// Waits until all daemons have logged this of a zone, some number of times each.
+async fn wait_for_zone(fleet: &Fleet, event: &str, zone: &str, times: usize) -> eyre::Result<()> {
+    let event = format!("\"event\":\"{event}\"");
+    let zone = format!("\"zone\":\"{zone}\"");
+    let is_wanted = |line: &&str| line.contains(&event) && line.contains(&zone);
+    let has = |log: String| log.lines().filter(is_wanted).count() >= times;
+    let all = |fleet: &Fleet| {
+        fleet.balancers.iter().chain(&fleet.agents).all(|daemon| daemon.log_text().is_ok_and(has))
+    };
+    fleet.wait_for(&format!("{event} of {zone} on all daemons"), all).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuated_zone_keeps_its_flows_and_gets_no_new_ones() -> eyre::Result<()> {
+    let target_zones = vec![HOME_ZONE, NEAR_ZONE, NEAR_ZONE, HOME_ZONE];
+    let mut fleet = start(&FleetPlan { target_zones, ..plan() }).await?;
+    let mut flows = open_flows(&fleet, 20).await?;
+    fleet.evacuate(NEAR_ZONE);
+    wait_for_zone(&fleet, "zone_evacuated", NEAR_ZONE, 1).await?;
+    assert_eq!(ran_meanwhile(&fleet, "evacuated").await?, [20, 0, 0, 0]);
+    all_held(&mut flows, "evacuated").await?;
+    // A balancer that lost all memory learns of it, also while the store is down.
+    fleet.store.fail(StoreFault::Silent);
+    for balancer in &mut fleet.balancers {
+        balancer.kill()?;
+        balancer.restart()?;
+    }
+    let learned = |fleet: &Fleet| {
+        let times = |log: String| log.matches("zone_evacuated").count() == 2;
+        fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(times))
+    };
+    fleet.wait_for("the evacuation on balancers that restarted", learned).await?;
+    fleet.wait_for("all balancers to be in", |fleet| fleet.routers.ready() == 3).await?;
+    assert_eq!(ran_meanwhile(&fleet, "restarted").await?, [20, 0, 0, 0]);
+    fleet.evacuate(HOME_ZONE);
+    fleet.store.fail(StoreFault::None);
+    wait_for_zone(&fleet, "zone_evacuated", HOME_ZONE, 1).await?;
+    assert_eq!(fleet.client.open(Fleet::route(443)).await.err(), Some(FlowError::Reset));
+    let refused = |fleet: &Fleet| {
+        let reset = |log: String| log.contains("\"outcome\":\"evacuated\"");
+        fleet.balancers.iter().any(|balancer| balancer.log_text().is_ok_and(reset))
+    };
+    fleet.wait_for("the reason of the refusal in a log", refused).await?;
+    fleet.take_back(NEAR_ZONE);
+    wait_for_zone(&fleet, "zone_returned", NEAR_ZONE, 1).await?;
+    let ran = ran_meanwhile(&fleet, "near").await?;
+    assert_eq!((ran[0], ran[1] + ran[2]), (0, 20));
+    fleet.take_back(HOME_ZONE);
+    wait_for_zone(&fleet, "zone_returned", HOME_ZONE, 1).await?;
+    let ran = ran_meanwhile(&fleet, "home").await?;
+    assert!(ran[0] > 0, "{ran:?}");
+    all_held(&mut flows, "returned").await?;
+    no_packet_was_changed(&fleet);
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn openings_go_past_full_targets_and_are_refused_when_all_are_full() -> eyre::Result<()> {
     let fleet = start(&plan()).await?;
--- a/crates/weirhinge/tests/pressure.rs
+++ b/crates/weirhinge/tests/pressure.rs
@@ -47,6 +47,7 @@
     let plan = FleetPlan {
         balancers: 2,
         targets: vec!["dispatch", "dispatch"],
+        target_zones: Vec::new(),
         hash: RouterHash::Steady,
         processor_shares: vec![0.05, 0.5],
     };
