Find out by probes that agents are reached again

Cause: a balancer whose eight latest openings stayed unanswered says that it is not ready. Change: while openings stay unanswered, a balancer probes four agents at a time, ten times a second; any answer ends the isolation.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -107,6 +107,10 @@
     Digest(Digest),
     /// The record of the target beside the agent that gets this.
     Record(VersionedTarget),
+    /// Asks an agent whether it is reached; it answers with [`PeerMessage::ProbeAnswer`].
+    Probe,
+    /// Answers a probe.
+    ProbeAnswer,
     /// A client's packet on its way to a target.
     Forward {
         /// Hash of the service's name; the agent checks it.
--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -25,6 +25,7 @@
                 self.note_evacuation();
             }
             Ok(PeerMessage::Record(target)) => self.take_record(target),
+            Ok(PeerMessage::Probe) => self.link.send(sender, &PeerMessage::ProbeAnswer),
             Ok(PeerMessage::Forward { service, search, may_wait, urgent, packet }) => {
                 match self.platform.decode(packet) {
                     Ok(head) => self.deliver(&Arrival {
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -216,7 +216,8 @@
                 self.core.borrow_mut().heard(sender, waiting, now);
             }
             PeerMessage::HandOff { packet } => self.handed_packet(packet, now),
-            PeerMessage::Forward { .. } | PeerMessage::Record(_) => {
+            PeerMessage::ProbeAnswer => self.core.borrow_mut().reached(now),
+            PeerMessage::Forward { .. } | PeerMessage::Record(_) | PeerMessage::Probe => {
                 self.link.refuse_unexpected();
             }
         }
--- a/crates/relay/src/balancer/watch.rs
+++ b/crates/relay/src/balancer/watch.rs
@@ -40,7 +40,8 @@
 }
 
 impl<P: Platform> Daemon<P> {
-    /// Is not ready while cut off from all agents, so that routers use others.
+    /// Is not ready while cut off from all agents, so that routers use others. Probes find
+    /// out when that ends: 40 small datagrams a second at most, whatever the fleet's size.
     pub(super) async fn watch_isolation(self: Rc<Self>, status: Status) {
         let mut polled_at = self.clock.now();
         loop {
@@ -52,6 +53,9 @@
                 // What arrived during the pause is still unread.
                 continue;
             }
+            if self.core.borrow().doubts_reach(now) {
+                self.link.probe_agents();
+            }
             let isolated = self.core.borrow().is_isolated(now);
             if status.set_isolated(isolated) {
                 info!(self.log, "balancer: reach of agents changed"; "event" => "isolation",
--- a/crates/relay/src/fleet_node/contacts.rs
+++ b/crates/relay/src/fleet_node/contacts.rs
@@ -13,6 +13,9 @@
 const FAN_OUT: usize = 6;
 /// Agents asked when the store's word became fresh.
 const AGENTS_ASKED: usize = 64;
+/// Agents probed at once by a balancer whose openings stay unanswered: one that answers is
+/// enough, and some may be gone themselves.
+const AGENTS_PROBED: usize = 4;
 /// Balancers that an agent keeps in touch with, all of them in a small fleet.
 const AGENT_CONTACTS: usize = 8;
 /// Balancers, drawn anew, that an agent of a larger fleet speaks to at a tick.
@@ -49,6 +52,11 @@
         self.choose(&self.view.agents(), AGENTS_ASKED)
     }
 
+    /// Some agents, to be asked whether they are reached.
+    pub fn agents_to_probe(&self) -> Vec<Ipv4Addr> {
+        self.choose(&self.view.agents(), AGENTS_PROBED)
+    }
+
     /// Balancers of this zone with far more processor time than this one.
     pub fn helpers(&self) -> Vec<Ipv4Addr> {
         self.capable().map(|(address, _)| address).collect()
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -165,6 +165,14 @@
         }
     }
 
+    /// Asks some agents whether they are reached.
+    pub fn probe_agents(&self) {
+        let agents = self.node.borrow().agents_to_probe();
+        for agent in agents {
+            self.send(agent, &PeerMessage::Probe);
+        }
+    }
+
     /// Asks the agents of known targets what stands beside them.
     pub fn ask_agents(&self) {
         let agents = self.node.borrow().agents_to_ask();
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -82,6 +82,21 @@
         self.unanswered += 1;
     }
 
+    /// Records an agent's answer to a probe: packets reach agents, though targets may not
+    /// answer any. Without probes a balancer that routers leave alone, as it is not ready,
+    /// would send no more openings and could never find out that it is cut off no longer.
+    pub fn reached(&mut self, now: Millis) {
+        self.any_heard_at = Some(now);
+        self.unanswered = 0;
+        self.unanswered_since = None;
+    }
+
+    /// Whether it is to be found out by probes if agents are reached.
+    pub fn doubts_reach(&self, now: Millis) -> bool {
+        let waits = self.unanswered_since.map(|since| now.saturating_sub(since));
+        self.unanswered >= ISOLATED_OPENINGS && waits.is_some_and(|waits| waits >= UNANSWERED_MS)
+    }
+
     /// Whether this balancer seems to be cut off from all agents, though it was in
     /// touch with them before.
     pub fn is_isolated(&self, now: Millis) -> bool {
@@ -102,9 +117,7 @@
         status.unanswered_since = None;
         status.ignored_search_at = None;
         status.ignored_searches = 0;
-        self.any_heard_at = Some(now);
-        self.unanswered = 0;
-        self.unanswered_since = None;
+        self.reached(now);
     }
 
     /// Records an agent's word about its target. Unlike an answer to a packet it
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -187,6 +187,16 @@
         self.statuses.claimed(agent, zone, claim, now);
     }
 
+    /// Takes in an agent's answer to a probe.
+    pub fn reached(&mut self, now: Millis) {
+        self.statuses.reached(now);
+    }
+
+    /// Whether agents are to be probed, as openings stay unanswered.
+    pub fn doubts_reach(&self, now: Millis) -> bool {
+        self.statuses.doubts_reach(now)
+    }
+
     /// Whether this balancer seems to be cut off from all agents.
     pub fn is_isolated(&self, now: Millis) -> bool {
         self.statuses.is_isolated(now)
