Ask agents of rows that did not come back in shorter rows, not each alone

Cause: when a row of a search stays silent, any of its agents may be the reason, and all agents of all silent rows, and all not asked yet, got a copy each. After a loss of power the agents start up to 150 ms after the balancers, so nearly every search did that: 41 copies a flow in place of 6, some 150 flows at once for a link of 10 Mbit/s. The answers came after the next time-out, which called for as many copies again. Ruled out: the number of lost flows (the strong machines, with 200 Mbit/s and as many flows, were done 0.5 s after the start); the loss of the first packets alone. Change: only the agents of silent rows are asked in shorter rows, at most 12; the others go on in rows of eight.

--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -23,6 +23,10 @@
 /// Most rows of one wave, which bounds the packets sent at once. All of 680 targets are
 /// asked in four waves.
 const MOST_ROWS: usize = 64;
+/// Rows in which the agents of rows that did not come back are asked again. All of them
+/// alone, the packets of one flow filled a link of 10 Mbit/s for 12 ms at 41 targets, and
+/// thousands of flows are lost at once. Up to so many agents are asked alone right away.
+const ROWS_AFTER_SILENCE: usize = 12;
 /// A flow is given up this long after the last target sent its packet back, so that a
 /// target that was not known by then is asked too: a change that one balancer knows
 /// reaches the others in a few milliseconds. The client waits meanwhile, and after a
@@ -83,7 +87,7 @@
     }
 
     /// Goes past targets that did not answer. Any of a row may be the one that does not:
-    /// all of the row are asked again, each alone.
+    /// all of the row are asked again, in shorter rows.
     pub(super) fn search_past_silence(
         &mut self,
         context: &Context<'_>,
@@ -102,7 +106,7 @@
         if let Some(entry) = self.flows.get_mut(&flow) {
             entry.tried.extend(silent);
             entry.unanswered.extend(unanswered);
-            entry.one_by_one |= !rows.is_empty();
+            entry.doubtful = rows.into_iter().flatten().collect();
         }
         self.search(context, head)
     }
@@ -265,20 +269,19 @@
     }
 }
 
-/// The rows of agents to ask next: in each wave more, of those that are not known to be
-/// silent; after them the silent ones, each alone.
+/// The rows of agents to ask next: those of rows that did not come back in shorter ones,
+/// then in each wave more of those not asked yet; after them the silent ones, each alone.
 fn next_rows(untried: &[SearchPlace], entry: &FlowEntry) -> Vec<Vec<Ipv4Addr>> {
-    let (length, rows) = if entry.one_by_one {
-        (1, MOST_ROWS)
-    } else {
-        (ASKED_IN_TURN, ROWS_GROWTH.saturating_pow(entry.waves).min(MOST_ROWS))
-    };
-    let answering = untried.iter().take(length * rows).take_while(|place| !place.is_silent);
-    let answering: Vec<Ipv4Addr> = answering.map(|place| place.agent).collect();
-    if answering.is_empty() {
+    let answering = untried.iter().take_while(|place| !place.is_silent);
+    let (doubtful, fresh): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) =
+        answering.map(|place| place.agent).partition(|agent| entry.doubtful.contains(agent));
+    if doubtful.is_empty() && fresh.is_empty() {
         return untried.iter().take(MOST_ROWS).map(|place| vec![place.agent]).collect();
     }
-    answering.chunks(length).map(<[Ipv4Addr]>::to_vec).collect()
+    let shorter = doubtful.len().div_ceil(ROWS_AFTER_SILENCE).clamp(1, ASKED_IN_TURN);
+    let most_fresh = ROWS_GROWTH.saturating_pow(entry.waves).min(MOST_ROWS);
+    let rows = doubtful.chunks(shorter).chain(fresh.chunks(ASKED_IN_TURN).take(most_fresh));
+    rows.take(MOST_ROWS).map(<[Ipv4Addr]>::to_vec).collect()
 }
 
 /// Whether the target asked last has had its time to answer.
--- a/crates/steering/src/flow_table.rs
+++ b/crates/steering/src/flow_table.rs
@@ -39,8 +39,8 @@
     pub asked: Vec<Vec<Ipv4Addr>>,
     /// How often the search sent out rows.
     pub waves: u32,
-    /// Whether the search asks each agent alone, as one in a row did not answer.
-    pub one_by_one: bool,
+    /// Agents of rows that did not come back: any of them may be the silent one.
+    pub doubtful: BTreeSet<Ipv4Addr>,
     /// When a search first found that no target held the flow.
     pub unheld_since: Option<Millis>,
     /// Agents that the search asked alone, that did not answer, and whose targets may
@@ -63,7 +63,7 @@
             tried: BTreeSet::new(),
             asked: Vec::new(),
             waves: 0,
-            one_by_one: false,
+            doubtful: BTreeSet::new(),
             unheld_since: None,
             unanswered: Vec::new(),
             has_waited: false,
@@ -85,7 +85,7 @@
     pub fn end_round(&mut self) {
         self.asked.clear();
         self.waves = 0;
-        self.one_by_one = false;
+        self.doubtful.clear();
     }
 
     /// Notes that an agent's target did not take the flow, nor did those that the
