Give searches a part of the link, and let the rest of them wait

Cause: nothing bounded the bytes of searches under way. With the rows after a silence bounded, 190 lost flows on a link of 10 Mbit/s still are 0.4 s of it when each is searched at once, more than the 120 ms after which a search takes its packets for lost. Ruled out: a window that halves on silence instead of the known rate: silence has other causes after a loss (agents that have not started), and a window would shrink on them. Heads without data as probes: a target must get packets as its client wrote them. Change: a token bucket of 70 percent of the link's rate (a setting, link_mbps), 40 ms of it at once; a search that finds nothing left is kept, the newest first. Silent rows are asked again in 4 rows in place of 12.

--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -16,8 +16,8 @@
 use weirhinge_fleet::{Millis, PeerMessage, PeerRole, SearchPath, decode};
 use weirhinge_observe::Metrics;
 use weirhinge_steering::{
-    Balancer, ClientPacket, Context, Decision, DropReason, FlowKey, Forward, ForwardReason,
-    PacketHead,
+    Balancer, BalancerLimits, ClientPacket, Context, Decision, DropReason, FlowKey, Forward,
+    ForwardReason, PacketHead,
 };
 
 use crate::backlog::Backlog;
@@ -81,10 +81,9 @@
     let packets = UdpSocket::bind(common.packets)
         .await
         .wrap_err_with(|| format!("bind packets at {}", common.packets))?;
-    let core = match common.capacity {
-        Some(permille) => Balancer::with_processor_share(common.timing, permille),
-        None => Balancer::new(common.timing),
-    };
+    let limits =
+        BalancerLimits { processor_permille: common.capacity, link_kbps: common.link_kbps };
+    let core = Balancer::with_limits(common.timing, limits);
     let status = Status::new(Rc::clone(&node));
     serve_status(&platform, &common, status.clone(), metrics).await?;
     let daemon = Rc::new(Daemon {
@@ -255,6 +254,10 @@
                 self.link.send(helper, &PeerMessage::HandOff { packet });
             }
             Decision::Drop(DropReason::SearchEnded | DropReason::SearchGoesOn) => {}
+            Decision::Drop(DropReason::SearchWaits { .. }) => {
+                self.packet_rests.notify_one();
+                self.metrics.searches_deferred.inc();
+            }
             Decision::Drop(reason) => {
                 self.packet_rests.notify_one();
                 self.metrics.dropped.increment(reason.label());
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -11,6 +11,8 @@
     pub resets: ReasonCounters,
     /// Packets dropped, by reason.
     pub dropped: ReasonCounters,
+    /// Searches put off, as those of other flows used up their part of the link.
+    pub searches_deferred: Counter,
     /// Packets handed off to other balancers.
     pub handed_off: Counter,
     /// Packets that other balancers handed off to this one.
@@ -31,6 +33,8 @@
             forwarded: metrics.reasons("packets_forwarded", "Packets forwarded"),
             resets: metrics.reasons("resets", "Flows reset"),
             dropped: metrics.reasons("packets_dropped", "Packets dropped"),
+            searches_deferred: metrics
+                .counter("searches_deferred", "Searches put off to keep the link free"),
             handed_off: metrics
                 .counter("packets_handed_off", "Packets handed off to other balancers"),
             handed_in: metrics
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -12,6 +12,8 @@
 pub const LONGEST_BOUND_MS: u64 = 600_000;
 /// Most processors, and most of one processor's time, that settings may state.
 const MOST_PROCESSORS: f64 = 1_024.0;
+/// Fastest link that settings may state, in megabits a second.
+const FASTEST_LINK_MBPS: f64 = 1_000_000.0;
 /// Longest planned stop when the settings state none, in milliseconds.
 const DEFAULT_STOP_LIMIT_MS: u64 = 5_000;
 
@@ -54,6 +56,8 @@
     pub processor_share: Option<f64>,
     /// How many times as much it gets; 1 if not given.
     pub processors: Option<f64>,
+    /// Rate of the machine's link in megabits a second, above 0.
+    pub link_mbps: Option<f64>,
     /// See [`AgentSettings::target`].
     pub target: Option<String>,
     /// See [`AgentSettings::target_output`].
@@ -92,6 +96,9 @@
     /// Processor time that the process may use, in thousandths of a processor; none
     /// if not known. Balancers of a zone are compared by it.
     pub capacity: Option<u32>,
+    /// Rate of the machine's link in kilobits a second; none if not known. Searches for
+    /// lost flows fill no more than a part of it.
+    pub link_kbps: Option<u32>,
 }
 
 /// Settings of a balancer.
@@ -167,6 +174,7 @@
             stop_limit_ms: self.checked_stop_limit(file)?,
             timing: self.checked_timing(file)?,
             capacity: self.checked_capacity(file)?,
+            link_kbps: self.checked_link(file)?,
         })
     }
 
@@ -184,6 +192,16 @@
         Ok(Some((share * processors * 1_000.0).ceil() as u32))
     }
 
+    fn checked_link(&self, file: &str) -> Result<Option<u32>, ConfigError> {
+        let Some(rate) = self.link_mbps else { return Ok(None) };
+        if !(rate.is_finite() && rate > 0.0 && rate <= FASTEST_LINK_MBPS) {
+            let expected = format!("above 0, at most {FASTEST_LINK_MBPS}");
+            return Err(ConfigError::field(file, "link_mbps", rate, expected));
+        }
+        // In range by the check above.
+        Ok(Some((rate * 1_000.0).ceil() as u32))
+    }
+
     fn checked_peer_port(&self, file: &str) -> Result<u16, ConfigError> {
         match self.peer_port {
             Some(port) if port > 0 => Ok(port),
--- a/crates/steering/src/balancer/decision.rs
+++ b/crates/steering/src/balancer/decision.rs
@@ -79,6 +79,11 @@
     NobodyHoldsYet,
     /// The search for the flow is under way already.
     SearchGoesOn,
+    /// The searches of other flows use up the link for now; the packet is kept.
+    SearchWaits {
+        /// Milliseconds until it is decided about again.
+        wait_ms: Millis,
+    },
     /// The kept copy of a packet is no longer needed.
     SearchEnded,
 }
@@ -92,6 +97,7 @@
             DropReason::BouncedByClient => "bounced_by_client",
             DropReason::NobodyHoldsYet => "nobody_holds_yet",
             DropReason::SearchGoesOn => "search_goes_on",
+            DropReason::SearchWaits { .. } => "search_waits",
             DropReason::SearchEnded => "search_ended",
         }
     }
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -15,6 +15,7 @@
 use crate::flow_table::{FlowEntry, FlowStage, FlowTable};
 use crate::packet::{FlowKey, PacketHead};
 use crate::pending_packets::PendingPackets;
+use crate::search_budget::SearchBudget;
 use crate::selection::rendezvous_first;
 use crate::view::FleetView;
 use undecided::UndecidedPackets;
@@ -40,6 +41,15 @@
     pub now: Millis,
 }
 
+/// What a balancer's machine gives it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BalancerLimits {
+    /// Processor time, in thousandths of a processor; none if not known.
+    pub processor_permille: Option<u32>,
+    /// Rate of its link in kilobits a second; none if not known.
+    pub link_kbps: Option<u32>,
+}
+
 /// A packet that a client wrote.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientPacket<'a> {
@@ -57,6 +67,7 @@
     /// Packets that look for their target, to be sent on without waiting for the
     /// client to send them again.
     searches: PendingPackets,
+    search_budget: SearchBudget,
     /// Packets that came before a configuration or a target was known.
     undecided: UndecidedPackets,
     /// When the store's word last became fresh.
@@ -70,10 +81,14 @@
         Self { timing, ..Self::with_capacity(FLOW_CAPACITY) }
     }
 
-    /// The same with this many thousandths of a processor.
-    pub fn with_processor_share(timing: Timing, permille: u32) -> Self {
-        let undecided = UndecidedPackets::with_processor_share(permille);
-        Self { undecided, ..Self::new(timing) }
+    /// The same within the limits of its machine.
+    pub fn with_limits(timing: Timing, limits: BalancerLimits) -> Self {
+        let undecided = limits.processor_permille.map(UndecidedPackets::with_processor_share);
+        Self {
+            undecided: undecided.unwrap_or_default(),
+            search_budget: SearchBudget::new(limits.link_kbps),
+            ..Self::new(timing)
+        }
     }
 
     /// A balancer that remembers at most `capacity` flows.
@@ -82,6 +97,7 @@
             flows: FlowTable::new(capacity),
             statuses: AgentStatuses::default(),
             searches: PendingPackets::default(),
+            search_budget: SearchBudget::new(None),
             undecided: UndecidedPackets::default(),
             regained_at: 0,
             timing: Timing::default(),
@@ -229,7 +245,7 @@
             FlowStage::Searching if search::is_stalled(entry, context.now) => {
                 return self.search_past_silence(context, head);
             }
-            FlowStage::Searching => return self.join_search(context, &flow),
+            FlowStage::Searching => return self.join_search(context, head),
             FlowStage::Opening | FlowStage::Held => ForwardReason::Held,
         };
         let service = service_of(context.view, &flow, agent);
@@ -258,7 +274,10 @@
                 let service = service_of(context.view, flow, agent);
                 Some(Decision::forward(agent, service, ForwardReason::Held))
             }
-            FlowStage::Unheld => Some(Decision::Drop(DropReason::NobodyHoldsYet)),
+            FlowStage::Unheld => {
+                entry.note_returned(from);
+                Some(Decision::Drop(DropReason::NobodyHoldsYet))
+            }
             _ => {
                 entry.note_returned(from);
                 entry.stage = stage;
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -26,7 +26,7 @@
 /// Rows in which the agents of rows that did not come back are asked again. All of them
 /// alone, the packets of one flow filled a link of 10 Mbit/s for 12 ms at 41 targets, and
 /// thousands of flows are lost at once. Up to so many agents are asked alone right away.
-const ROWS_AFTER_SILENCE: usize = 12;
+const ROWS_AFTER_SILENCE: usize = 4;
 /// A flow is given up this long after the last target sent its packet back, so that a
 /// target that was not known by then is asked too: a change that one balancer knows
 /// reaches the others in a few milliseconds. The client waits meanwhile, and after a
@@ -67,21 +67,35 @@
         let Some(first) = untried.first() else {
             return self.search_failed(context, &flow, head);
         };
-        self.go_to(flow, first.agent, FlowStage::Searching, context.now);
-        let Some(entry) = self.flows.get_mut(&flow) else {
-            return Decision::search(&[vec![first.agent]], first.service);
+        let rows = match self.flows.get_mut(&flow) {
+            Some(entry) => next_rows(&untried, entry),
+            None => {
+                next_rows(&untried, &FlowEntry::new(first.agent, FlowStage::Unheld, context.now))
+            }
         };
-        entry.asked = next_rows(&untried, entry);
-        entry.waves += 1;
-        Decision::search(&entry.asked, first.service)
+        if let Err(wait_ms) = self.search_budget.take(rows.len(), head.length, context.now) {
+            self.go_to(flow, first.agent, FlowStage::Unheld, context.now);
+            return Decision::Drop(DropReason::SearchWaits { wait_ms });
+        }
+        self.go_to(flow, first.agent, FlowStage::Searching, context.now);
+        let decision = Decision::search(&rows, first.service);
+        if let Some(entry) = self.flows.get_mut(&flow) {
+            entry.asked = rows;
+            entry.waves += 1;
+        }
+        decision
     }
 
     /// Sends a further packet of a flow the way of the search under way, while that is
     /// one row. With more rows its client sends it again when the target is found.
-    pub(super) fn join_search(&mut self, context: &Context<'_>, flow: &FlowKey) -> Decision {
+    pub(super) fn join_search(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
+        let flow = &head.client_flow();
         let Some(entry) = self.flows.get_mut(flow).filter(|entry| entry.asked.len() == 1) else {
             return Decision::Drop(DropReason::SearchGoesOn);
         };
+        if self.search_budget.take(entry.asked.len(), head.length, context.now).is_err() {
+            return Decision::Drop(DropReason::SearchGoesOn);
+        }
         let service = service_of(context.view, flow, entry.agent);
         Decision::search(&entry.asked, service)
     }
@@ -126,11 +140,15 @@
         }
         let goes_on = match decision {
             Decision::Forward(forward) => forward.is_search(),
-            Decision::Drop(reason) => *reason == DropReason::NobodyHoldsYet,
+            Decision::Drop(DropReason::NobodyHoldsYet | DropReason::SearchWaits { .. }) => true,
+            Decision::Drop(_) => false,
             Decision::Reset { .. } | Decision::HandOff { .. } => false,
         };
         if goes_on {
-            let wait_ms = self.wait_of_search(context, &flow);
+            let wait_ms = match decision {
+                Decision::Drop(DropReason::SearchWaits { wait_ms }) => *wait_ms,
+                _ => self.wait_of_search(context, &flow),
+            };
             self.searches.keep(flow, packet.head, packet.bytes, wait_ms, context.now);
         } else {
             self.searches.remove(&flow);
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -14,6 +14,7 @@
 mod overload;
 mod packet;
 mod pending_packets;
+mod search_budget;
 mod selection;
 mod view;
 mod waiting_room;
@@ -24,8 +25,8 @@
 };
 pub use agent_status::AgentStatuses;
 pub use balancer::{
-    Balancer, ClientPacket, Context, Decision, DropReason, Forward, ForwardReason, ResetReason,
-    SelectionInputs,
+    Balancer, BalancerLimits, ClientPacket, Context, Decision, DropReason, Forward, ForwardReason,
+    ResetReason, SelectionInputs,
 };
 pub use flow_table::{FlowEntry, FlowStage, FlowTable};
 pub use overload::{OverloadMonitor, PeerLoad};
--- a/crates/steering/tests/undecided.rs
+++ b/crates/steering/tests/undecided.rs
@@ -4,7 +4,7 @@
 
 use support::{Fixture, LATER, Store, agent, data, flow, forwarded, opening};
 use weirhinge_fleet::Timing;
-use weirhinge_steering::{Balancer, Decision, DropReason, PacketHead};
+use weirhinge_steering::{Balancer, BalancerLimits, Decision, DropReason, PacketHead};
 
 /// A balancer that starts once lost the packets of its first milliseconds, and their
 /// clients waited for 200 to 800 ms until they sent them again.
@@ -49,7 +49,10 @@
 #[test]
 fn a_weak_balancer_keeps_the_newest_packets_alone() {
     let mut fixture = Fixture::new(&Store::default());
-    fixture.balancer = Balancer::with_processor_share(Timing::default(), 12);
+    fixture.balancer = Balancer::with_limits(
+        Timing::default(),
+        BalancerLimits { processor_permille: Some(12), link_kbps: None },
+    );
     for port in 1..=40 {
         fixture.client(&opening(flow(port)), LATER + u64::from(port));
     }
