Keep routes to their regions, and bound new flows at cold targets

Cause: two rules that came in were not read: a route's allowed regions, and a service's limit on requests a second at a target that is slow from its start or whose zone was taken back. Regions: a route's openings go to targets of its regions alone, its searches and hand-offs stay there too; with none there, openings are refused at once. Cold targets: only the agent sees the flows of all balancers, so it counts them in a sliding second; beyond the rate they wait or go elsewhere. An agent can't know what the process before it let through and admits in its first second what is left of the bound. Targets without a record, and all for the first cold time of their agent, count as cold. Settings evacuation_bound_ms, cold_overshoot and cold_slack are read and checked; the waits between readers keep the evacuation's bound as well. Ruled out: a limit at each balancer (its share of the rate would have to follow the number of balancers that the target's flows come from).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,7 +19,10 @@
     Digest, FetchRequest, FetchScope, MessageError, PeerMessage, PeerRole, ReturnReason,
     SearchPath, TargetClaim, decode, encode,
 };
-pub use model::{Configuration, Route, RoutePart, ServiceId, TargetRecord, TargetState, ZoneId};
+pub use model::{
+    ColdStartPolicy, Configuration, RegionId, Route, RoutePart, ServiceId, TargetRecord,
+    TargetState, ZoneId,
+};
 pub use peers::{PEER_LIFETIME_MS, PeerTable, ServingPeer};
 pub use replica::{Change, Replica, TargetEntry, Update, VersionedConfiguration, VersionedTarget};
 pub use timing::{Bounds, Timing};
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -30,6 +30,17 @@
     }
 }
 
+/// Identifies a region by a hash of its name; all daemons compute the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RegionId(u64);
+
+impl RegionId {
+    /// The identifier of the region with this name.
+    pub fn of(name: &str) -> Self {
+        Self(hash_name(name))
+    }
+}
+
 fn hash_name(name: &str) -> u64 {
     let mut hasher = SipHasher13::new();
     hasher.write(name.as_bytes());
@@ -46,7 +57,7 @@
 }
 
 /// Where new flows to one address go.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Route {
     /// IPv4 address that clients connect to, as a number.
     pub address: u32,
@@ -56,6 +67,21 @@
     pub parts: Vec<RoutePart>,
     /// How urgent the route's requests are; 0 is the most urgent.
     pub priority: u32,
+    /// Names of the regions that the route's requests must not leave; empty if they may go
+    /// anywhere.
+    pub allowed_regions: Vec<String>,
+}
+
+/// How a service's targets start.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ColdStartPolicy {
+    /// The service's name.
+    pub service: String,
+    /// Milliseconds for which a target is slow after its start, or after its zone was taken
+    /// back.
+    pub cold_ms: u64,
+    /// New flows a second that such a target bears; 0 if there is no limit.
+    pub flows_per_second: u32,
 }
 
 impl Route {
@@ -66,7 +92,7 @@
 }
 
 /// A whole configuration, as the operator wrote it.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Configuration {
     /// The operator's version; grows in uneven steps.
     pub version: u64,
@@ -74,6 +100,8 @@
     pub routes: Vec<Route>,
     /// Milliseconds after which a resting flow may be forgotten.
     pub idle_timeout_ms: u64,
+    /// How the targets of the services start; services that are not named have no limit.
+    pub cold_starts: Vec<ColdStartPolicy>,
 }
 
 /// Whether a target takes new flows.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -37,6 +37,8 @@
 pub struct ServingPeer {
     /// Its address.
     pub address: Ipv4Addr,
+    /// Where it runs.
+    pub zone: ZoneId,
     /// When it was last heard.
     pub heard_at: Millis,
     /// Whether it cannot keep up with its packets.
@@ -167,6 +169,7 @@
         self.peers.iter().filter_map(|(address, peer)| {
             let serving = ServingPeer {
                 address: *address,
+                zone: peer.zone,
                 heard_at: peer.heard_at?,
                 overloaded: peer.overloaded,
             };
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -20,6 +20,8 @@
     pub change_ms: Millis,
     /// Milliseconds after which a leaving target gets no new flow.
     pub drain_ms: Millis,
+    /// Milliseconds after which the targets of an evacuated zone get no new flow.
+    pub evacuation_ms: Millis,
     /// Milliseconds between renewals of a target's record.
     pub renewal_ms: Millis,
 }
@@ -29,6 +31,7 @@
         Self {
             change_ms: DEFAULT_BOUND_MS,
             drain_ms: DEFAULT_BOUND_MS,
+            evacuation_ms: DEFAULT_BOUND_MS,
             renewal_ms: DEFAULT_RENEWAL_MS,
         }
     }
@@ -66,7 +69,7 @@
 impl Timing {
     /// The waits for these bounds.
     pub fn new(bounds: &Bounds) -> Self {
-        let tighter = bounds.change_ms.min(bounds.drain_ms);
+        let tighter = bounds.change_ms.min(bounds.drain_ms).min(bounds.evacuation_ms);
         let wait = (tighter / WATCHES_A_BOUND).clamp(WATCH_WAITS_MS.0, WATCH_WAITS_MS.1);
         // Two renewals, as one may be lost, within the bound on leaving targets.
         let renewed = bounds.renewal_ms * 9 / 4;
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -208,7 +208,7 @@
         renewal_ms in 100..10_000u64,
         rank in 0..5_000usize,
     ) {
-        let timing = Timing::new(&Bounds { change_ms, drain_ms, renewal_ms });
+        let timing = Timing::new(&Bounds { change_ms, drain_ms, renewal_ms, ..Bounds::default() });
         let age_ms = Some(change_ms.min(drain_ms) * 7 / 10);
         let failed = ReaderInputs { age_ms, rank, ..inputs() };
         prop_assert!(should_read(&failed, &timing));
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -27,7 +27,12 @@
 }
 
 fn configuration(revision: u64, version: u64) -> VersionedConfiguration {
-    let configuration = Configuration { version, routes: Vec::new(), idle_timeout_ms: 15_000 };
+    let configuration = Configuration {
+        version,
+        routes: Vec::new(),
+        idle_timeout_ms: 15_000,
+        ..Configuration::default()
+    };
     VersionedConfiguration { revision, configuration }
 }
 
--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -53,13 +53,13 @@
             return self.link.refuse_unexpected();
         }
         self.node.borrow_mut().apply_record(target, self.clock.now());
-        self.learn_slots();
+        self.learn_target();
     }
 
     pub(super) fn deliver(&self, arrival: &Arrival<'_>) {
         let now = self.clock.now();
         if arrival.head.is_opening() && !self.core.borrow().is_sized() {
-            self.learn_slots();
+            self.learn_target();
         }
         let decision = self.core.borrow_mut().delivery(arrival, now);
         match decision {
--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -12,7 +12,7 @@
 use slog::{Logger, info};
 use tokio::net::UdpSocket;
 use weirhinge_fleet::{Millis, PeerRole, ServiceId, TargetClaim};
-use weirhinge_steering::Agent;
+use weirhinge_steering::{Agent, ColdStartRate};
 
 use crate::base::Base;
 use crate::clock::Clock;
@@ -55,6 +55,8 @@
     address: Ipv4Addr,
     client_port: u16,
     service: String,
+    cold_overshoot: f64,
+    cold_slack: f64,
     leaving: Cell<bool>,
     metrics: AgentMetrics,
     decisions: DecisionLog,
@@ -96,6 +98,8 @@
         address: common.address,
         client_port: common.packets.port(),
         service: settings.service.clone(),
+        cold_overshoot: settings.cold_overshoot,
+        cold_slack: settings.cold_slack,
         leaving: Cell::new(false),
         metrics: agent_metrics,
         decisions: DecisionLog::new(log.clone()),
@@ -148,7 +152,7 @@
         loop {
             let now = self.clock.now();
             self.core.borrow_mut().expire(now);
-            self.learn_slots();
+            self.learn_target();
             self.note_evacuation();
             self.renew_claim();
             self.link.tick();
@@ -157,14 +161,23 @@
         }
     }
 
-    /// Takes the target's size from its record.
-    fn learn_slots(&self) {
+    /// Takes the target's size and whether it is cold from its record. A target without a
+    /// record may be cold, and so may one whose agent has just started.
+    fn learn_target(&self) {
         let node = self.node.borrow();
-        let candidates = node.view().candidates(ServiceId::of(&self.service)).iter();
+        let view = node.view();
+        let service = ServiceId::of(&self.service);
+        let candidates = view.candidates(service).iter();
         let own = candidates.copied().find(|candidate| candidate.agent == self.address);
+        let mut core = self.core.borrow_mut();
         if let Some(own) = own {
-            self.core.borrow_mut().set_slots(own.slots);
+            core.set_slots(own.slots);
         }
+        let Some(policy) = view.cold_start(service) else { return };
+        let rate =
+            ColdStartRate::new(policy.flows_per_second, self.cold_overshoot, self.cold_slack);
+        let cold_until = own.map_or(Millis::MAX, |own| own.cold_until.max(policy.cold_ms));
+        core.set_cold_start(rate, cold_until);
     }
 
     /// Takes over whether this agent's zone is evacuated.
--- a/crates/relay/src/fleet_node/contacts.rs
+++ b/crates/relay/src/fleet_node/contacts.rs
@@ -83,7 +83,10 @@
 
     fn serving_helpers(&self, is_fit: impl Fn(&ServingPeer) -> bool, now: Millis) -> Vec<Ipv4Addr> {
         let answering = |peer: &ServingPeer| peer.was_heard_within(HELPER_SILENCE_MS, now);
-        let fit = self.peers.serving().filter(|peer| answering(peer) && is_fit(peer));
+        // Packets of some routes must not leave the region.
+        let is_near = |peer: &ServingPeer| self.locality.shares_region(peer.zone);
+        let fit = self.peers.serving();
+        let fit = fit.filter(|peer| answering(peer) && is_near(peer) && is_fit(peer));
         fit.map(|peer| peer.address).take(MOST_HELPERS).collect()
     }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -14,6 +14,10 @@
 const MOST_PROCESSORS: f64 = 1_024.0;
 /// Fastest link that settings may state, in megabits a second.
 const FASTEST_LINK_MBPS: f64 = 1_000_000.0;
+/// Most times that settings may let a cold target get what it bears.
+const MOST_OVERSHOOT: f64 = 1_000.0;
+/// Most new flows beyond that.
+const MOST_SLACK: f64 = 1_000_000.0;
 /// Longest planned stop when the settings state none, in milliseconds.
 const DEFAULT_STOP_LIMIT_MS: u64 = 5_000;
 
@@ -50,6 +54,12 @@
     pub change_bound_ms: Option<u64>,
     /// See [`Bounds::drain_ms`]; at most [`LONGEST_BOUND_MS`].
     pub drain_bound_ms: Option<u64>,
+    /// See [`Bounds::evacuation_ms`]; at most [`LONGEST_BOUND_MS`].
+    pub evacuation_bound_ms: Option<u64>,
+    /// How many times what a cold target bears a second may bring; at least 1.
+    pub cold_overshoot: Option<f64>,
+    /// New flows that a second may bring to a cold target beyond that.
+    pub cold_slack: Option<f64>,
     /// See [`Bounds::renewal_ms`]; at most [`LONGEST_BOUND_MS`].
     pub renewal_ms: Option<u64>,
     /// Part of one processor's time that the process may use, above 0.
@@ -109,7 +119,7 @@
 }
 
 /// Settings of an agent.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AgentSettings {
     /// What both roles have.
     pub common: CommonSettings,
@@ -119,6 +129,10 @@
     pub target_output: SocketAddrV4,
     /// Name of the target's service.
     pub service: String,
+    /// How many times what a cold target bears a second may bring.
+    pub cold_overshoot: f64,
+    /// New flows that a second may bring to a cold target beyond that.
+    pub cold_slack: f64,
 }
 
 impl RawSettings {
@@ -148,6 +162,8 @@
             target: endpoint(file, "target", self.target.as_deref())?,
             target_output: endpoint(file, "target_output", self.target_output.as_deref())?,
             service: text(file, "service", self.service.as_deref())?,
+            cold_overshoot: self.checked_overshoot(file)?,
+            cold_slack: self.checked_slack(file)?,
         })
     }
 
@@ -192,6 +208,24 @@
         Ok(Some((share * processors * 1_000.0).ceil() as u32))
     }
 
+    fn checked_overshoot(&self, file: &str) -> Result<f64, ConfigError> {
+        let overshoot = self.cold_overshoot.unwrap_or(1.0);
+        if !(1.0..=MOST_OVERSHOOT).contains(&overshoot) {
+            let expected = format!("1 to {MOST_OVERSHOOT}");
+            return Err(ConfigError::field(file, "cold_overshoot", overshoot, expected));
+        }
+        Ok(overshoot)
+    }
+
+    fn checked_slack(&self, file: &str) -> Result<f64, ConfigError> {
+        let slack = self.cold_slack.unwrap_or(0.0);
+        if !(0.0..=MOST_SLACK).contains(&slack) {
+            let expected = format!("0 to {MOST_SLACK}");
+            return Err(ConfigError::field(file, "cold_slack", slack, expected));
+        }
+        Ok(slack)
+    }
+
     fn checked_link(&self, file: &str) -> Result<Option<u32>, ConfigError> {
         let Some(rate) = self.link_mbps else { return Ok(None) };
         if !(rate.is_finite() && rate > 0.0 && rate <= FASTEST_LINK_MBPS) {
@@ -241,6 +275,11 @@
         };
         Ok(Timing::new(&Bounds {
             change_ms: bound("change_bound_ms", self.change_bound_ms, default.change_ms)?,
+            evacuation_ms: bound(
+                "evacuation_bound_ms",
+                self.evacuation_bound_ms,
+                default.evacuation_ms,
+            )?,
             drain_ms: bound("drain_bound_ms", self.drain_bound_ms, default.drain_ms)?,
             renewal_ms: bound("renewal_ms", self.renewal_ms, default.renewal_ms)?,
         }))
--- a/crates/relay/tests/fleet_node.rs
+++ b/crates/relay/tests/fleet_node.rs
@@ -122,7 +122,12 @@
 /// A balancer that knows a configuration.
 fn serving(address: Ipv4Addr, now: Millis) -> FleetNode {
     let mut balancer = node(address, PeerRole::Balancer);
-    let configuration = Configuration { version: 1, routes: Vec::new(), idle_timeout_ms: 15_000 };
+    let configuration = Configuration {
+        version: 1,
+        routes: Vec::new(),
+        idle_timeout_ms: 15_000,
+        ..Configuration::default()
+    };
     let configuration = Some(VersionedConfiguration { revision: 2, configuration });
     let update = Update { configuration, ..update(0, 2, Vec::new()) };
     balancer.apply_from_store(update, now);
--- a/crates/relay/tests/fleet_scale.rs
+++ b/crates/relay/tests/fleet_scale.rs
@@ -177,8 +177,12 @@
     /// that changes with every further revision.
     fn store_update(&self, after: u64) -> Update {
         let through = self.store_revision;
-        let configuration =
-            Configuration { version: through, routes: Vec::new(), idle_timeout_ms: 15_000 };
+        let configuration = Configuration {
+            version: through,
+            routes: Vec::new(),
+            idle_timeout_ms: 15_000,
+            ..Configuration::default()
+        };
         let is_new = through > after;
         let agents = (0..self.daemons.len()).filter(|place| !self.daemons[*place].is_balancer);
         let targets = agents.map(|place| VersionedTarget {
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod breaker;
+mod cold_start;
 mod decision;
 mod deliveries;
 mod flow;
@@ -12,6 +13,7 @@
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId};
 
 pub use breaker::BreakerChange;
+pub use cold_start::ColdStartRate;
 pub use decision::{
     Arrival, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, WaitOutcome,
 };
@@ -20,6 +22,7 @@
 use crate::waiting_room::WaitingRoom;
 use admission::Admission;
 use breaker::CircuitBreaker;
+use cold_start::ColdStart;
 use deliveries::Deliveries;
 use flow::Flow;
 
@@ -67,6 +70,7 @@
     wrote_at: Option<Millis>,
     admission: Admission,
     breaker: CircuitBreaker,
+    cold_start: ColdStart,
     /// The latest change of the breaker, not told yet.
     breaker_change: Option<BreakerChange>,
     leaving: bool,
@@ -89,6 +93,7 @@
             wrote_at: None,
             admission: Admission::default(),
             breaker: CircuitBreaker::default(),
+            cold_start: ColdStart::default(),
             breaker_change: None,
             leaving: false,
             evacuated: false,
@@ -116,6 +121,12 @@
         self.evacuated = evacuated;
     }
 
+    /// Notes how many new flows the target bears while it is slow from its start, and until
+    /// when it is.
+    pub fn set_cold_start(&mut self, rate: Option<ColdStartRate>, cold_until: Millis) {
+        self.cold_start.set(rate, cold_until);
+    }
+
     /// Whether it is known how many requests the target works on at once.
     pub fn is_sized(&self) -> bool {
         self.admission.is_sized()
@@ -143,7 +154,9 @@
             if is_new && !arrival.may_wait && !self.breaker.admits(now) {
                 return DeliveryDecision::Return(ReturnReason::Failing);
             }
-            if is_new && self.admission.is_busy(self.load(), arrival.urgent) {
+            let has_room =
+                !self.admission.is_busy(self.load(), arrival.urgent) && self.cold_start.admits(now);
+            if is_new && !has_room {
                 return self.busy_opening(arrival, now);
             }
             // This may be a copy that found room before the packet that waits: its flow
@@ -171,6 +184,9 @@
         }
         let load = self.load();
         let admission = &self.admission;
+        if !self.cold_start.admits(now) {
+            return None;
+        }
         let opening = self.openings.take_first(|urgent| !admission.is_busy(load, urgent))?;
         self.follow(&opening.head, opening.balancer, false, now);
         let echo = self.deliveries.remember(opening.balancer, None);
@@ -343,6 +359,9 @@
             return;
         }
         let is_expected = is_new && head.is_opening();
+        if is_expected {
+            self.cold_start.admitted(now);
+        }
         let entry = self.flows.entry(flow).or_insert(Flow {
             balancer,
             waiting_since: None,
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -230,7 +230,8 @@
     fn helper(&mut self, context: &Context<'_>, head: &PacketHead) -> Option<Ipv4Addr> {
         let flow = head.client_flow();
         let is_known = context.helpers.is_empty() || self.flows.get_mut(&flow).is_some();
-        if is_known { None } else { rendezvous_first(flow.hash(), context.helpers) }
+        let may_leave = context.view.allows_own_region(head.destination);
+        if is_known || !may_leave { None } else { rendezvous_first(flow.hash(), context.helpers) }
     }
 
     fn later_packet(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -3,14 +3,14 @@
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::{Millis, ReturnReason, ServiceId};
+use weirhinge_fleet::{Millis, RegionId, ReturnReason, ServiceId};
 
 use super::decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
 use super::{Balancer, Context, service_of};
 use crate::flow_table::{FlowEntry, FlowStage};
 use crate::packet::{FlowKey, PacketHead};
 use crate::selection::{cheapest, load_permille, rendezvous_order};
-use crate::view::{Candidate, Distance, Standing};
+use crate::view::{Candidate, Distance, RouteChoice, Standing};
 
 /// Opening packets of one flow come within this span; a later one opens another.
 const OPENING_SPAN_MS: Millis = 2_000;
@@ -118,10 +118,9 @@
         if entry.failing_returns >= MOST_FAILING_RETURNS {
             return false;
         }
-        let service =
-            context.view.route(head.destination).and_then(|route| route.pick(flow.hash()));
-        service.is_some_and(|service| {
-            let eligible = self.eligible(context, service, flow.hash());
+        let Some(route) = context.view.route(head.destination) else { return false };
+        route.pick(flow.hash()).is_some_and(|service| {
+            let eligible = self.eligible(context, route, service, flow.hash());
             !eligible.without(self.flows.tried(&flow)).is_empty()
         })
     }
@@ -141,7 +140,7 @@
         let Some(service) = route.pick(flow.hash()) else {
             return Decision::Reset { sequence: 0, reason: ResetReason::NoTarget };
         };
-        let eligible = self.eligible(context, service, flow.hash());
+        let eligible = self.eligible(context, route, service, flow.hash());
         let any_eligible = !eligible.is_empty();
         let untried = eligible.without(self.flows.tried(&flow));
         // A target that does not answer looks idle: it is never compared by load.
@@ -192,19 +191,30 @@
     fn is_evacuated(&self, context: &Context<'_>, flow: &FlowKey) -> bool {
         let route = context.view.route(flow.service);
         let service = route.and_then(|route| route.pick(flow.hash()));
-        service.is_some_and(|service| {
-            let mut candidates = context.view.candidates(service).iter();
-            candidates.any(|candidate| candidate.standing == Standing::Ready && candidate.evacuated)
+        let (Some(route), Some(service)) = (route, service) else { return false };
+        context.view.candidates(service).iter().any(|candidate| {
+            candidate.standing == Standing::Ready
+                && candidate.evacuated
+                && route.allows(candidate.region)
         })
     }
 
     /// Targets that may take a new flow: ready ones, or where none of them answers
     /// also those that lost their record but may well live.
-    fn eligible(&self, context: &Context<'_>, service: ServiceId, flow_hash: u64) -> Eligible {
+    fn eligible(
+        &self,
+        context: &Context<'_>,
+        route: &RouteChoice,
+        service: ServiceId,
+        flow_hash: u64,
+    ) -> Eligible {
         let now = context.now;
         let candidates = context.view.candidates(service);
-        let is_ready =
-            |candidate: &&Candidate| candidate.standing == Standing::Ready && !candidate.evacuated;
+        let is_ready = |candidate: &&Candidate| {
+            candidate.standing == Standing::Ready
+                && !candidate.evacuated
+                && route.allows(candidate.region)
+        };
         let ready = candidates.iter().filter(is_ready);
         let ready = rendezvous_order(flow_hash, ready);
         let is_silent = |candidate: &Candidate| {
@@ -213,7 +223,8 @@
         };
         let (silent, mut answering): (Vec<_>, Vec<_>) = ready.into_iter().partition(is_silent);
         if answering.is_empty() {
-            let unrecorded = self.unrecorded(context, candidates, service);
+            let mut unrecorded = self.unrecorded(context, candidates, service);
+            unrecorded.retain(|candidate| route.allows(candidate.region));
             answering = rendezvous_order(flow_hash, unrecorded.iter());
             answering.retain(|candidate| !is_silent(candidate));
         }
@@ -243,7 +254,8 @@
                 let is_evacuated = zone.is_some_and(|zone| context.view.is_evacuated(zone));
                 let is_known = candidates.iter().any(|candidate| candidate.agent == agent);
                 if !is_known && !is_evacuated {
-                    unrecorded.push(claimed_candidate(agent, now));
+                    let region = zone.and_then(|zone| context.view.region_of(zone));
+                    unrecorded.push(claimed_candidate(agent, region, now));
                 }
             }
         }
@@ -252,7 +264,7 @@
 }
 
 /// A target known by its agent's word alone.
-fn claimed_candidate(agent: Ipv4Addr, now: Millis) -> Candidate {
+fn claimed_candidate(agent: Ipv4Addr, region: Option<RegionId>, now: Millis) -> Candidate {
     Candidate {
         agent,
         standing: Standing::Vanished(now),
@@ -261,5 +273,6 @@
         slots: 1,
         cold_until: 0,
         distance: Distance::Region,
+        region,
     }
 }
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -10,7 +10,7 @@
 use crate::flow_table::{FlowEntry, FlowStage};
 use crate::packet::{FlowKey, PacketHead};
 use crate::selection::rendezvous_order;
-use crate::view::{Candidate, Distance, Standing};
+use crate::view::{Candidate, Distance, RouteChoice, Standing};
 
 /// A search that got no answer from a target for this long tries the next one.
 const SEARCH_STEP_MS: Millis = 120;
@@ -61,7 +61,7 @@
             return Decision::Drop(DropReason::SearchGoesOn);
         }
         let tried = self.flows.tried(&flow);
-        let order = self.search_order(context, route.services(), flow.hash());
+        let order = self.search_order(context, route, flow.hash());
         let untried = order.into_iter().filter(|place| !tried.contains(&place.agent));
         let untried: Vec<SearchPlace> = untried.collect();
         let Some(first) = untried.first() else {
@@ -193,13 +193,14 @@
     fn search_order(
         &self,
         context: &Context<'_>,
-        services: impl Iterator<Item = ServiceId>,
+        route: &RouteChoice,
         flow_hash: u64,
     ) -> Vec<SearchPlace> {
         let mut order: Vec<SearchPlace> = Vec::new();
         let mut listed: HashSet<Ipv4Addr> = HashSet::new();
-        for service in services {
+        for service in route.services() {
             let candidates = context.view.candidates(service).iter();
+            let candidates = candidates.filter(|candidate| route.allows(candidate.region));
             for candidate in rendezvous_order(flow_hash, candidates) {
                 listed.insert(candidate.agent);
                 if self.is_gone_for_good(context, &candidate) {
@@ -210,7 +211,9 @@
             let certain = self.knows_all_targets(context);
             for agent in self.statuses.claimants(service, context.now) {
                 let is_mute = certain && self.statuses.is_mute(agent, context.now);
-                if !is_mute && listed.insert(agent) {
+                let zone = self.statuses.claimed_zone(agent);
+                let region = zone.and_then(|zone| context.view.region_of(zone));
+                if !is_mute && route.allows(region) && listed.insert(agent) {
                     order.push(SearchPlace { service, agent, is_silent: false, is_far: false });
                 }
             }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -20,8 +20,8 @@
 mod waiting_room;
 
 pub use agent::{
-    Agent, Arrival, BreakerChange, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop,
-    WaitOutcome,
+    Agent, Arrival, BreakerChange, ColdStartRate, DeliveryDecision, HoldsNotice, OutputDecision,
+    OutputDrop, WaitOutcome,
 };
 pub use agent_status::AgentStatuses;
 pub use balancer::{
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -3,7 +3,10 @@
 use std::collections::{HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use weirhinge_fleet::{Millis, Replica, ServiceId, TargetEntry, TargetRecord, TargetState, ZoneId};
+use weirhinge_fleet::{
+    ColdStartPolicy, Millis, RegionId, Replica, ServiceId, TargetEntry, TargetRecord, TargetState,
+    ZoneId,
+};
 
 /// A configuration's version and the store revision that wrote it, for logs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -20,6 +23,8 @@
     parts: Vec<(ServiceId, u32)>,
     priority: u32,
     urgent: bool,
+    /// Regions that its packets must not leave; none if they may go anywhere.
+    allowed_regions: Option<HashSet<RegionId>>,
 }
 
 impl RouteChoice {
@@ -43,6 +48,13 @@
         self.urgent
     }
 
+    /// Whether packets of the route may go to a daemon in this region; one whose region is
+    /// not known counts as outside.
+    pub fn allows(&self, region: Option<RegionId>) -> bool {
+        let Some(allowed) = &self.allowed_regions else { return true };
+        region.is_some_and(|region| allowed.contains(&region))
+    }
+
     /// All services of the route.
     pub fn services(&self) -> impl Iterator<Item = ServiceId> {
         self.parts.iter().map(|(service, _)| *service)
@@ -85,6 +97,29 @@
         Self { zone, region, regions_by_zone }
     }
 
+    /// The region of a zone, if known.
+    fn region_of(&self, zone: &str) -> Option<RegionId> {
+        self.regions_by_zone.get(zone).map(|region| RegionId::of(region))
+    }
+
+    /// The daemon's own region.
+    pub fn own_region(&self) -> RegionId {
+        RegionId::of(&self.region)
+    }
+
+    /// Whether a zone is in the daemon's region. One of no known region is taken to be.
+    pub fn shares_region(&self, zone: ZoneId) -> bool {
+        let mut regions = self.regions_by_zone.iter();
+        let region = regions.find(|(name, _)| ZoneId::of(name) == zone);
+        region.is_none_or(|(_, region)| *region == self.region)
+    }
+
+    /// The region of each known zone.
+    pub fn regions(&self) -> HashMap<ZoneId, RegionId> {
+        let regions = self.regions_by_zone.iter();
+        regions.map(|(zone, region)| (ZoneId::of(zone), RegionId::of(region))).collect()
+    }
+
     /// How far a zone is. One of no known region is taken to be in the daemon's.
     fn distance(&self, zone: &str) -> Distance {
         if zone == self.zone {
@@ -112,6 +147,8 @@
     pub cold_until: Millis,
     /// How far it is.
     pub distance: Distance,
+    /// Its region, if known.
+    pub region: Option<RegionId>,
 }
 
 /// Everything that routing decisions need, compiled from a replica.
@@ -122,6 +159,9 @@
     label: Option<VersionLabel>,
     idle_timeout_ms: Option<Millis>,
     evacuated: HashSet<ZoneId>,
+    regions: HashMap<ZoneId, RegionId>,
+    own_region: Option<RegionId>,
+    cold_starts: HashMap<ServiceId, ColdStartPolicy>,
 }
 
 impl FleetView {
@@ -129,7 +169,8 @@
     pub fn compile(replica: &Replica, locality: &Locality) -> Self {
         let services = compile_services(replica, locality);
         let evacuated = replica.evacuated().iter().map(ZoneId::of).collect();
-        let mut view = Self { services, evacuated, ..Self::default() };
+        let (regions, own_region) = (locality.regions(), Some(locality.own_region()));
+        let mut view = Self { services, evacuated, regions, own_region, ..Self::default() };
         let Some(versioned) = replica.configuration() else { return view };
         let configuration = &versioned.configuration;
         let label = VersionLabel { version: configuration.version, revision: versioned.revision };
@@ -138,10 +179,19 @@
         for route in &configuration.routes {
             let parts = route.parts.iter();
             let parts = parts.map(|part| (ServiceId::of(&part.service), part.weight)).collect();
-            let choice = RouteChoice { parts, priority: route.priority, urgent: false };
+            let allowed = route.allowed_regions.iter().map(|region| RegionId::of(region));
+            let choice = RouteChoice {
+                parts,
+                priority: route.priority,
+                urgent: false,
+                allowed_regions: (!route.allowed_regions.is_empty()).then(|| allowed.collect()),
+            };
             view.routes.insert(route.endpoint(), choice);
         }
         mark_urgent_routes(&mut view.routes);
+        let policies = configuration.cold_starts.iter();
+        view.cold_starts =
+            policies.map(|policy| (ServiceId::of(&policy.service), policy.clone())).collect();
         view
     }
 
@@ -165,6 +215,21 @@
         self.services.get(&service).map_or(&[], Vec::as_slice)
     }
 
+    /// The region of a zone, if known.
+    pub fn region_of(&self, zone: ZoneId) -> Option<RegionId> {
+        self.regions.get(&zone).copied()
+    }
+
+    /// Whether a route's packets may be handed to other balancers of this daemon's region.
+    pub fn allows_own_region(&self, endpoint: SocketAddrV4) -> bool {
+        self.route(endpoint).is_none_or(|route| route.allows(self.own_region))
+    }
+
+    /// How the targets of a service start, if the configuration says so.
+    pub fn cold_start(&self, service: ServiceId) -> Option<&ColdStartPolicy> {
+        self.cold_starts.get(&service)
+    }
+
     /// Whether the targets of a zone are to get no new flows.
     pub fn is_evacuated(&self, zone: ZoneId) -> bool {
         self.evacuated.contains(&zone)
@@ -217,6 +282,10 @@
     for (entry, record) in newest.into_values() {
         let mut candidate = candidate(entry, record, locality);
         candidate.evacuated = replica.evacuated().contains(&record.zone);
+        if let Some(returned_at) = replica.returned_at(&record.zone) {
+            let cold_ms = cold_ms_of(replica, &record.service);
+            candidate.cold_until = candidate.cold_until.max(returned_at + cold_ms);
+        }
         services.entry(ServiceId::of(&record.service)).or_default().push(candidate);
     }
     for candidates in services.values_mut() {
@@ -225,6 +294,13 @@
     services
 }
 
+/// How long the targets of a service are slow after their start or their zone's return.
+fn cold_ms_of(replica: &Replica, service: &str) -> Millis {
+    let policies = replica.configuration().map(|known| &known.configuration.cold_starts);
+    let policy = policies.into_iter().flatten().find(|policy| policy.service == service);
+    policy.map_or(0, |policy| policy.cold_ms)
+}
+
 fn candidate(entry: &TargetEntry, record: &TargetRecord, locality: &Locality) -> Candidate {
     let standing = match (record.state, entry.target.present) {
         (TargetState::Draining, _) => Standing::Leaving,
@@ -239,5 +315,6 @@
         slots: record.slots.max(1),
         cold_until: entry.learned_at + Millis::from(record.warm_up_ms),
         distance: locality.distance(&record.zone),
+        region: locality.region_of(&record.zone),
     }
 }
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -317,6 +317,7 @@
         port,
         parts: vec![RoutePart { service: service.to_owned(), weight: 1 }],
         priority,
+        ..Route::default()
     };
     let mut store = Store::with_targets(3);
     store.configure(vec![route(443, SERVICE, 1), route(444, SERVICE, 2), route(445, OTHER, 1)]);
--- /dev/null
+++ b/crates/steering/tests/home_regions.rs
@@ -0,0 +1,68 @@
+//! Packets of a route that is bound to regions do not leave them.
+
+mod support;
+
+use std::net::Ipv4Addr;
+
+use support::{
+    Fixture, LATER, SERVICE, Store, agent, claim, data, endpoint, flow, forwarded, opening, path,
+};
+use weirhinge_fleet::{Route, RoutePart, TargetState, ZoneId};
+use weirhinge_steering::{Decision, ResetReason};
+
+/// Targets 1 and 2 are in region `near`, 51 and 52 in region `far`.
+fn store(allowed: &[&str]) -> Store {
+    let mut store = Store::default();
+    store.configure(vec![Route {
+        address: endpoint().ip().to_bits(),
+        port: endpoint().port(),
+        parts: vec![RoutePart { service: SERVICE.to_owned(), weight: 1 }],
+        priority: 2,
+        allowed_regions: allowed.iter().map(|region| (*region).to_owned()).collect(),
+    }]);
+    for number in [1, 2, 51, 52] {
+        store.target(number, SERVICE, Some(TargetState::Ready), 0);
+    }
+    store
+}
+
+#[test]
+fn openings_go_to_targets_of_the_allowed_regions_however_busy_these_are() {
+    for (allowed, targets) in [("near", [1, 2]), ("far", [51, 52])] {
+        let mut fixture = Fixture::new(&store(&[allowed]));
+        for number in targets {
+            fixture.balancer.heard(agent(number), 1_000, LATER);
+        }
+        for port in 0..100 {
+            let chosen = forwarded(&fixture.client(&opening(flow(port)), LATER)).agent;
+            assert!(targets.map(agent).contains(&chosen), "{allowed}: {chosen}");
+        }
+    }
+}
+
+#[test]
+fn with_no_target_in_the_allowed_regions_openings_are_refused_at_once() {
+    let mut fixture = Fixture::new(&store(&["elsewhere"]));
+    let refused = Decision::Reset { sequence: 0, reason: ResetReason::NoTarget };
+    assert_eq!(fixture.client(&opening(flow(1)), LATER), refused);
+}
+
+#[test]
+fn searches_stay_in_the_allowed_regions() {
+    let mut fixture = Fixture::new(&store(&["near"]));
+    fixture.balancer.claimed(agent(60), ZoneId::of("b"), &claim(SERVICE), LATER);
+    fixture.claimed(agent(3), LATER);
+    let mut asked = path(&fixture.client(&data(flow(1)), LATER));
+    asked.sort();
+    assert_eq!(asked, [agent(1), agent(2), agent(3)]);
+}
+
+#[test]
+fn packets_are_handed_off_only_inside_the_allowed_regions() {
+    let helper = Ipv4Addr::new(10, 0, 9, 9);
+    for (allowed, is_handed) in [("near", true), ("far", false)] {
+        let mut fixture = Fixture::new(&store(&[allowed]));
+        let decision = fixture.pressed(&opening(flow(1)), &[helper], LATER);
+        assert_eq!(matches!(decision, Decision::HandOff { .. }), is_handed, "{allowed}");
+    }
+}
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -8,8 +8,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use weirhinge_fleet::{
-    Configuration, EvacuatedZones, Replica, Route, RoutePart, TargetClaim, TargetRecord,
-    TargetState, Update, VersionedConfiguration, VersionedTarget, ZoneNews,
+    ColdStartPolicy, Configuration, EvacuatedZones, Replica, Route, RoutePart, TargetClaim,
+    TargetRecord, TargetState, Update, VersionedConfiguration, VersionedTarget, ZoneNews,
 };
 use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, Locality, PacketHead};
 
@@ -94,6 +94,8 @@
 pub struct Store {
     replica: Replica,
     revision: u64,
+    /// Part of all configurations written from now on.
+    pub cold_starts: Vec<ColdStartPolicy>,
 }
 
 impl Store {
@@ -116,14 +118,19 @@
             port: endpoint().port(),
             parts: parts.collect(),
             priority: 2,
+            ..Route::default()
         };
         self.configure(vec![route]);
     }
 
     pub fn configure(&mut self, routes: Vec<Route>) {
         self.revision += 1;
-        let configuration =
-            Configuration { version: self.revision, routes, idle_timeout_ms: 15_000 };
+        let configuration = Configuration {
+            version: self.revision,
+            routes,
+            idle_timeout_ms: 15_000,
+            cold_starts: self.cold_starts.clone(),
+        };
         let configuration = Some(VersionedConfiguration { revision: self.revision, configuration });
         let update = Update { configuration, ..self.change() };
         self.replica.apply(update, 0);
--- a/crates/weirhinge/tests/cli.rs
+++ b/crates/weirhinge/tests/cli.rs
@@ -112,6 +112,7 @@
     assert_snapshot!(refused_relay("stop_limit_s = 6", "stop_limit_s = -1"), @"weirhinge: FILE: field stop_limit_s: found -1, expected 0 to 3600 seconds");
     assert_snapshot!(refused_relay("service = \"sheets\"", ""), @"weirhinge: FILE: field service: found nothing, expected some text");
     assert_snapshot!(refused_relay("address = \"10.1.0.12\"", "address = \"here\""), @"weirhinge: FILE: field address: found here, expected an IPv4 address");
+    assert_snapshot!(refused_relay("zone = \"a\"", "zone = \"a\"\nevacuation_bound_ms = 0"), @"weirhinge: FILE: field evacuation_bound_ms: found 0, expected 1 to 600000 milliseconds");
     assert_snapshot!(refused_relay("zone = \"a\"", "zone = \"a\"\nlink_mbps = -1"), @"weirhinge: FILE: field link_mbps: found -1, expected above 0, at most 1000000");
     assert_snapshot!(refused_relay("zone = \"a\"", "zone = \"a\"\nprocessor_share = 0"), @"weirhinge: FILE: field processor_share: found 0, expected above 0, at most 1024");
     assert_snapshot!(refused_relay("zone = \"a\"", "zone = \"a\"\nprocessors = -1"), @"weirhinge: FILE: field processors: found -1, expected above 0, at most 1024");
