Trust no connection to the store that rested, and close one whose call hangs

Cause: open connections may fall silent for good while new ones work. Each call had a time limit; but the task of a connection whose call was given up went on waiting for its answer, and a connection kept from long ago got the next call, which then took its whole limit. Change: the client of the store is a module of its own; a connection that missed a call or rested for two seconds is closed, its task with it. Tests: weirhinge/tests/platform_path.rs with a proxy that silences all connections open so far, twice; silent and idle connections to each port of a balancer.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod settings;
 mod status;
 mod store;
+mod store_client;
 
 pub use agent::run as run_agent;
 pub use backlog::Backlog;
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -1,17 +1,11 @@
 //! Reads the platform's store: a listing, then watches.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use slog::{Logger, info, warn};
-use tokio::net::TcpStream;
 use weirhinge_fleet::{
     EvacuatedZones, Millis, Timing, Update, VersionedConfiguration, VersionedTarget, ZoneNews,
 };
@@ -19,13 +13,10 @@
 use crate::clock::Clock;
 use crate::fleet_node::FleetNode;
 use crate::metrics::StoreMetrics;
-use crate::platform::{AnswerBehind, Platform, RejectedItem};
+use crate::platform::{Platform, RejectedItem};
 use crate::settings::CommonSettings;
+use crate::store_client::{StoreClient, StoreError};
 
-/// Largest answer accepted, in bytes.
-const MAXIMUM_ANSWER: usize = 4 << 20;
-/// Longest wait for a connection.
-const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 /// Longest wait for an answer that comes at once.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_200);
 /// How much longer than asked a watch may take.
@@ -40,31 +31,15 @@
 /// Most pages of one listing.
 const MAXIMUM_PAGES: usize = 200;
 
-/// Why a call failed; names the step and the peer.
-#[derive(Debug, thiserror::Error)]
-enum StoreError {
-    #[error("{step} store {peer}: {reason}")]
-    Step { step: &'static str, peer: SocketAddr, reason: String },
-    #[error("store {peer}: status {status}")]
-    Status { peer: SocketAddr, status: u16 },
-    #[error("store {peer}: history before the revision is gone")]
-    HistoryGone { peer: SocketAddr },
-    #[error("store {peer}: {behind}")]
-    Behind { peer: SocketAddr, behind: AnswerBehind },
-    #[error("store {peer}: {rejected}")]
-    Unusable { peer: SocketAddr, rejected: Box<RejectedItem> },
-}
-
 /// Reads the store whenever this balancer should.
 pub struct StoreReader<P> {
     platform: P,
-    address: SocketAddr,
+    client: StoreClient,
     timing: Timing,
     node: Rc<RefCell<FleetNode>>,
     clock: Clock,
     metrics: StoreMetrics,
     log: Logger,
-    connection: Option<SendRequest<Empty<Bytes>>>,
     needs_list: bool,
     is_lost: bool,
 }
@@ -81,13 +56,12 @@
     ) -> Self {
         Self {
             platform,
-            address: settings.store,
+            client: StoreClient::new(settings.store),
             timing: settings.timing,
             node,
             clock,
             metrics,
             log,
-            connection: None,
             needs_list: true,
             is_lost: false,
         }
@@ -194,7 +168,8 @@
         self.log_rejected(&page.rejected);
         let elapsed_ms = self.clock.now().saturating_sub(asked_at);
         let update = page.into_update(after, wait_ms, elapsed_ms);
-        let update = update.map_err(|behind| StoreError::Behind { peer: self.address, behind })?;
+        let peer = self.client.address();
+        let update = update.map_err(|behind| StoreError::Behind { peer, behind })?;
         self.apply(update);
         Ok(())
     }
@@ -207,59 +182,13 @@
     async fn call(&mut self, path: &str, limit: Duration) -> Result<Bytes, StoreError> {
         self.metrics.calls.inc();
         let began = self.clock.now();
-        let result = tokio::time::timeout(limit, self.exchange(path)).await;
+        let result = self.client.get(path, limit).await;
         self.metrics.call_seconds.observe((self.clock.now() - began) as f64 / 1_000.0);
-        let result = result.unwrap_or_else(|_| Err(self.step("wait for", "no answer in time")));
-        // After a failure the connection may still bring an old answer, or none.
-        if !matches!(result, Ok(_) | Err(StoreError::HistoryGone { .. })) {
-            self.connection = None;
-        }
         result
     }
 
-    async fn exchange(&mut self, path: &str) -> Result<Bytes, StoreError> {
-        let mut sender = match self.connection.take().filter(|sender| !sender.is_closed()) {
-            Some(sender) => sender,
-            None => self.connect().await?,
-        };
-        let request = Request::get(path)
-            .header(header::HOST, self.address.to_string())
-            .body(Empty::new())
-            .map_err(|error| self.step("ask", error))?;
-        let response =
-            sender.send_request(request).await.map_err(|error| self.step("ask", error))?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAXIMUM_ANSWER).collect().await;
-        let body = body.map_err(|error| self.step("read from", error))?.to_bytes();
-        self.connection = Some(sender);
-        match status {
-            StatusCode::OK => Ok(body),
-            StatusCode::GONE => Err(StoreError::HistoryGone { peer: self.address }),
-            status => Err(StoreError::Status { peer: self.address, status: status.as_u16() }),
-        }
-    }
-
-    async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, StoreError> {
-        let stream = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(self.address)).await;
-        let stream = stream
-            .map_err(|_| self.step("connect to", "no answer in time"))?
-            .map_err(|error| self.step("connect to", error))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| self.step("open", error))?;
-        tokio::task::spawn_local(async move {
-            // The sender reports what went wrong.
-            let _ = connection.await;
-        });
-        Ok(sender)
-    }
-
-    fn step(&self, step: &'static str, reason: impl ToString) -> StoreError {
-        StoreError::Step { step, peer: self.address, reason: reason.to_string() }
-    }
-
     fn unusable(&self, rejected: RejectedItem) -> StoreError {
-        StoreError::Unusable { peer: self.address, rejected: Box::new(rejected) }
+        StoreError::Unusable { peer: self.client.address(), rejected: Box::new(rejected) }
     }
 
     fn log_rejected(&self, rejected: &[RejectedItem]) {
--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -6,15 +6,21 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use weirhinge_platform_standins::{
-    ClientFlow, Fleet, FleetPlan, FlowError, HOME_ZONE, NEAR_ZONE, RouterHash, SETTINGS_TEMPLATE,
-    StoreFault, TargetBehaviour, counter, http_get,
+    ClientFlow, Fleet, FleetPlan, FlowError, HOME_ZONE, LinkFault, NEAR_ZONE, RouterHash,
+    SETTINGS_TEMPLATE, StoreFault, TargetBehaviour, counter, http_get,
 };
 
 /// Long enough for several attempts on a busy machine.
 const DEADLINE: Duration = Duration::from_secs(15);
 /// Metrics port of every machine.
 const METRICS: u16 = 9_464;
+/// Readiness port of every machine.
+const READINESS: u16 = 8_167;
+/// Port on which daemons speak to each other.
+const PEERS: u16 = 7_720;
 
 fn plan() -> FleetPlan {
     FleetPlan {
@@ -232,6 +238,50 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_to_the_store_that_fall_silent_for_good_are_replaced() -> eyre::Result<()> {
+    let mut fleet = start(&plan()).await?;
+    for version in [6, 9] {
+        for link in &fleet.store_links {
+            link.fail(LinkFault::SilentSoFar);
+        }
+        fleet.configure(&[(443, &[("sheets", 1)])]);
+        let text = format!("\"version\":{version}");
+        fleet
+            .wait_for("the configuration behind the silence", |fleet| {
+                let has = |log: String| log.contains(&text);
+                fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
+            })
+            .await?;
+    }
+    Ok(())
+}
+
+/// Reads until the daemon closes the connection, without a word of its own.
+async fn is_closed_by_the_daemon(mut stream: TcpStream) -> eyre::Result<()> {
+    let mut received = Vec::new();
+    let read = tokio::time::timeout(3 * DEADLINE, stream.read_to_end(&mut received)).await;
+    read.map_err(|_| eyre::eyre!("the connection was kept"))??;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_on_which_nobody_speaks_are_closed() -> eyre::Result<()> {
+    let fleet = start(&plan()).await?;
+    let address = IpAddr::V4(fleet.balancers[0].address);
+    for port in [METRICS, READINESS, PEERS] {
+        let silent = TcpStream::connect((address, port)).await?;
+        is_closed_by_the_daemon(silent).await?;
+    }
+    for (port, path) in [(METRICS, "/metrics"), (READINESS, "/readiness")] {
+        let mut kept_alive = TcpStream::connect((address, port)).await?;
+        let request = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n");
+        kept_alive.write_all(request.as_bytes()).await?;
+        is_closed_by_the_daemon(kept_alive).await?;
+    }
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_target_keeps_its_flows_and_gets_no_new_ones() -> eyre::Result<()> {
     let fleet = start(&plan()).await?;
