Let agents that stop say that their target has ended

Cause: after the loss of power, searches for lost flows took 55 ms until released targets left; from then on half of them took 170 to 350 ms and a tenth 750 ms, up to eight seconds long. Ruled out: full targets (they were idle); the store's records (a target may leave the store and hold its flows for many seconds). Change: an agent that stops looks whether its target's port refuses connections, which it serves health checks on as long as it lives, and whether nothing was written meanwhile; then it tells up to 256 balancers. Searches leave the target out until its agent speaks again. A word that is lost leaves all as before. Tests: steering/tests/search_past_silence.rs, weirhinge/tests/platform_path.rs; the stand-in target takes connections as the real one does.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -111,6 +111,8 @@
     Probe,
     /// Answers a probe.
     ProbeAnswer,
+    /// An agent that stops has found that its target has ended: it holds no flow any more.
+    TargetEnded,
     /// A client's packet on its way to a target.
     Forward {
         /// Hash of the service's name; the agent checks it.
--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -4,13 +4,14 @@
 mod output;
 
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 
 use eyre::WrapErr;
 use slog::{Logger, info};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpStream, UdpSocket};
 use weirhinge_fleet::{Millis, PeerRole, ServiceId, TargetClaim};
 use weirhinge_steering::{Agent, ColdStartRate};
 
@@ -38,6 +39,9 @@
 const SHORTEST_STOP_MS: Millis = 200;
 /// Left of the stop limit for ending.
 const STOP_MARGIN_MS: Millis = 700;
+/// Longest wait for a stopping agent's look at whether its target has ended; the target is
+/// on the same machine.
+const TARGET_CHECK: Duration = Duration::from_millis(100);
 /// How often a stopping agent looks whether requests still wait.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -129,11 +133,19 @@
     status.stop();
     info!(log, "agent: stopping"; "event" => "stop", "waiting" => daemon.core.borrow().waiting());
     daemon.leave_when_idle(common.stop_limit_ms).await;
+    daemon.report_ended_target(settings.target).await;
     info!(log, "agent: stopped"; "event" => "stopped",
         "waiting" => daemon.core.borrow().waiting());
     Ok(())
 }
 
+/// Whether a target's port refuses connections, on which it answers health checks as long
+/// as it lives. A target that lives sees one connection that is closed at once.
+async fn refuses_connections(target: SocketAddrV4) -> bool {
+    let connected = tokio::time::timeout(TARGET_CHECK, TcpStream::connect(target)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 async fn bind(address: SocketAddrV4, what: &str) -> eyre::Result<UdpSocket> {
     UdpSocket::bind(address).await.wrap_err_with(|| format!("bind {what} at {address}"))
 }
@@ -199,6 +211,16 @@
         });
     }
 
+    /// Tells balancers if the target has ended: then searches for lost flows need not wait
+    /// for it, some 350 ms each until a balancer has learned that nobody answers.
+    async fn report_ended_target(&self, target: SocketAddrV4) {
+        let asked_at = self.clock.now();
+        if refuses_connections(target).await && !self.core.borrow().wrote_since(asked_at) {
+            info!(self.log, "agent: target has ended"; "event" => "target_ended");
+            self.link.announce_end();
+        }
+    }
+
     /// Takes no new flows, and ends at a moment when no request waits.
     async fn leave_when_idle(&self, stop_limit_ms: Millis) {
         self.leaving.set(true);
--- a/crates/relay/src/fleet_node/contacts.rs
+++ b/crates/relay/src/fleet_node/contacts.rs
@@ -13,6 +13,9 @@
 const FAN_OUT: usize = 6;
 /// Agents asked when the store's word became fresh.
 const AGENTS_ASKED: usize = 64;
+/// Most balancers that an agent tells that its target has ended, some 35 bytes each. Those
+/// of a larger fleet that are not told find out by searches that it does not answer.
+const MOST_FAREWELLS: usize = 256;
 /// Agents probed at once by a balancer whose openings stay unanswered: one that answers is
 /// enough, and some may be gone themselves.
 const AGENTS_PROBED: usize = 4;
@@ -52,6 +55,12 @@
         self.choose(&self.view.agents(), AGENTS_ASKED)
     }
 
+    /// Balancers that are told when the target beside this agent has ended.
+    pub fn farewell_receivers(&self) -> Vec<Ipv4Addr> {
+        let balancers: Vec<Ipv4Addr> = self.peers.balancers().collect();
+        self.choose(&balancers, MOST_FAREWELLS)
+    }
+
     /// Some agents, to be asked whether they are reached.
     pub fn agents_to_probe(&self) -> Vec<Ipv4Addr> {
         self.choose(&self.view.agents(), AGENTS_PROBED)
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -165,6 +165,14 @@
         }
     }
 
+    /// Tells balancers that the target beside this agent has ended.
+    pub fn announce_end(&self) {
+        let balancers = self.node.borrow().farewell_receivers();
+        for balancer in balancers {
+            self.send(balancer, &PeerMessage::TargetEnded);
+        }
+    }
+
     /// Asks some agents whether they are reached.
     pub fn probe_agents(&self) {
         let agents = self.node.borrow().agents_to_probe();
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -110,6 +110,11 @@
         self.flows.len()
     }
 
+    /// Whether the target wrote anything at this time or later.
+    pub fn wrote_since(&self, time: Millis) -> bool {
+        self.wrote_at.is_some_and(|at| at >= time)
+    }
+
     /// Takes no new flows from now on.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -40,6 +40,8 @@
     /// When it last said that its target fails.
     failing_at: Option<Millis>,
     claim: Option<Claim>,
+    /// Its last word was that its target has ended.
+    ended: bool,
 }
 
 /// An agent's word that a target works beside it.
@@ -117,6 +119,7 @@
         status.unanswered_since = None;
         status.ignored_search_at = None;
         status.ignored_searches = 0;
+        status.ended = false;
         self.reached(now);
     }
 
@@ -128,6 +131,8 @@
         status.waiting = claim.waiting;
         status.sent_since = 0;
         status.leaving = claim.leaving;
+        // Digests that were sent before the last word may come after it.
+        status.ended &= claim.leaving;
         let usable = claim.alive && !claim.leaving;
         self.claims_seen += u64::from(usable && status.claim.is_none());
         let service = ServiceId::of(&claim.service);
@@ -173,6 +178,19 @@
         status.ignored_searches += 1;
     }
 
+    /// Records an agent's last word: its target has ended, and it stops itself.
+    pub fn target_ended(&mut self, agent: Ipv4Addr) {
+        let status = self.statuses.entry(agent).or_default();
+        status.ended = true;
+        status.leaving = true;
+        status.claim = None;
+    }
+
+    /// Whether an agent's last word was that its target has ended.
+    pub fn has_ended(&self, agent: Ipv4Addr) -> bool {
+        self.statuses.get(&agent).is_some_and(|status| status.ended)
+    }
+
     /// Whether an agent lately left several searching packets unanswered and answered
     /// none: a single one may have been lost on its way.
     pub fn is_persistently_mute(&self, agent: Ipv4Addr, now: Millis) -> bool {
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -208,6 +208,11 @@
         self.statuses.reached(now);
     }
 
+    /// Takes in that an agent's target has ended: searches need not ask it.
+    pub fn target_ended(&mut self, agent: Ipv4Addr) {
+        self.statuses.target_ended(agent);
+    }
+
     /// Whether agents are to be probed, as openings stay unanswered.
     pub fn doubts_reach(&self, now: Millis) -> bool {
         self.statuses.doubts_reach(now)
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -238,12 +238,14 @@
         candidate.standing != Standing::Ready && is_silent
     }
 
-    /// Whether a target left the store and answered none of several searching packets
-    /// either, though its agent may live. A living one has renewed its record by then.
+    /// Whether a target has ended: its agent said so, or it left the store and answered
+    /// none of several searching packets either, though its agent may live. A living one
+    /// has renewed its record by then.
     fn is_gone_for_good(&self, context: &Context<'_>, candidate: &Candidate) -> bool {
         let is_settled = context.fresh && !self.is_unsettled(context.now);
         let agent = candidate.agent;
-        !candidate.recorded && is_settled && self.statuses.is_persistently_mute(agent, context.now)
+        let is_mute = self.statuses.is_persistently_mute(agent, context.now);
+        self.statuses.has_ended(agent) || (!candidate.recorded && is_settled && is_mute)
     }
 
     /// Whether a target that does not answer is most likely gone.
--- a/crates/steering/tests/search_past_silence.rs
+++ b/crates/steering/tests/search_past_silence.rs
@@ -4,9 +4,11 @@
 
 use std::net::Ipv4Addr;
 
-use support::{Fixture, LATER, SERVICE, Store, agent, data, flow, forwarded, opening, path, rows};
-use weirhinge_fleet::TargetState;
-use weirhinge_steering::{Decision, DropReason};
+use support::{
+    Fixture, LATER, SERVICE, Store, agent, claim, data, flow, forwarded, opening, path, rows,
+};
+use weirhinge_fleet::{TargetClaim, TargetState, ZoneId};
+use weirhinge_steering::{Decision, DropReason, ResetReason};
 
 #[test]
 fn a_target_that_does_not_answer_may_hold_the_flow() {
@@ -210,3 +212,47 @@
     let last = fixture.bounced(&data(flow(1)), asked[2], now);
     assert_eq!(path(&last), vec![silent]);
 }
+
+/// Each target that ended once held the first flows that each balancer searched for up by
+/// some 350 ms: its agent had ended too, and nothing told that from a lost packet.
+#[test]
+fn a_target_whose_agent_said_that_it_ended_is_not_asked() {
+    let mut fixture = Fixture::new(&Store::with_targets(4));
+    fixture.balancer.target_ended(agent(2));
+    let head = data(flow(1));
+    assert!(!path(&fixture.client(&head, LATER)).contains(&agent(2)));
+    let (_, end) = fixture.bounce_to_the_end(&data(flow(2)), LATER);
+    assert_eq!(end, Decision::Drop(DropReason::NobodyHoldsYet));
+    let end = fixture.search_again(&data(flow(2)), LATER + 25);
+    assert!(matches!(end, Decision::Reset { reason: ResetReason::NobodyHolds, .. }));
+    // Openings pass it over as well.
+    let chosen =
+        |fixture: &mut Fixture, port| forwarded(&fixture.client(&opening(flow(port)), LATER)).agent;
+    assert!((100..200).all(|port| chosen(&mut fixture, port) != agent(2)));
+}
+
+#[test]
+fn an_agent_that_speaks_again_is_asked_again() {
+    let mut fixture = Fixture::new(&Store::with_targets(2));
+    let asked = |fixture: &mut Fixture, port| {
+        let head = data(flow(port));
+        let mut decision = fixture.client(&head, LATER + 200);
+        let mut asked = Vec::new();
+        while let Decision::Forward(_) = decision {
+            let row = path(&decision);
+            decision = fixture.bounced(&head, row[row.len() - 1], LATER + 200);
+            asked.extend(row);
+        }
+        asked.contains(&agent(2))
+    };
+    fixture.balancer.target_ended(agent(2));
+    // A digest that the agent sent before its last word, and that came after it.
+    let leaving = TargetClaim { leaving: true, ..claim(SERVICE) };
+    fixture.balancer.claimed(agent(2), ZoneId::of("a"), &leaving, LATER + 1);
+    assert!(!asked(&mut fixture, 1));
+    fixture.claimed(agent(2), LATER + 100);
+    assert!(asked(&mut fixture, 2), "its next process has started");
+    fixture.balancer.target_ended(agent(2));
+    fixture.balancer.heard(agent(2), 0, LATER + 150);
+    assert!(asked(&mut fixture, 3));
+}
--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -9,8 +9,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use weirhinge_platform_standins::{
-    ClientFlow, Fleet, FleetPlan, FlowError, HOME_ZONE, LinkFault, NEAR_ZONE, RouterHash,
-    SETTINGS_TEMPLATE, StoreFault, TargetBehaviour, counter, http_get,
+    ClientFlow, Fleet, FleetPlan, FlowError, HOME_ZONE, LinkFault, NEAR_ZONE, ProcessHandle,
+    RouterHash, SETTINGS_TEMPLATE, StoreFault, TargetBehaviour, counter, http_get,
 };
 
 /// Long enough for several attempts on a busy machine.
@@ -302,6 +302,23 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_stops_says_whether_its_target_has_ended() -> eyre::Result<()> {
+    let mut fleet = start(&plan()).await?;
+    fleet.targets[0].drain();
+    fleet.targets[0].end();
+    for agent in &mut fleet.agents[..2] {
+        agent.signal(Signal::SIGTERM)?;
+        agent.ended().await?;
+    }
+    let says = |process: &ProcessHandle| -> eyre::Result<bool> {
+        Ok(process.log_text()?.contains("target_ended"))
+    };
+    assert!(says(&fleet.agents[0])?, "nothing listens there any more");
+    assert!(!says(&fleet.agents[1])?, "its target lives");
+    Ok(())
+}
+
 /// Sends one request on each of some new flows. Returns how many each target ran.
 async fn ran_meanwhile(fleet: &Fleet, name: &str) -> eyre::Result<Vec<usize>> {
     let count = |fleet: &Fleet| fleet.targets.iter().map(|target| target.ran().len()).collect();
