Ask all rows at once after searches in vain

Hypothesis: after targets have lost their flows no search finds any; rows that grow in number (1, 4, 1 at 41 targets) take 30 of the 55 ms until a client is told. Change: when 12 of the latest 16 searches of the last three seconds were in vain, the next one asks all rows at once, within its budget of the link. The bytes are the same, unless a target holds the flow after all.

--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -16,6 +16,7 @@
 use crate::packet::{FlowKey, PacketHead};
 use crate::pending_packets::PendingPackets;
 use crate::search_budget::SearchBudget;
+use crate::search_outcomes::SearchOutcomes;
 use crate::selection::rendezvous_first;
 use crate::view::FleetView;
 use undecided::UndecidedPackets;
@@ -68,6 +69,7 @@
     /// client to send them again.
     searches: PendingPackets,
     search_budget: SearchBudget,
+    search_outcomes: SearchOutcomes,
     /// Packets that came before a configuration or a target was known.
     undecided: UndecidedPackets,
     /// When the store's word last became fresh.
@@ -98,6 +100,7 @@
             statuses: AgentStatuses::default(),
             searches: PendingPackets::default(),
             search_budget: SearchBudget::new(None),
+            search_outcomes: SearchOutcomes::default(),
             undecided: UndecidedPackets::default(),
             regained_at: 0,
             timing: Timing::default(),
@@ -184,6 +187,9 @@
         self.statuses.heard(from, waiting, now);
         let entry = self.flows.get_mut(&flow)?;
         let was_opening = entry.stage == FlowStage::Opening;
+        if matches!(entry.stage, FlowStage::Searching | FlowStage::Unheld) {
+            self.search_outcomes.note(false, now);
+        }
         // Two targets may answer copies of one opening packet; the client goes on
         // with one of them, and only that one's later packets confirm.
         if confirmed || entry.stage != FlowStage::Held {
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -67,11 +67,14 @@
         let Some(first) = untried.first() else {
             return self.search_failed(context, &flow, head);
         };
+        let at_once = self.search_outcomes.are_mostly_in_vain(context.now);
         let rows = match self.flows.get_mut(&flow) {
-            Some(entry) => next_rows(&untried, entry),
-            None => {
-                next_rows(&untried, &FlowEntry::new(first.agent, FlowStage::Unheld, context.now))
-            }
+            Some(entry) => next_rows(&untried, entry, at_once),
+            None => next_rows(
+                &untried,
+                &FlowEntry::new(first.agent, FlowStage::Unheld, context.now),
+                at_once,
+            ),
         };
         if let Err(wait_ms) = self.search_budget.take(rows.len(), head.length, context.now) {
             self.go_to(flow, first.agent, FlowStage::Unheld, context.now);
@@ -282,6 +285,9 @@
             entry.unheld_since = None;
             return Decision::Drop(DropReason::NobodyHoldsYet);
         }
+        if entry.unheld_since.is_none() {
+            self.search_outcomes.note(true, now);
+        }
         let first = *entry.unheld_since.get_or_insert(now);
         if certain && now.saturating_sub(first) >= GIVE_UP_AFTER_MS && !head.flags.rst {
             self.flows.remove(flow);
@@ -293,8 +299,9 @@
 }
 
 /// The rows of agents to ask next: those of rows that did not come back in shorter ones,
-/// then in each wave more of those not asked yet; after them the silent ones, each alone.
-fn next_rows(untried: &[SearchPlace], entry: &FlowEntry) -> Vec<Vec<Ipv4Addr>> {
+/// then in each wave more of those not asked yet, or as many as possible `at_once`; after
+/// them the silent ones, each alone.
+fn next_rows(untried: &[SearchPlace], entry: &FlowEntry, at_once: bool) -> Vec<Vec<Ipv4Addr>> {
     let answering = untried.iter().take_while(|place| !place.is_silent);
     let (doubtful, fresh): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) =
         answering.map(|place| place.agent).partition(|agent| entry.doubtful.contains(agent));
@@ -302,7 +309,8 @@
         return untried.iter().take(MOST_ROWS).map(|place| vec![place.agent]).collect();
     }
     let shorter = doubtful.len().div_ceil(ROWS_AFTER_SILENCE).clamp(1, ASKED_IN_TURN);
-    let most_fresh = ROWS_GROWTH.saturating_pow(entry.waves).min(MOST_ROWS);
+    let growing = ROWS_GROWTH.saturating_pow(entry.waves).min(MOST_ROWS);
+    let most_fresh = if at_once { MOST_ROWS } else { growing };
     let rows = doubtful.chunks(shorter).chain(fresh.chunks(ASKED_IN_TURN).take(most_fresh));
     rows.take(MOST_ROWS).map(<[Ipv4Addr]>::to_vec).collect()
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -15,6 +15,7 @@
 mod packet;
 mod pending_packets;
 mod search_budget;
+mod search_outcomes;
 mod selection;
 mod view;
 mod waiting_room;
--- a/crates/steering/tests/search_at_size.rs
+++ b/crates/steering/tests/search_at_size.rs
@@ -132,3 +132,29 @@
         prop_assert!(false, "never found");
     }
 }
+
+/// After targets have lost their flows, waves of growing size only cost time: 30 of 55 ms
+/// at 41 targets.
+#[test]
+fn after_searches_in_vain_all_rows_are_asked_at_once() {
+    let mut fixture = Fixture::new(&Store::with_many_targets(41));
+    let first_rows = |fixture: &mut Fixture, port, now| {
+        let decision = fixture.client(&data(flow(port)), now);
+        rows(&decision).len()
+    };
+    assert_eq!(first_rows(&mut fixture, 1_000, LATER), 1);
+    for port in 0..12 {
+        search_in_vain(&mut fixture, &data(flow(port)));
+    }
+    assert_eq!(first_rows(&mut fixture, 1_001, LATER + 30), 6);
+    // Long after, it is one row again, and so it is once flows are found.
+    assert_eq!(first_rows(&mut fixture, 1_002, LATER + 3_100), 1);
+    for port in 20..32 {
+        search_in_vain(&mut fixture, &data(flow(port)));
+    }
+    for port in 40..45 {
+        fixture.client(&data(flow(port)), LATER + 40);
+        fixture.balancer.holds(flow(port), many_agent(3), true, 0, LATER + 42);
+    }
+    assert_eq!(first_rows(&mut fixture, 1_003, LATER + 50), 1);
+}
