Expect the requests of admitted flows for as long as they take to come

Cause: in the second after a loss of power more than half of the flows that were admitted brought no request: their clients had given up, or went on with another target. Each held room for 60 ms at targets of two slots, where requests come after 8 ms and take 27. Change: the wait is the smoothed time that requests took and four deviations (as in RFC 6298), from 15 to 60 ms.

--- a/crates/steering/src/agent/flow.rs
+++ b/crates/steering/src/agent/flow.rs
@@ -21,6 +21,8 @@
     pub(super) searched_since: Option<Millis>,
     /// The target sent more than an answer to an opening packet.
     pub(super) confirmed: bool,
+    /// When its opening packet was admitted, until its first request came.
+    pub(super) admitted_at: Option<Millis>,
     /// When its first packet came here.
     pub(super) opened_at: Millis,
     pub(super) used_at: Millis,
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod decision;
 mod deliveries;
 mod flow;
+mod round_trip;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::Ipv4Addr;
@@ -25,15 +26,13 @@
 use cold_start::ColdStart;
 use deliveries::Deliveries;
 use flow::Flow;
+use round_trip::RoundTrip;
 
 /// Most flows that an agent follows; the target itself holds fewer.
 const FLOW_CAPACITY: usize = 8_192;
 /// A flow that rested for this long is no longer followed.
 const FLOW_IDLE_MS: Millis = 60_000;
 
-/// Time in which the request of an admitted flow is expected: a client's journey
-/// there and back, and then some.
-const EXPECTED_MS: Millis = 60;
 /// A request without an answer for this long no longer counts: its client gave up
 /// or its answer was not seen.
 const LONGEST_REQUEST_MS: Millis = 3_000;
@@ -63,6 +62,7 @@
     expected: u32,
     /// Those flows in the order of admission, with the time until which they count.
     expectations: VecDeque<(Millis, FlowKey)>,
+    round_trip: RoundTrip,
     openings: WaitingRoom,
     /// Searches that the target did not answer yet, in the order of delivery.
     searches: VecDeque<(Millis, FlowKey)>,
@@ -88,6 +88,7 @@
             waiting: 0,
             expected: 0,
             expectations: VecDeque::new(),
+            round_trip: RoundTrip::default(),
             openings: WaitingRoom::default(),
             searches: VecDeque::new(),
             wrote_at: None,
@@ -249,6 +250,15 @@
         }
     }
 
+    /// Measures how long a flow that was admitted took to bring its first request. One that
+    /// came too late to be expected counts as well: the wait was too short for it.
+    fn note_first_request(&mut self, flow: &FlowKey, now: Millis) {
+        let entry = self.flows.get_mut(flow);
+        if let Some(admitted_at) = entry.and_then(|entry| entry.admitted_at.take()) {
+            self.round_trip.note(now.saturating_sub(admitted_at));
+        }
+    }
+
     /// A flow's first request came, or is no longer expected.
     fn fulfil(&mut self, flow: &FlowKey) {
         if let Some(flow) = self.flows.get_mut(flow)
@@ -374,6 +384,7 @@
             expected: is_expected,
             searched_since: None,
             confirmed: false,
+            admitted_at: is_expected.then_some(now),
             opened_at: now,
             used_at: now,
         });
@@ -391,9 +402,11 @@
         }
         if is_expected {
             self.expected += 1;
-            self.expectations.push_back((now + EXPECTED_MS, flow));
+            let until = now + self.round_trip.expected_within();
+            self.expectations.push_back((until, flow));
         }
         if head.length > 0 {
+            self.note_first_request(&flow, now);
             self.fulfil(&flow);
         }
         if head.flags.rst {
--- a/crates/steering/tests/admission.rs
+++ b/crates/steering/tests/admission.rs
@@ -218,3 +218,39 @@
     let outcomes = (203..3_000).step_by(60).find_map(|now| beside.next_outcome(now));
     assert_eq!(outcomes, None, "the flow is the target's now");
 }
+
+/// Opens flows whose first requests come `round_trip` later and are answered at once.
+fn measure_round_trips(beside: &mut Agent, round_trip: u64) -> u64 {
+    let mut now = 0;
+    for port in 1_000..1_100 {
+        deliver(beside, &opening(flow(port)), now);
+        now += round_trip;
+        deliver(beside, &request(port, 0), now);
+        beside.output(&answer(flow(port)), now);
+    }
+    now
+}
+
+/// Milliseconds until flows that were admitted and never brought a request make room.
+fn room_after_silence(beside: &mut Agent, now: u64) -> u64 {
+    for port in 1..=5 {
+        deliver(beside, &opening(flow(port)), now);
+    }
+    let waiting = opening(flow(60));
+    beside.delivery(&Arrival { may_wait: true, ..arrival(&waiting) }, now);
+    let has_room = |waited: &u64| beside.next_outcome(now + waited).is_some();
+    (0..200).find(has_room).expect("room")
+}
+
+/// Half of the flows admitted in the second after a loss of power bring no request: their
+/// clients gave up. Each once held room for 60 ms, on networks where requests come after 8.
+#[test]
+fn admitted_flows_hold_room_for_as_long_as_requests_take_to_come() {
+    assert_eq!(room_after_silence(&mut new_agent(), 0), 60, "nothing was measured yet");
+    for (round_trip, expected) in [(8, 15), (30, 30), (200, 60)] {
+        let mut beside = new_agent();
+        let now = measure_round_trips(&mut beside, round_trip);
+        let took = room_after_silence(&mut beside, now);
+        assert!((expected..=expected + 3).contains(&took), "{round_trip}: {took}");
+    }
+}
