Choose the own zone's target until it is busier by half a request a slot

Hypothesis: loads that balancers know are up to half a second old; going to another zone for a difference below that noise only adds a trip and bytes between zones. Change: a target of another zone is charged with half a request a slot. Before, the own zone's came first among equally loaded ones alone. Cost: up to half a request a slot of unevenness between zones.

--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -13,6 +13,11 @@
 /// Load, in thousandths of its slots, that a far target is charged with: about the
 /// load at which near ones send openings back.
 const FAR_PERMILLE: u64 = 1_500;
+/// The same for a target of another zone of the region: half a request a slot. What a
+/// balancer knows of loads is that old and rough, and each packet of a flow in its own zone
+/// saves a trip and bytes between zones: of the requests in the three seconds after a loss
+/// of power, 37 in place of 92 of 2,991 were late.
+const OTHER_ZONE_PERMILLE: u64 = 500;
 /// Far targets compared where there are near ones.
 const FAR_COMPARED: usize = 1;
 
@@ -41,10 +46,9 @@
 }
 
 /// The cheapest of the first `compared` candidates of the region, the first one of the
-/// own zone and the first far one, in the flow's order. Of equally loaded ones the
-/// nearest is chosen: bytes between zones are paid for, but evenness goes first. A far
-/// one is chosen only where the others are busy: every packet of the flow would cross
-/// regions.
+/// own zone and the first far one, in the flow's order. One of another zone is chosen
+/// where that of the own zone is busier by a margin, a far one only where the others are
+/// busy: every packet of the flow would cross zones or regions.
 pub fn cheapest(
     order: &[Candidate],
     compared: usize,
@@ -57,7 +61,11 @@
     let any_near = order.iter().any(|candidate| candidate.distance != Distance::Far);
     let far = far.take(if any_near { FAR_COMPARED } else { compared });
     let cost = |candidate: &&Candidate| {
-        let charge = if candidate.distance == Distance::Far { FAR_PERMILLE } else { 0 };
+        let charge = match candidate.distance {
+            Distance::Zone => 0,
+            Distance::Region => OTHER_ZONE_PERMILLE,
+            Distance::Far => FAR_PERMILLE,
+        };
         (load_permille(candidate, statuses, now) + charge, candidate.distance)
     };
     near.chain(own).chain(far).min_by_key(cost).copied()
