Bound the fleet's calls to a store that is down

Ruled out: fewer readers while the store answers (one reads for all already). Change: after three failures in a row the wait is drawn from 0 to twice the number of balancers times 100 ms, with a mean of 5 s at most; the first two calls follow soon, as the failure may be the balancer's own. The fleet finds the store again within some 100 ms. Tests: fleet/tests/peers.rs.

--- a/crates/fleet/src/reader.rs
+++ b/crates/fleet/src/reader.rs
@@ -18,9 +18,30 @@
 /// Time after its start in which a balancer does not check: it does not know yet how many
 /// there are.
 const NO_CHECKS_MS: Millis = 5_000;
+/// First wait after a failed call; it doubles with each of the first failures.
+const FIRST_BACKOFF_MS: Millis = 60;
+/// Failures in a row that may be this balancer's own.
+const OWN_FAILURES: u32 = 3;
+/// Mean time between the calls of the whole fleet to a store that fails for all.
+const RETRY_EVERY_MS: Millis = 100;
+/// Longest mean wait of one balancer: one that lost touch with its peers is soon back.
+const LONGEST_MEAN_WAIT_MS: Millis = 5_000;
 /// How long a daemon that knows nothing waits for peers before it reads.
 const FIRST_WAIT_MS: Millis = 12;
 
+/// How long to wait after so many failed calls in a row. `fraction` is a random number of at
+/// least 0 and below 1. While the store is down, all balancers want to read; together they
+/// call it about ten times a second, however many they are, up to 50 of them.
+pub fn wait_after_failure(failures: u32, balancers: usize, fraction: f64) -> Millis {
+    let first = FIRST_BACKOFF_MS << failures.saturating_sub(1).min(OWN_FAILURES);
+    if failures < OWN_FAILURES {
+        return (first as f64 * (0.7 + 0.6 * fraction)) as Millis;
+    }
+    let mean = (RETRY_EVERY_MS * balancers.max(1) as Millis).min(LONGEST_MEAN_WAIT_MS);
+    let drawn = (2.0 * mean as f64 * fraction) as Millis;
+    drawn.max(FIRST_BACKOFF_MS)
+}
+
 /// What a balancer knows when it decides whether to read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReaderInputs {
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -3,9 +3,9 @@
 use std::net::Ipv4Addr;
 
 use proptest::prelude::*;
-use weirhinge_fleet::reader::{CheckSchedule, ReaderInputs, should_read};
+use weirhinge_fleet::reader::{CheckSchedule, ReaderInputs, should_read, wait_after_failure};
 use weirhinge_fleet::{
-    Bounds, Digest, EvacuatedZones, MessageError, PEER_LIFETIME_MS, PeerMessage, PeerRole,
+    Bounds, Digest, EvacuatedZones, MessageError, Millis, PEER_LIFETIME_MS, PeerMessage, PeerRole,
     PeerTable, SearchPath, Timing, ZoneId, decode, encode,
 };
 
@@ -261,3 +261,25 @@
     assert!(!should_read(&fresh, &Timing::default()));
     assert!(should_read(&ReaderInputs { checks: true, ..fresh }, &Timing::default()));
 }
+
+#[test]
+fn the_first_calls_after_a_failure_follow_soon() {
+    for balancers in [1, 19, 1_000] {
+        let waits = [1, 2].map(|failures| wait_after_failure(failures, balancers, 0.5));
+        assert_eq!(waits, [60, 120]);
+    }
+}
+
+/// All balancers of the largest fleet played once called a store that was down about once
+/// a second each: 1,147 calls on one day.
+#[test]
+fn a_store_that_is_down_is_called_about_ten_times_a_second() {
+    let fractions = (0..100).map(|place| f64::from(place) / 100.0);
+    for (balancers, most) in [(1, 12.0), (19, 11.0), (91, 20.0), (1_000, 205.0)] {
+        let waits = fractions.clone().map(|fraction| wait_after_failure(5, balancers, fraction));
+        let mean = waits.sum::<Millis>() as f64 / 100.0;
+        let calls_a_second = balancers as f64 * 1_000.0 / mean;
+        assert!(calls_a_second <= most, "{balancers} balancers: {calls_a_second}");
+        assert!(mean <= 5_000.0);
+    }
+}
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -299,8 +299,19 @@
         reader::should_read(&inputs, &self.timing)
     }
 
+    /// Milliseconds to wait after so many failed calls to the store in a row.
+    pub fn wait_after_failure(&self, failures: u32) -> Millis {
+        let fraction = self.random.borrow_mut().random();
+        reader::wait_after_failure(failures, self.balancer_count(), fraction)
+    }
+
+    /// Number of balancers known, this one among them.
+    fn balancer_count(&self) -> usize {
+        self.peers.balancers().count() + 1
+    }
+
     fn is_due_to_check(&self, now: Millis) -> bool {
-        let balancers = self.peers.balancers().count() + 1;
+        let balancers = self.balancer_count();
         let fraction = self.random.borrow_mut().random();
         let mut checks = self.checks.get();
         let is_due = checks.is_due(now, balancers, fraction);
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -25,9 +25,6 @@
 const IDLE_POLL: Duration = Duration::from_millis(40);
 /// The same while nothing is known yet.
 const START_POLL: Duration = Duration::from_millis(4);
-/// First and longest wait after a failed call.
-const FIRST_BACKOFF: Duration = Duration::from_millis(60);
-const LONGEST_BACKOFF: Duration = Duration::from_millis(900);
 /// Most pages of one listing.
 const MAXIMUM_PAGES: usize = 200;
 
@@ -69,7 +66,7 @@
 
     /// Reads for as long as the process lives; calls `news` after each answer.
     pub async fn run(mut self, news: impl Fn()) {
-        let mut backoff = FIRST_BACKOFF;
+        let mut failures = 0;
         loop {
             let now = self.clock.now();
             if !self.node.borrow().should_read(now) {
@@ -80,7 +77,7 @@
             }
             match self.read_once().await {
                 Ok(()) => {
-                    backoff = FIRST_BACKOFF;
+                    failures = 0;
                     self.regained();
                     self.set_reading(true);
                     news();
@@ -90,8 +87,9 @@
                     self.lost(&error);
                     self.set_reading(false);
                     if !matches!(error, StoreError::HistoryGone { .. }) {
-                        tokio::time::sleep(jittered(backoff)).await;
-                        backoff = (backoff * 2).min(LONGEST_BACKOFF);
+                        failures += 1;
+                        let wait_ms = self.node.borrow().wait_after_failure(failures);
+                        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
                     }
                 }
             }
@@ -226,7 +224,3 @@
     targets: Vec<VersionedTarget>,
     evacuated: Vec<String>,
 }
-
-fn jittered(wait: Duration) -> Duration {
-    wait.mul_f64(rand::random_range(0.7..1.3))
-}
