Bind an agent's last word to the target of its time, and let the word that it stops expire

The word that an agent stops, or that its target has ended, held until the balancer heard its next process; in a fleet of a hundred balancers an agent speaks to a given one every 16 s. Until then the next target at that address got no new flow from it, and after an end its flows were not searched for there: an open flow could have been reset. Change: such a word says nothing of a target that was recorded as ready since, and the word that an agent stops counts for eight seconds. Tests: steering/tests/search_past_silence.rs, two that fail on the code before.

--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -215,7 +215,7 @@
                 self.core.borrow_mut().heard(sender, waiting, now);
             }
             PeerMessage::HandOff { packet } => self.handed_packet(packet, now),
-            PeerMessage::TargetEnded => self.core.borrow_mut().target_ended(sender),
+            PeerMessage::TargetEnded => self.core.borrow_mut().target_ended(sender, now),
             PeerMessage::ProbeAnswer => self.core.borrow_mut().reached(now),
             PeerMessage::Forward { .. } | PeerMessage::Record(_) | PeerMessage::Probe => {
                 self.link.refuse_unexpected();
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -5,6 +5,8 @@
 
 use weirhinge_fleet::{Millis, ServiceId, TargetClaim, ZoneId};
 
+use crate::view::Candidate;
+
 /// An agent that leaves an opening packet unanswered for this long is passed
 /// over. Far above a journey between zones and a handshake.
 const UNANSWERED_MS: Millis = 150;
@@ -17,6 +19,9 @@
 /// How long an agent's word that its target fails counts; about the time for which the
 /// agent turns new flows away at first.
 const FAILING_MS: Millis = 1_000;
+/// How long the word of an agent that it stops counts: longer than a stop and a start take.
+/// In a large fleet a balancer may not hear of the agent's next process for much longer.
+const LEAVING_MS: Millis = 8_000;
 /// How long an agent's word about its target counts.
 const CLAIM_LIFETIME_MS: Millis = 2_500;
 /// How long after the last sign of life an agent is forgotten.
@@ -36,12 +41,13 @@
     ignored_search_at: Option<Millis>,
     /// How many searching packets it left unanswered since it last answered a packet.
     ignored_searches: u32,
-    leaving: bool,
+    /// When it last said that it is about to stop.
+    leaving_at: Option<Millis>,
     /// When it last said that its target fails.
     failing_at: Option<Millis>,
     claim: Option<Claim>,
-    /// Its last word was that its target has ended.
-    ended: bool,
+    /// When its last word came, that its target has ended.
+    ended_at: Option<Millis>,
 }
 
 /// An agent's word that a target works beside it.
@@ -119,7 +125,7 @@
         status.unanswered_since = None;
         status.ignored_search_at = None;
         status.ignored_searches = 0;
-        status.ended = false;
+        status.ended_at = None;
         self.reached(now);
     }
 
@@ -130,9 +136,9 @@
         status.heard_at = now;
         status.waiting = claim.waiting;
         status.sent_since = 0;
-        status.leaving = claim.leaving;
+        status.leaving_at = claim.leaving.then_some(now);
         // Digests that were sent before the last word may come after it.
-        status.ended &= claim.leaving;
+        status.ended_at = status.ended_at.filter(|_| claim.leaving);
         let usable = claim.alive && !claim.leaving;
         self.claims_seen += u64::from(usable && status.claim.is_none());
         let service = ServiceId::of(&claim.service);
@@ -146,8 +152,8 @@
     }
 
     /// Records that an agent refused new flows because it stops.
-    pub fn is_stopping(&mut self, agent: Ipv4Addr) {
-        self.statuses.entry(agent).or_default().leaving = true;
+    pub fn note_leaving(&mut self, agent: Ipv4Addr, now: Millis) {
+        self.statuses.entry(agent).or_default().leaving_at = Some(now);
     }
 
     /// Records that an agent refused a new flow because its target fails.
@@ -161,14 +167,17 @@
         said_at.is_some_and(|at| now.saturating_sub(at) < FAILING_MS)
     }
 
-    /// Whether new flows should pass the agent over: it is about to stop or left
+    /// Whether new flows should pass a target over: its agent is about to stop or left
     /// opening packets unanswered. Lets one packet through now and then.
-    pub fn is_suspect(&self, agent: Ipv4Addr, now: Millis) -> bool {
-        let Some(status) = self.statuses.get(&agent) else { return false };
+    pub fn is_suspect(&self, target: &Candidate, now: Millis) -> bool {
+        let Some(status) = self.statuses.get(&target.agent) else { return false };
         let waits_long =
             status.unanswered_since.is_some_and(|since| now.saturating_sub(since) >= UNANSWERED_MS);
         let rested = now.saturating_sub(status.last_tried) >= RETRY_MS;
-        status.leaving || (waits_long && !rested)
+        let is_leaving = status
+            .leaving_at
+            .is_some_and(|at| !target.is_newer_than(at) && now.saturating_sub(at) < LEAVING_MS);
+        is_leaving || (waits_long && !rested)
     }
 
     /// Records that an agent, asked alone, left a searching packet unanswered.
@@ -179,16 +188,18 @@
     }
 
     /// Records an agent's last word: its target has ended, and it stops itself.
-    pub fn target_ended(&mut self, agent: Ipv4Addr) {
+    pub fn target_ended(&mut self, agent: Ipv4Addr, now: Millis) {
         let status = self.statuses.entry(agent).or_default();
-        status.ended = true;
-        status.leaving = true;
+        status.ended_at = Some(now);
+        status.leaving_at = Some(now);
         status.claim = None;
     }
 
-    /// Whether an agent's last word was that its target has ended.
-    pub fn has_ended(&self, agent: Ipv4Addr) -> bool {
-        self.statuses.get(&agent).is_some_and(|status| status.ended)
+    /// Whether a target has ended by its agent's last word. The word is about the target of
+    /// that time: one that was recorded since, at the same address, is another.
+    pub fn has_ended(&self, target: &Candidate) -> bool {
+        let ended_at = self.statuses.get(&target.agent).and_then(|status| status.ended_at);
+        ended_at.is_some_and(|at| !target.is_newer_than(at))
     }
 
     /// Whether an agent lately left several searching packets unanswered and answered
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -152,7 +152,7 @@
         reason: ReturnReason,
     ) -> Decision {
         match reason {
-            ReturnReason::Leaving => self.statuses.is_stopping(from),
+            ReturnReason::Leaving => self.statuses.note_leaving(from, context.now),
             ReturnReason::Failing => self.statuses.note_failing(from, context.now),
             ReturnReason::Bounced
             | ReturnReason::OtherService
@@ -215,8 +215,8 @@
     }
 
     /// Takes in that an agent's target has ended: searches need not ask it.
-    pub fn target_ended(&mut self, agent: Ipv4Addr) {
-        self.statuses.target_ended(agent);
+    pub fn target_ended(&mut self, agent: Ipv4Addr, now: Millis) {
+        self.statuses.target_ended(agent, now);
     }
 
     /// Whether agents are to be probed, as openings stay unanswered.
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -229,7 +229,7 @@
     fn search_place(&self, service: ServiceId, candidate: &Candidate, now: Millis) -> SearchPlace {
         let agent = candidate.agent;
         let is_silent = self.has_left(candidate, now)
-            || self.statuses.is_suspect(agent, now)
+            || self.statuses.is_suspect(candidate, now)
             || self.statuses.is_mute(agent, now);
         SearchPlace { service, agent, is_silent, is_far: candidate.distance == Distance::Far }
     }
@@ -248,7 +248,7 @@
         let is_settled = context.fresh && !self.is_unsettled(context.now);
         let agent = candidate.agent;
         let is_mute = self.statuses.is_persistently_mute(agent, context.now);
-        self.statuses.has_ended(agent) || (!candidate.recorded && is_settled && is_mute)
+        self.statuses.has_ended(candidate) || (!candidate.recorded && is_settled && is_mute)
     }
 
     /// Whether a target that does not answer is most likely gone.
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -149,6 +149,16 @@
     pub distance: Distance,
     /// Its region, if known.
     pub region: Option<RegionId>,
+    /// When this daemon learned of its record's latest change.
+    pub learned_at: Millis,
+}
+
+impl Candidate {
+    /// Whether its record says that it takes new flows, and came after a time: then what
+    /// was said before that time was about an earlier target at the address.
+    pub fn is_newer_than(&self, time: Millis) -> bool {
+        self.standing == Standing::Ready && self.recorded && self.learned_at > time
+    }
 }
 
 /// Everything that routing decisions need, compiled from a replica.
@@ -316,5 +326,6 @@
         cold_until: entry.learned_at + Millis::from(record.warm_up_ms),
         distance: locality.distance(&record.zone),
         region: locality.region_of(&record.zone),
+        learned_at: entry.learned_at,
     }
 }
--- a/crates/steering/tests/search_past_silence.rs
+++ b/crates/steering/tests/search_past_silence.rs
@@ -7,7 +7,7 @@
 use support::{
     Fixture, LATER, SERVICE, Store, agent, claim, data, flow, forwarded, opening, path, rows,
 };
-use weirhinge_fleet::{TargetClaim, TargetState, ZoneId};
+use weirhinge_fleet::{ReturnReason, TargetClaim, TargetState, ZoneId};
 use weirhinge_steering::{Decision, DropReason, ResetReason};
 
 #[test]
@@ -218,7 +218,7 @@
 #[test]
 fn a_target_whose_agent_said_that_it_ended_is_not_asked() {
     let mut fixture = Fixture::new(&Store::with_targets(4));
-    fixture.balancer.target_ended(agent(2));
+    fixture.balancer.target_ended(agent(2), LATER);
     let head = data(flow(1));
     assert!(!path(&fixture.client(&head, LATER)).contains(&agent(2)));
     let (_, end) = fixture.bounce_to_the_end(&data(flow(2)), LATER);
@@ -245,14 +245,45 @@
         }
         asked.contains(&agent(2))
     };
-    fixture.balancer.target_ended(agent(2));
+    fixture.balancer.target_ended(agent(2), LATER);
     // A digest that the agent sent before its last word, and that came after it.
     let leaving = TargetClaim { leaving: true, ..claim(SERVICE) };
     fixture.balancer.claimed(agent(2), ZoneId::of("a"), &leaving, LATER + 1);
     assert!(!asked(&mut fixture, 1));
     fixture.claimed(agent(2), LATER + 100);
     assert!(asked(&mut fixture, 2), "its next process has started");
-    fixture.balancer.target_ended(agent(2));
+    fixture.balancer.target_ended(agent(2), LATER);
     fixture.balancer.heard(agent(2), 0, LATER + 150);
     assert!(asked(&mut fixture, 3));
 }
+
+/// Another target may start at the address before a balancer hears of its agent, which in a
+/// large fleet takes a while: it gets new flows, and its flows are found.
+#[test]
+fn the_last_word_about_a_target_says_nothing_of_the_next_one_at_its_address() {
+    let mut store = Store::with_targets(2);
+    let mut fixture = Fixture::new(&store);
+    fixture.balancer.target_ended(agent(2), LATER);
+    store.target(2, SERVICE, None, LATER + 500);
+    store.target(2, SERVICE, Some(TargetState::Ready), LATER + 900);
+    fixture.view = store.view();
+    assert!(path(&fixture.client(&data(flow(1)), LATER + 1_000)).contains(&agent(2)));
+    let chosen = |fixture: &mut Fixture, port| {
+        forwarded(&fixture.client(&opening(flow(port)), LATER + 1_000)).agent
+    };
+    assert!((100..200).any(|port| chosen(&mut fixture, port) == agent(2)));
+}
+
+#[test]
+fn the_word_that_an_agent_stops_is_forgotten_though_its_next_process_is_not_heard() {
+    let mut fixture = Fixture::new(&Store::with_targets(2));
+    let head = opening(flow(9_999));
+    fixture.returned(&head, agent(2), ReturnReason::Leaving, LATER);
+    let chosen = |fixture: &mut Fixture, port, now| {
+        forwarded(&fixture.client(&opening(flow(port)), now)).agent
+    };
+    fixture.balancer.heard(agent(1), 0, LATER + 900);
+    assert!((100..200).all(|port| chosen(&mut fixture, port, LATER + 1_000) != agent(2)));
+    fixture.balancer.heard(agent(1), 0, LATER + 8_900);
+    assert!((300..400).any(|port| chosen(&mut fixture, port, LATER + 9_000) == agent(2)));
+}
