--- a/crates/observe/src/story.rs
+++ b/crates/observe/src/story.rs
@@ -66,7 +66,7 @@
     /// Reads the lines of one log. Lines that cannot be read are counted.
     pub fn read(&mut self, text: &str) {
         for line in text.lines().filter(|line| !line.trim().is_empty()) {
-            match parse(line) {
+            match LogLine::parse(line) {
                 Some(line) => self.lines.push(line),
                 None => self.unreadable += 1,
             }
@@ -150,19 +150,19 @@
 }
 
 impl LogLine {
+    /// Reads a line; text before the JSON object is passed over.
+    pub(crate) fn parse(line: &str) -> Option<Self> {
+        let object = &line[line.find('{')?..];
+        let Ok(Value::Object(fields)) = serde_json::from_str(object) else { return None };
+        let text = |field: &str| fields.get(field).and_then(Value::as_str).map(str::to_owned);
+        let at_ms = humantime::parse_rfc3339(&text("ts")?).ok()?;
+        let at_ms = at_ms.duration_since(std::time::UNIX_EPOCH).ok()?.as_millis();
+        let at_ms = i64::try_from(at_ms).ok()?;
+        Some(Self { node: text("node")?, event: text("event")?, at_ms, fields })
+    }
+
     /// A field's text.
     pub fn text(&self, field: &str) -> Option<&str> {
         self.fields.get(field).and_then(Value::as_str)
     }
 }
-
-/// Reads a line; text before the JSON object is passed over.
-fn parse(line: &str) -> Option<LogLine> {
-    let object = &line[line.find('{')?..];
-    let Ok(Value::Object(fields)) = serde_json::from_str(object) else { return None };
-    let text = |field: &str| fields.get(field).and_then(Value::as_str).map(str::to_owned);
-    let at_ms = humantime::parse_rfc3339(&text("ts")?).ok()?;
-    let at_ms = at_ms.duration_since(std::time::UNIX_EPOCH).ok()?.as_millis();
-    let at_ms = i64::try_from(at_ms).ok()?;
-    Some(LogLine { node: text("node")?, event: text("event")?, at_ms, fields })
-}
--- a/crates/weirhinge/src/cli/explain.rs
+++ b/crates/weirhinge/src/cli/explain.rs
@@ -18,11 +18,19 @@
   weirhinge explain --request ID [FILE...]
   weirhinge explain --flow CLIENT:PORT>ADDRESS:PORT [FILE...]
   weirhinge explain --node NAME [FILE...]
+  weirhinge explain --timeline [--every MS] [--from S] [--to S] [--node PREFIX] [--json]
+                    [FILE...]
 
 Reads the logs of any number of machines, from files or standard input, and
 prints the lines about the subject in order of time. Differences between the
 machines' clocks are estimated from the lines and corrected. Lines that cannot
 be read are counted.
+
+The timeline counts the lines of each kind in intervals of --every milliseconds
+(1000), tells of daemons that started together and what came after, names daemons
+that served nothing while others did, and how long steps took. Times are seconds
+from the first line; --from and --to limit them. It reads any amount of lines in
+bounded memory.
 ";
 
 /// Fields that every line has, or that its head already shows.
@@ -34,12 +42,11 @@
         print!("{USAGE}");
         return Ok(());
     }
-    let subject = read_subject(&mut arguments)?;
-    let files: Vec<String> =
-        arguments.finish().into_iter().map(|file| file.to_string_lossy().into_owned()).collect();
-    if let Some(flag) = files.iter().find(|file| file.starts_with('-')) {
-        return Err(CliFailure::usage(format!("argument {flag:?}: not known, see --help")));
+    if arguments.contains("--timeline") {
+        return super::timeline::run(arguments);
     }
+    let subject = read_subject(&mut arguments)?;
+    let files = files(arguments)?;
     let mut story = Story::default();
     read_logs(&files, &mut story).map_err(CliFailure::Runtime)?;
     let told = story.tell(&subject);
@@ -50,6 +57,16 @@
     Ok(())
 }
 
+/// The files named by the rest of the command line.
+pub(super) fn files(arguments: Arguments) -> Result<Vec<String>, CliFailure> {
+    let files: Vec<String> =
+        arguments.finish().into_iter().map(|file| file.to_string_lossy().into_owned()).collect();
+    match files.iter().find(|file| file.starts_with('-')) {
+        Some(flag) => Err(CliFailure::usage(format!("argument {flag:?}: not known, see --help"))),
+        None => Ok(files),
+    }
+}
+
 fn read_subject(arguments: &mut Arguments) -> Result<Subject, CliFailure> {
     let request: Option<String> = option(arguments, "--request")?;
     let flow: Option<String> = option(arguments, "--flow")?;
--- a/crates/weirhinge/src/cli/mod.rs
+++ b/crates/weirhinge/src/cli/mod.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod failure;
 mod relay;
+mod timeline;
 
 use pico_args::Arguments;
 
--- /dev/null
+++ b/crates/weirhinge/src/cli/timeline.rs
@@ -0,0 +1,115 @@
+//! `weirhinge explain --timeline`.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+
+use eyre::WrapErr;
+use pico_args::Arguments;
+use weirhinge_observe::{
+    IdleDaemon, Interval, StartWave, Timeline, TimelineOptions, TimelineReport,
+};
+
+use super::CliFailure;
+use super::daemon::option;
+
+/// Tells what a fleet did over time, from its logs.
+pub fn run(mut arguments: Arguments) -> Result<(), CliFailure> {
+    let options = read_options(&mut arguments)?;
+    let as_json = arguments.contains("--json");
+    let files = super::explain::files(arguments)?;
+    let report = read(&files, options).map_err(CliFailure::Runtime)?;
+    if as_json {
+        let text = serde_json::to_string(&report).wrap_err("write the report");
+        println!("{}", text.map_err(CliFailure::Runtime)?);
+    } else {
+        print!("{}", format_report(&report));
+    }
+    Ok(())
+}
+
+fn read_options(arguments: &mut Arguments) -> Result<TimelineOptions, CliFailure> {
+    let default = TimelineOptions::default();
+    let every_ms = option(arguments, "--every")?.unwrap_or(default.every_ms);
+    if every_ms < 1 {
+        return Err(CliFailure::usage(format!(
+            "argument --every: found {every_ms}, expected at least 1 millisecond"
+        )));
+    }
+    let seconds = |value: Option<f64>| value.map(|seconds| (seconds * 1_000.0) as i64);
+    Ok(TimelineOptions {
+        every_ms,
+        node: option(arguments, "--node")?.unwrap_or_default(),
+        from_ms: seconds(option(arguments, "--from")?).unwrap_or(default.from_ms),
+        to_ms: seconds(option(arguments, "--to")?).unwrap_or(default.to_ms),
+    })
+}
+
+fn read(files: &[String], options: TimelineOptions) -> eyre::Result<TimelineReport> {
+    let mut timeline = Timeline::new(options);
+    if files.is_empty() {
+        read_lines(std::io::stdin().lock(), &mut timeline).wrap_err("read standard input")?;
+    }
+    for file in files {
+        let opened = File::open(file).wrap_err_with(|| format!("open {file}"))?;
+        let lines = BufReader::new(opened);
+        read_lines(lines, &mut timeline).wrap_err_with(|| format!("read {file}"))?;
+    }
+    Ok(timeline.report())
+}
+
+/// Lines need not be text throughout: what is not is passed on as it can be read.
+fn read_lines(mut input: impl BufRead, timeline: &mut Timeline) -> std::io::Result<()> {
+    let mut line = Vec::new();
+    while input.read_until(b'\n', &mut line)? > 0 {
+        timeline.read_line(&String::from_utf8_lossy(&line));
+        line.clear();
+    }
+    Ok(())
+}
+
+fn format_report(report: &TimelineReport) -> String {
+    let intervals = report.intervals.iter().map(format_interval);
+    let waves = report.waves.iter().map(format_wave);
+    let idle = report.idle.iter().map(format_idle);
+    let steps = report.steps.iter().map(|step| {
+        let (name, count) = (step.step, step.count);
+        format!("step: {name}: {count}, p50 {} ms, p99 {} ms\n", step.p50_ms, step.p99_ms)
+    });
+    let (unreadable, left_out) = (report.unreadable, report.left_out);
+    let end = format!("{unreadable} lines could not be read, {left_out} were left out\n");
+    intervals.chain(waves).chain(idle).chain(steps).chain([end]).collect()
+}
+
+fn seconds(at_ms: i64) -> String {
+    format!("{:.3}", at_ms as f64 / 1_000.0)
+}
+
+fn format_interval(interval: &Interval) -> String {
+    let counts = interval.counts.iter().map(|(kind, count)| format!(" {kind}={count}"));
+    format!("{:>10}{}\n", seconds(interval.at_ms), counts.collect::<String>())
+}
+
+fn format_wave(wave: &StartWave) -> String {
+    let span = |span: Option<(i64, i64)>| {
+        span.map_or("none".to_owned(), |(first, last)| {
+            format!("{} to {}", seconds(first), seconds(last))
+        })
+    };
+    let moment = |at: Option<i64>| at.map_or("never".to_owned(), seconds);
+    format!(
+        "start of {} daemons: balancers {}, agents {}; first configuration {}, first answer {}, \
+         first reset {}, last refusal {}\n",
+        wave.daemons,
+        span(wave.balancers),
+        span(wave.agents),
+        moment(wave.first_configuration),
+        moment(wave.first_answer),
+        moment(wave.first_reset),
+        moment(wave.last_refusal),
+    )
+}
+
+fn format_idle(idle: &IdleDaemon) -> String {
+    let (from, to) = (seconds(idle.from_ms), seconds(idle.to_ms));
+    format!("idle: {} served nothing from {from} to {to} while others did\n", idle.node)
+}
--- a/crates/weirhinge/tests/cli.rs
+++ b/crates/weirhinge/tests/cli.rs
@@ -130,5 +130,6 @@
     );
     assert_snapshot!(errors(&["relay", "agent", "--log-level", "loud"]), @r#"weirhinge: --log-level "loud": expected critical, error, warning, info, debug or trace"#);
     assert!(errors(&["explain"]).contains("expected one of --request, --flow and --node"));
+    assert_snapshot!(errors(&["explain", "--timeline", "--every", "0"]), @"weirhinge: argument --every: found 0, expected at least 1 millisecond");
     assert_snapshot!(errors(&["explain", "--node", "a", "--fast"]), @r#"weirhinge: argument "--fast": not known, see --help"#);
 }
