Count the zones that are evacuated

A gauge, zones_evacuated, at balancers and agents: whoever watches sees whether all daemons know of an evacuation.

--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -249,6 +249,7 @@
         let version = node.view().label().map_or(0, |label| label.version);
         self.metrics.revision.set(node.revision() as i64);
         self.metrics.configuration.set(version as i64);
+        self.metrics.zones_evacuated.set(node.view().evacuated_count() as i64);
         self.metrics.age_ms.set(age.map_or(-1, |age| age as i64));
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -99,6 +99,8 @@
     pub configuration: Gauge,
     /// Milliseconds since the store confirmed what is known; -1 if never.
     pub age_ms: Gauge,
+    /// Zones whose targets are to get no new flows.
+    pub zones_evacuated: Gauge,
     /// Fetches from peers, by outcome.
     pub fetches: ReasonCounters,
     /// Seconds of one fetch from a peer.
@@ -114,6 +116,8 @@
             revision: metrics.gauge("store_revision", "Store revision known"),
             configuration: metrics.gauge("configuration_version", "Configuration in force"),
             age_ms: metrics.gauge("store_age_ms", "Milliseconds since the store's confirmation"),
+            zones_evacuated: metrics
+                .gauge("zones_evacuated", "Zones whose targets get no new flows"),
             fetches: metrics.reasons("peer_fetches", "Fetches from peers"),
             fetch_seconds: metrics.histogram("peer_fetch_seconds", "Seconds of one fetch"),
             refused: metrics.reasons("peer_messages_refused", "Datagrams of peers refused"),
