--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -69,7 +69,7 @@
     pub priority: u32,
     /// Names of the regions that the route's requests must not leave; empty if they may go
     /// anywhere.
-    pub allowed_regions: Vec<String>,
+    pub permitted_regions: Vec<String>,
 }
 
 /// How a service's targets start.
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -7,9 +7,9 @@
 mod deliveries;
 mod flow;
 mod round_trip;
+mod tracking;
 
 use std::collections::{HashMap, VecDeque};
-use std::net::Ipv4Addr;
 
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId};
 
@@ -240,34 +240,6 @@
         self.waiting + self.expected
     }
 
-    fn drop_expectations(&mut self, now: Millis) {
-        while let Some((until, flow)) = self.expectations.front().copied() {
-            if until > now {
-                return;
-            }
-            self.expectations.pop_front();
-            self.fulfil(&flow);
-        }
-    }
-
-    /// Measures how long a flow that was admitted took to bring its first request. One that
-    /// came too late to be expected counts as well: the wait was too short for it.
-    fn note_first_request(&mut self, flow: &FlowKey, now: Millis) {
-        let entry = self.flows.get_mut(flow);
-        if let Some(admitted_at) = entry.and_then(|entry| entry.admitted_at.take()) {
-            self.round_trip.note(now.saturating_sub(admitted_at));
-        }
-    }
-
-    /// A flow's first request came, or is no longer expected.
-    fn fulfil(&mut self, flow: &FlowKey) {
-        if let Some(flow) = self.flows.get_mut(flow)
-            && std::mem::take(&mut flow.expected)
-        {
-            self.expected -= 1;
-        }
-    }
-
     /// Takes in how the target answered a request, from the packet in which its answer
     /// begins; to be called before [`Self::output`] for the same packet.
     pub fn answer_begins(&mut self, flow: &FlowKey, status: AnswerStatus, now: Millis) {
@@ -366,58 +338,4 @@
         }
         None
     }
-
-    fn follow(&mut self, head: &PacketHead, balancer: Ipv4Addr, searched: bool, now: Millis) {
-        let flow = head.client_flow();
-        let is_new = !self.flows.contains_key(&flow);
-        if is_new && self.flows.len() >= FLOW_CAPACITY {
-            return;
-        }
-        let is_expected = is_new && head.is_opening();
-        if is_expected {
-            self.cold_start.admitted(now);
-        }
-        let entry = self.flows.entry(flow).or_insert(Flow {
-            balancer,
-            waiting_since: None,
-            delivered_to: None,
-            expected: is_expected,
-            searched_since: None,
-            confirmed: false,
-            admitted_at: is_expected.then_some(now),
-            opened_at: now,
-            used_at: now,
-        });
-        entry.balancer = balancer;
-        entry.used_at = now;
-        if searched && entry.searched_since.is_none() {
-            entry.searched_since = Some(now);
-            if self.searches.len() < SEARCH_CAPACITY {
-                self.searches.push_back((now, flow));
-            }
-        }
-        if entry.takes_new_data(head) && entry.waiting_since.is_none() {
-            entry.waiting_since = Some(now);
-            self.waiting += 1;
-        }
-        if is_expected {
-            self.expected += 1;
-            let until = now + self.round_trip.expected_within();
-            self.expectations.push_back((until, flow));
-        }
-        if head.length > 0 {
-            self.note_first_request(&flow, now);
-            self.fulfil(&flow);
-        }
-        if head.flags.rst {
-            self.forget(&flow);
-        }
-    }
-
-    fn forget(&mut self, flow: &FlowKey) {
-        self.fulfil(flow);
-        if self.flows.remove(flow).is_some_and(|flow| flow.waiting_since.is_some()) {
-            self.waiting -= 1;
-        }
-    }
 }
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -24,7 +24,7 @@
     priority: u32,
     urgent: bool,
     /// Regions that its packets must not leave; none if they may go anywhere.
-    allowed_regions: Option<HashSet<RegionId>>,
+    permitted_regions: Option<HashSet<RegionId>>,
 }
 
 impl RouteChoice {
@@ -51,7 +51,7 @@
     /// Whether packets of the route may go to a daemon in this region; one whose region is
     /// not known counts as outside.
     pub fn allows(&self, region: Option<RegionId>) -> bool {
-        let Some(allowed) = &self.allowed_regions else { return true };
+        let Some(allowed) = &self.permitted_regions else { return true };
         region.is_some_and(|region| allowed.contains(&region))
     }
 
@@ -189,12 +189,12 @@
         for route in &configuration.routes {
             let parts = route.parts.iter();
             let parts = parts.map(|part| (ServiceId::of(&part.service), part.weight)).collect();
-            let allowed = route.allowed_regions.iter().map(|region| RegionId::of(region));
+            let allowed = route.permitted_regions.iter().map(|region| RegionId::of(region));
             let choice = RouteChoice {
                 parts,
                 priority: route.priority,
                 urgent: false,
-                allowed_regions: (!route.allowed_regions.is_empty()).then(|| allowed.collect()),
+                permitted_regions: (!route.permitted_regions.is_empty()).then(|| allowed.collect()),
             };
             view.routes.insert(route.endpoint(), choice);
         }
--- a/crates/steering/tests/home_regions.rs
+++ b/crates/steering/tests/home_regions.rs
@@ -18,7 +18,7 @@
         port: endpoint().port(),
         parts: vec![RoutePart { service: SERVICE.to_owned(), weight: 1 }],
         priority: 2,
-        allowed_regions: allowed.iter().map(|region| (*region).to_owned()).collect(),
+        permitted_regions: allowed.iter().map(|region| (*region).to_owned()).collect(),
     }]);
     for number in [1, 2, 51, 52] {
         store.target(number, SERVICE, Some(TargetState::Ready), 0);
@@ -27,7 +27,7 @@
 }
 
 #[test]
-fn openings_go_to_targets_of_the_allowed_regions_however_busy_these_are() {
+fn openings_go_to_targets_of_the_permitted_regions_however_busy_these_are() {
     for (allowed, targets) in [("near", [1, 2]), ("far", [51, 52])] {
         let mut fixture = Fixture::new(&store(&[allowed]));
         for number in targets {
@@ -41,14 +41,14 @@
 }
 
 #[test]
-fn with_no_target_in_the_allowed_regions_openings_are_refused_at_once() {
+fn with_no_target_in_the_permitted_regions_openings_are_refused_at_once() {
     let mut fixture = Fixture::new(&store(&["elsewhere"]));
     let refused = Decision::Reset { sequence: 0, reason: ResetReason::NoTarget };
     assert_eq!(fixture.client(&opening(flow(1)), LATER), refused);
 }
 
 #[test]
-fn searches_stay_in_the_allowed_regions() {
+fn searches_stay_in_the_permitted_regions() {
     let mut fixture = Fixture::new(&store(&["near"]));
     fixture.balancer.claimed(agent(60), ZoneId::of("b"), &claim(SERVICE), LATER);
     fixture.claimed(agent(3), LATER);
@@ -58,7 +58,7 @@
 }
 
 #[test]
-fn packets_are_handed_off_only_inside_the_allowed_regions() {
+fn packets_are_handed_off_only_inside_the_permitted_regions() {
     let helper = Ipv4Addr::new(10, 0, 9, 9);
     for (allowed, is_handed) in [("near", true), ("far", false)] {
         let mut fixture = Fixture::new(&store(&[allowed]));
--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -1,99 +1,21 @@
 //! The whole path on the users' platform: real balancers and agents between
 //! stand-ins of the store, the routers, the targets and the clients.
 
+mod support;
+
 use std::net::IpAddr;
-use std::path::Path;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use support::{
+    DEADLINE, METRICS, all_held, lose_all_flows, no_packet_was_changed, open, open_flow_through,
+    open_flows, plan, request, start,
+};
 use weirhinge_platform_standins::{
-    ClientFlow, Fleet, FleetPlan, FlowError, HOME_ZONE, LinkFault, NEAR_ZONE, ProcessHandle,
-    RouterHash, SETTINGS_TEMPLATE, StoreFault, TargetBehaviour, counter, http_get,
+    Fleet, FleetPlan, FlowError, HOME_ZONE, NEAR_ZONE, ProcessHandle, RouterHash, StoreFault,
+    TargetBehaviour, counter, http_get,
 };
 
-/// Long enough for several attempts on a busy machine.
-const DEADLINE: Duration = Duration::from_secs(15);
-/// Metrics port of every machine.
-const METRICS: u16 = 9_464;
-/// Readiness port of every machine.
-const READINESS: u16 = 8_167;
-/// Port on which daemons speak to each other.
-const PEERS: u16 = 7_720;
-
-fn plan() -> FleetPlan {
-    FleetPlan {
-        balancers: 3,
-        targets: vec!["dispatch", "dispatch", "dispatch", "sheets"],
-        target_zones: Vec::new(),
-        hash: RouterHash::Mod,
-        processor_shares: Vec::new(),
-    }
-}
-
-async fn start(plan: &FleetPlan) -> eyre::Result<Fleet> {
-    Fleet::start(Path::new(env!("CARGO_BIN_EXE_weirhinge")), SETTINGS_TEMPLATE, plan).await
-}
-
-/// Opens flows and sends a first request on each.
-async fn open_flows(fleet: &Fleet, count: usize) -> eyre::Result<Vec<(ClientFlow, String)>> {
-    let mut flows = Vec::new();
-    for number in 0..count {
-        let mut flow = open(fleet).await?;
-        let server = request(&mut flow, &format!("first-{number}")).await?;
-        flows.push((flow, server));
-    }
-    Ok(flows)
-}
-
-async fn open(fleet: &Fleet) -> eyre::Result<ClientFlow> {
-    let opened = fleet.client.open(Fleet::route(443)).await;
-    opened.map_err(|error| eyre::eyre!("open a flow: {error:?}"))
-}
-
-/// Opens flows until routers give one to this balancer. Some number of flows may all
-/// go to the others.
-async fn open_flow_through(fleet: &Fleet, balancer: usize) -> eyre::Result<ClientFlow> {
-    let route = Fleet::route(443);
-    for _ in 0..1_000 {
-        let flow = open(fleet).await?;
-        if fleet.routers.pick(flow.source(), route) == Some(fleet.packets(balancer)) {
-            return Ok(flow);
-        }
-    }
-    Err(eyre::eyre!("routers gave none of 1,000 flows to balancer {balancer}"))
-}
-
-async fn request(flow: &mut ClientFlow, id: &str) -> eyre::Result<String> {
-    let answered = flow.request(id, DEADLINE).await;
-    answered.map_err(|error| eyre::eyre!("request {id}: {error:?}"))
-}
-
-/// Sends one more request on each flow; its own target must answer.
-async fn all_held(flows: &mut [(ClientFlow, String)], round: &str) -> eyre::Result<()> {
-    for (number, (flow, server)) in flows.iter_mut().enumerate() {
-        let answered = request(flow, &format!("{round}-{number}")).await?;
-        eyre::ensure!(answered == *server, "flow {number} moved from {server} to {answered}");
-    }
-    Ok(())
-}
-
-/// All targets start again without their flows.
-fn lose_all_flows(fleet: &Fleet) {
-    for target in &fleet.targets {
-        target.crash();
-        target.revive();
-    }
-}
-
-fn no_packet_was_changed(fleet: &Fleet) {
-    assert_eq!(fleet.client.forged(), 0);
-    for target in &fleet.targets {
-        assert_eq!(target.forged(), 0);
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_reach_their_service_and_come_back_whole() -> eyre::Result<()> {
     let mut fleet = start(&plan()).await?;
@@ -159,129 +81,6 @@
     Ok(())
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn balancers_that_all_restart_while_the_store_is_down_learn_from_agents() -> eyre::Result<()>
-{
-    let mut fleet = start(&plan()).await?;
-    let mut flows = open_flows(&fleet, 10).await?;
-    fleet
-        .wait_for("the configuration on all agents", |fleet| {
-            let has = |log: String| log.contains("\"event\":\"configuration\"");
-            fleet.agents.iter().all(|agent| agent.log_text().is_ok_and(has))
-        })
-        .await?;
-    fleet.store.fail(StoreFault::Silent);
-    for balancer in &mut fleet.balancers {
-        balancer.kill()?;
-    }
-    for balancer in &mut fleet.balancers {
-        balancer.restart()?;
-    }
-    all_held(&mut flows, "down").await?;
-    let mut flow = open(&fleet).await?;
-    request(&mut flow, "new").await?;
-    // When the store comes back with news, they are taken.
-    fleet.store.fail(StoreFault::None);
-    fleet.configure(&[(443, &[("sheets", 1)])]);
-    fleet
-        .wait_for("the new configuration on all balancers", |fleet| {
-            let has = |log: String| log.contains("\"version\":6");
-            fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
-        })
-        .await?;
-    Ok(())
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_change_reaches_balancers_that_the_store_does_not_serve() -> eyre::Result<()> {
-    let faults = [
-        StoreFault::Status(429),
-        StoreFault::Status(503),
-        StoreFault::Silent,
-        StoreFault::Reset,
-        StoreFault::Slow(Duration::from_millis(300)),
-    ];
-    let mut fleet = start(&plan()).await?;
-    let mut version = 3;
-    // The lowest address reads for all: refuse that one, then another.
-    for (round, fault) in faults.into_iter().enumerate() {
-        let refused = fleet.balancers[round % 2].address;
-        fleet.store.fail_for(IpAddr::V4(refused), fault);
-        fleet.configure(&[(443, &[("dispatch", 1)])]);
-        version += 3;
-        let text = format!("\"version\":{version}");
-        fleet
-            .wait_for("a change past a refused balancer", |fleet| {
-                let has = |log: String| log.contains(&text);
-                fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
-            })
-            .await?;
-        fleet.store.fail_for(IpAddr::V4(refused), StoreFault::None);
-    }
-    Ok(())
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_forgotten_history_is_listed_anew() -> eyre::Result<()> {
-    let mut fleet = start(&plan()).await?;
-    fleet.store.forget_history();
-    fleet.configure(&[(443, &[("sheets", 1)])]);
-    fleet.store.forget_history();
-    fleet
-        .wait_for("the configuration behind the gap", |fleet| {
-            let has = |log: String| log.contains("\"version\":6");
-            fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
-        })
-        .await?;
-    let log = fleet.balancers[0].log_text()?;
-    assert!(log.contains("store_history_gone") || log.contains("\"source\":\"peer\""));
-    Ok(())
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn connections_to_the_store_that_fall_silent_for_good_are_replaced() -> eyre::Result<()> {
-    let mut fleet = start(&plan()).await?;
-    for version in [6, 9] {
-        for link in &fleet.store_links {
-            link.fail(LinkFault::SilentSoFar);
-        }
-        fleet.configure(&[(443, &[("sheets", 1)])]);
-        let text = format!("\"version\":{version}");
-        fleet
-            .wait_for("the configuration behind the silence", |fleet| {
-                let has = |log: String| log.contains(&text);
-                fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
-            })
-            .await?;
-    }
-    Ok(())
-}
-
-/// Reads until the daemon closes the connection, without a word of its own.
-async fn is_closed_by_the_daemon(mut stream: TcpStream) -> eyre::Result<()> {
-    let mut received = Vec::new();
-    let read = tokio::time::timeout(3 * DEADLINE, stream.read_to_end(&mut received)).await;
-    read.map_err(|_| eyre::eyre!("the connection was kept"))??;
-    Ok(())
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn connections_on_which_nobody_speaks_are_closed() -> eyre::Result<()> {
-    let fleet = start(&plan()).await?;
-    let address = IpAddr::V4(fleet.balancers[0].address);
-    for port in [METRICS, READINESS, PEERS] {
-        let silent = TcpStream::connect((address, port)).await?;
-        is_closed_by_the_daemon(silent).await?;
-    }
-    for (port, path) in [(METRICS, "/metrics"), (READINESS, "/readiness")] {
-        let mut kept_alive = TcpStream::connect((address, port)).await?;
-        let request = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n");
-        kept_alive.write_all(request.as_bytes()).await?;
-        is_closed_by_the_daemon(kept_alive).await?;
-    }
-    Ok(())
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_target_keeps_its_flows_and_gets_no_new_ones() -> eyre::Result<()> {
     let fleet = start(&plan()).await?;
--- /dev/null
+++ b/crates/weirhinge/tests/support/mod.rs
@@ -0,0 +1,89 @@
+//! Deployments of real processes for tests, and flows through them.
+
+#![allow(dead_code)]
+
+use std::path::Path;
+use std::time::Duration;
+
+use weirhinge_platform_standins::{ClientFlow, Fleet, FleetPlan, RouterHash, SETTINGS_TEMPLATE};
+
+/// Long enough for several attempts on a busy machine.
+pub const DEADLINE: Duration = Duration::from_secs(15);
+/// Metrics port of every machine.
+pub const METRICS: u16 = 9_464;
+/// Readiness port of every machine.
+pub const READINESS: u16 = 8_167;
+/// Port on which daemons speak to each other.
+pub const PEERS: u16 = 7_720;
+
+pub fn plan() -> FleetPlan {
+    FleetPlan {
+        balancers: 3,
+        targets: vec!["dispatch", "dispatch", "dispatch", "sheets"],
+        target_zones: Vec::new(),
+        hash: RouterHash::Mod,
+        processor_shares: Vec::new(),
+    }
+}
+
+pub async fn start(plan: &FleetPlan) -> eyre::Result<Fleet> {
+    Fleet::start(Path::new(env!("CARGO_BIN_EXE_weirhinge")), SETTINGS_TEMPLATE, plan).await
+}
+
+/// Opens flows and sends a first request on each.
+pub async fn open_flows(fleet: &Fleet, count: usize) -> eyre::Result<Vec<(ClientFlow, String)>> {
+    let mut flows = Vec::new();
+    for number in 0..count {
+        let mut flow = open(fleet).await?;
+        let server = request(&mut flow, &format!("first-{number}")).await?;
+        flows.push((flow, server));
+    }
+    Ok(flows)
+}
+
+pub async fn open(fleet: &Fleet) -> eyre::Result<ClientFlow> {
+    let opened = fleet.client.open(Fleet::route(443)).await;
+    opened.map_err(|error| eyre::eyre!("open a flow: {error:?}"))
+}
+
+/// Opens flows until routers give one to this balancer. Some number of flows may all
+/// go to the others.
+pub async fn open_flow_through(fleet: &Fleet, balancer: usize) -> eyre::Result<ClientFlow> {
+    let route = Fleet::route(443);
+    for _ in 0..1_000 {
+        let flow = open(fleet).await?;
+        if fleet.routers.pick(flow.source(), route) == Some(fleet.packets(balancer)) {
+            return Ok(flow);
+        }
+    }
+    Err(eyre::eyre!("routers gave none of 1,000 flows to balancer {balancer}"))
+}
+
+pub async fn request(flow: &mut ClientFlow, id: &str) -> eyre::Result<String> {
+    let answered = flow.request(id, DEADLINE).await;
+    answered.map_err(|error| eyre::eyre!("request {id}: {error:?}"))
+}
+
+/// Sends one more request on each flow; its own target must answer.
+pub async fn all_held(flows: &mut [(ClientFlow, String)], round: &str) -> eyre::Result<()> {
+    for (number, (flow, server)) in flows.iter_mut().enumerate() {
+        let answered = request(flow, &format!("{round}-{number}")).await?;
+        eyre::ensure!(answered == *server, "flow {number} moved from {server} to {answered}");
+    }
+    Ok(())
+}
+
+/// All targets start again without their flows.
+pub fn lose_all_flows(fleet: &Fleet) {
+    for target in &fleet.targets {
+        target.crash();
+        target.revive();
+    }
+}
+
+pub fn no_packet_was_changed(fleet: &Fleet) {
+    assert_eq!(fleet.client.forged(), 0);
+    for target in &fleet.targets {
+        assert_eq!(target.forged(), 0);
+    }
+}
