--- a/crates/observe/src/timeline.rs
+++ b/crates/observe/src/timeline.rs
@@ -328,15 +328,15 @@
             all.into_iter().filter(|span| self.median(*span) >= BUSY_MEDIAN).collect();
         let mut idle = Vec::new();
         for (node, served) in &self.served {
-            let unserved: Vec<i64> =
-                busy.iter().copied().filter(|span| !served.contains_key(span)).collect();
+            let Some(spoke) = self.spoke.get(node) else { continue };
+            // Before its first line a daemon may not have run.
+            let first_line = spoke.first().copied().unwrap_or(i64::MAX);
+            let is_unserved = |span: &i64| *span >= first_line && !served.contains_key(span);
+            let unserved: Vec<i64> = busy.iter().copied().filter(is_unserved).collect();
             for stretch in unserved.chunk_by(|one, next| next - one == 1) {
                 let (first, last) = (stretch[0], stretch[stretch.len() - 1]);
-                let spoke = self
-                    .spoke
-                    .get(node)
-                    .is_some_and(|spoke| spoke.range(first..=last).next().is_some());
-                if spoke && last - first + 1 >= SHORTEST_IDLE_SPANS {
+                let lives = spoke.range(first..=last).next().is_some();
+                if lives && last - first + 1 >= SHORTEST_IDLE_SPANS {
                     idle.push(IdleDaemon {
                         node: node.clone(),
                         from_ms: first * SERVED_SPAN_MS,
@@ -348,9 +348,13 @@
         idle
     }
 
+    /// The median of what the daemons that ran by then served in a span.
     fn median(&self, span: i64) -> u32 {
-        let served = self.served.values().map(|spans| spans.get(&span).copied().unwrap_or(0));
-        let mut served: Vec<u32> = served.collect();
+        let ran =
+            |node: &str| self.spoke.get(node).is_some_and(|spoke| spoke.first() <= Some(&span));
+        let served = self.served.iter().filter(|(node, _)| ran(node));
+        let mut served: Vec<u32> =
+            served.map(|(_, spans)| spans.get(&span).copied().unwrap_or(0)).collect();
         served.sort_unstable();
         served.get(served.len() / 2).copied().unwrap_or(0)
     }
--- a/crates/observe/tests/timeline.rs
+++ b/crates/observe/tests/timeline.rs
@@ -30,6 +30,9 @@
     log += &line("a-1", 4_702, "answered", &format!("{flow},\"confirmed\":false"));
     log += &line("b-1", 4_900, "reset", ",\"flow\":\"c:2>s:443\",\"outcome\":\"refused\"");
     log += &line("b-1", 5_000, "lines_suppressed", ",\"kind\":\"search\",\"count\":61");
+    // A balancer that is added while the others are at work.
+    log += &line("b-3", 8_900, "start", "");
+    log += &line("b-3", 9_100, "request", "");
     for request in 0..60 {
         let at_ms = 5_000 + request * 100;
         log += &line("b-1", at_ms, "request", "");
@@ -91,7 +94,7 @@
         ),
     }
     ");
-    assert_eq!(waves.len(), 2);
+    assert_eq!(waves.len(), 2, "one daemon alone is no wave");
 }
 
 #[test]
