--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -84,7 +84,10 @@
             ReturnReason::Busy => false,
             ReturnReason::Failing => self.passes_failing(context, head),
             ReturnReason::Bounced | ReturnReason::OtherService => true,
-            ReturnReason::Leaving | ReturnReason::Evacuated => self.waits_elsewhere(&flow),
+            ReturnReason::Leaving | ReturnReason::Evacuated => {
+                self.forget_wait(&flow);
+                true
+            }
         };
         let Some(entry) = self.flows.get_mut(&flow).filter(|_| !goes_on) else {
             return self.choose_target(context, head, ForwardReason::OpeningReturned);
@@ -101,12 +104,11 @@
     }
 
     /// An opening packet may have waited at a target that now takes no new flows: it did
-    /// not get its turn, and waits once more at another one. Always true.
-    fn waits_elsewhere(&mut self, flow: &FlowKey) -> bool {
+    /// not get its turn there, and may wait once more at another one.
+    fn forget_wait(&mut self, flow: &FlowKey) {
         if let Some(entry) = self.flows.get_mut(flow) {
             entry.has_waited = false;
         }
-        true
     }
 
     /// Whether an opening packet that a failing target sent back tries another one: only
