Take no target for ended that wrote since its agent was told to stop

Cause: found by reading. The agent's look for output covered the moment of its look at the target's port alone. A target that closes its port early and still answers on open flows would be taken for ended, and balancers would not ask it for them.

--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -132,8 +132,9 @@
     signals.stopped().await;
     status.stop();
     info!(log, "agent: stopping"; "event" => "stop", "waiting" => daemon.core.borrow().waiting());
+    let told_at = clock.now();
     daemon.leave_when_idle(common.stop_limit_ms).await;
-    daemon.report_ended_target(settings.target).await;
+    daemon.report_ended_target(settings.target, told_at).await;
     info!(log, "agent: stopped"; "event" => "stopped",
         "waiting" => daemon.core.borrow().waiting());
     Ok(())
@@ -212,10 +213,10 @@
     }
 
     /// Tells balancers if the target has ended: then searches for lost flows need not wait
-    /// for it, some 350 ms each until a balancer has learned that nobody answers.
-    async fn report_ended_target(&self, target: SocketAddrV4) {
-        let asked_at = self.clock.now();
-        if refuses_connections(target).await && !self.core.borrow().wrote_since(asked_at) {
+    /// for it, some 350 ms each until a balancer has learned that nobody answers. A target
+    /// that wrote anything since the agent was told to stop has not.
+    async fn report_ended_target(&self, target: SocketAddrV4, told_at: Millis) {
+        if refuses_connections(target).await && !self.core.borrow().wrote_since(told_at) {
             info!(self.log, "agent: target has ended"; "event" => "target_ended");
             self.link.announce_end();
         }
