--- a/crates/weirhinge/tests/platform_path.rs
+++ b/crates/weirhinge/tests/platform_path.rs
@@ -9,7 +9,7 @@
 use nix::sys::signal::Signal;
 use support::{
     DEADLINE, METRICS, all_held, lose_all_flows, no_packet_was_changed, open, open_flow_through,
-    open_flows, plan, request, start,
+    open_flows, plan, request, start, wait_for_version,
 };
 use weirhinge_platform_standins::{
     Fleet, FleetPlan, FlowError, HOME_ZONE, NEAR_ZONE, ProcessHandle, RouterHash, StoreFault,
@@ -31,12 +31,7 @@
     }
     // A configuration moves new flows, and a dropped route refuses them at once.
     fleet.configure(&[(443, &[("sheets", 1)])]);
-    fleet
-        .wait_for("the new configuration on all balancers", |fleet| {
-            let has = |log: String| log.contains("\"version\":6");
-            fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
-        })
-        .await?;
+    wait_for_version(&fleet, 6, "the new configuration on all balancers").await?;
     let mut flow = open(&fleet).await?;
     request(&mut flow, "moved").await?;
     assert_eq!(fleet.targets[3].ran(), vec!["moved".to_owned()]);
--- a/crates/weirhinge/tests/platform_store.rs
+++ b/crates/weirhinge/tests/platform_store.rs
@@ -7,6 +7,7 @@
 
 use support::{
     DEADLINE, METRICS, PEERS, READINESS, all_held, open, open_flows, plan, request, start,
+    wait_for_version,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -36,12 +37,7 @@
     // When the store comes back with news, they are taken.
     fleet.store.fail(StoreFault::None);
     fleet.configure(&[(443, &[("sheets", 1)])]);
-    fleet
-        .wait_for("the new configuration on all balancers", |fleet| {
-            let has = |log: String| log.contains("\"version\":6");
-            fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
-        })
-        .await?;
+    wait_for_version(&fleet, 6, "the new configuration on all balancers").await?;
     Ok(())
 }
 
@@ -62,13 +58,7 @@
         fleet.store.fail_for(IpAddr::V4(refused), fault);
         fleet.configure(&[(443, &[("dispatch", 1)])]);
         version += 3;
-        let text = format!("\"version\":{version}");
-        fleet
-            .wait_for("a change past a refused balancer", |fleet| {
-                let has = |log: String| log.contains(&text);
-                fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
-            })
-            .await?;
+        wait_for_version(&fleet, version, "a change past a refused balancer").await?;
         fleet.store.fail_for(IpAddr::V4(refused), StoreFault::None);
     }
     Ok(())
@@ -80,12 +70,7 @@
     fleet.store.forget_history();
     fleet.configure(&[(443, &[("sheets", 1)])]);
     fleet.store.forget_history();
-    fleet
-        .wait_for("the configuration behind the gap", |fleet| {
-            let has = |log: String| log.contains("\"version\":6");
-            fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
-        })
-        .await?;
+    wait_for_version(&fleet, 6, "the configuration behind the gap").await?;
     let log = fleet.balancers[0].log_text()?;
     assert!(log.contains("store_history_gone") || log.contains("\"source\":\"peer\""));
     Ok(())
@@ -99,13 +84,7 @@
             link.fail(LinkFault::SilentSoFar);
         }
         fleet.configure(&[(443, &[("sheets", 1)])]);
-        let text = format!("\"version\":{version}");
-        fleet
-            .wait_for("the configuration behind the silence", |fleet| {
-                let has = |log: String| log.contains(&text);
-                fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has))
-            })
-            .await?;
+        wait_for_version(&fleet, version, "the configuration behind the silence").await?;
     }
     Ok(())
 }
--- a/crates/weirhinge/tests/support/mod.rs
+++ b/crates/weirhinge/tests/support/mod.rs
@@ -87,3 +87,12 @@
         assert_eq!(target.forged(), 0);
     }
 }
+
+/// Waits until this version of the configuration was in force at every balancer.
+pub async fn wait_for_version(fleet: &Fleet, version: u64, what: &str) -> eyre::Result<()> {
+    let text = format!("\"version\":{version}");
+    let has = |log: String| log.contains(&text);
+    let all =
+        |fleet: &Fleet| fleet.balancers.iter().all(|balancer| balancer.log_text().is_ok_and(has));
+    fleet.wait_for(what, all).await
+}
