Say how long copies of an opening come, and how a number is checked, once

Cause: read once more. Agents and balancers each held the span in which copies of an opening packet come, with the same value and meaning; two settings were checked by functions that differ in names and bounds alone. Change: OPENING_SPAN_MS stands in steering/packet.rs, settings.rs has one function for a number in a range. No behaviour changed, no bound and no message of an error either. Ruled out: merging the checks of the link and of the processors in as well; their lower bound is open and their messages differ.

--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -162,8 +162,14 @@
             target: endpoint(file, "target", self.target.as_deref())?,
             target_output: endpoint(file, "target_output", self.target_output.as_deref())?,
             service: text(file, "service", self.service.as_deref())?,
-            cold_overshoot: self.checked_overshoot(file)?,
-            cold_slack: self.checked_slack(file)?,
+            cold_overshoot: number(
+                file,
+                "cold_overshoot",
+                self.cold_overshoot,
+                1.0,
+                MOST_OVERSHOOT,
+            )?,
+            cold_slack: number(file, "cold_slack", self.cold_slack, 0.0, MOST_SLACK)?,
         })
     }
 
@@ -208,24 +214,6 @@
         Ok(Some((share * processors * 1_000.0).ceil() as u32))
     }
 
-    fn checked_overshoot(&self, file: &str) -> Result<f64, ConfigError> {
-        let overshoot = self.cold_overshoot.unwrap_or(1.0);
-        if !(1.0..=MOST_OVERSHOOT).contains(&overshoot) {
-            let expected = format!("1 to {MOST_OVERSHOOT}");
-            return Err(ConfigError::field(file, "cold_overshoot", overshoot, expected));
-        }
-        Ok(overshoot)
-    }
-
-    fn checked_slack(&self, file: &str) -> Result<f64, ConfigError> {
-        let slack = self.cold_slack.unwrap_or(0.0);
-        if !(0.0..=MOST_SLACK).contains(&slack) {
-            let expected = format!("0 to {MOST_SLACK}");
-            return Err(ConfigError::field(file, "cold_slack", slack, expected));
-        }
-        Ok(slack)
-    }
-
     fn checked_link(&self, file: &str) -> Result<Option<u32>, ConfigError> {
         let Some(rate) = self.link_mbps else { return Ok(None) };
         if !(rate.is_finite() && rate > 0.0 && rate <= FASTEST_LINK_MBPS) {
@@ -303,6 +291,21 @@
     }
 }
 
+/// A number from `least`, which holds if none is given, to `most`.
+fn number(
+    file: &str,
+    field: &str,
+    value: Option<f64>,
+    least: f64,
+    most: f64,
+) -> Result<f64, ConfigError> {
+    let value = value.unwrap_or(least);
+    if (least..=most).contains(&value) {
+        return Ok(value);
+    }
+    Err(ConfigError::field(file, field, value, format!("{least} to {most}")))
+}
+
 fn endpoint(file: &str, field: &str, value: Option<&str>) -> Result<SocketAddrV4, ConfigError> {
     let value = text(file, field, value)?;
     value.parse().map_err(|_| {
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -19,7 +19,7 @@
     Arrival, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, WaitOutcome,
 };
 
-use crate::packet::{AnswerStatus, FlowKey, PacketHead};
+use crate::packet::{AnswerStatus, FlowKey, OPENING_SPAN_MS, PacketHead};
 use crate::waiting_room::WaitingRoom;
 use admission::Admission;
 use breaker::CircuitBreaker;
@@ -47,10 +47,6 @@
 const SEARCH_LIFETIME_MS: Millis = 120;
 /// Most searches followed at a time.
 const SEARCH_CAPACITY: usize = 1_024;
-/// Copies of an opening packet come within this span after the first one: a client sends
-/// the last of them after 600 ms, and none waits longer than 1.1 s on its way.
-const OPENING_SPAN_MS: Millis = 2_000;
-
 /// The state of an agent.
 #[derive(Clone, Debug)]
 pub struct Agent {
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -8,12 +8,10 @@
 use super::decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
 use super::{Balancer, Context, service_of};
 use crate::flow_table::{FlowEntry, FlowStage};
-use crate::packet::{FlowKey, PacketHead};
+use crate::packet::{FlowKey, OPENING_SPAN_MS, PacketHead};
 use crate::selection::{cheapest, load_permille, rendezvous_order};
 use crate::view::{Candidate, Distance, RouteChoice, Standing};
 
-/// Opening packets of one flow come within this span; a later one opens another.
-const OPENING_SPAN_MS: Millis = 2_000;
 /// Targets compared by load. Two even out almost as well as all would (the power
 /// of two choices) and keep the flow near the front of its order, where a balancer
 /// that does not know the flow looks first.
--- a/crates/steering/src/packet.rs
+++ b/crates/steering/src/packet.rs
@@ -4,6 +4,11 @@
 use std::net::SocketAddrV4;
 
 use siphasher::sip::SipHasher13;
+use weirhinge_fleet::Millis;
+
+/// Opening packets of one flow come within this span; a later one opens another. A client
+/// sends the last copy after 600 ms, and none waits longer than 1.1 s on its way.
+pub(crate) const OPENING_SPAN_MS: Millis = 2_000;
 
 /// Why bytes are not a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
