Log and count each listing of the store, with its era and revision

Cause: after an outage of the store three hypotheses fit the logs of the incident; no line said which revision or era a listing stated. Ruled out: a line for each watch (one a second and daemon, and it says nothing that the freshness lines don't).

--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -134,6 +134,10 @@
     pub failures: Counter,
     /// Items that could not be used.
     pub rejected_items: Counter,
+    /// Listings of all items, by reason.
+    pub listings: ReasonCounters,
+    /// Era that the store's latest answer stated.
+    pub era: Gauge,
     /// Seconds of one call, the wait of a watch included.
     pub call_seconds: Histogram,
 }
@@ -145,6 +149,8 @@
             calls: metrics.counter("store_calls", "Calls to the store"),
             failures: metrics.counter("store_failures", "Failed calls to the store"),
             rejected_items: metrics.counter("store_items_refused", "Unusable items of the store"),
+            listings: metrics.reasons("store_listings", "Listings of the whole store"),
+            era: metrics.gauge("store_era", "How often the store came back from a copy"),
             call_seconds: metrics.histogram("store_call_seconds", "Seconds of one store call"),
         }
     }
--- a/crates/relay/src/platform.rs
+++ b/crates/relay/src/platform.rs
@@ -115,6 +115,13 @@
     /// How a target answers a request, if its answer begins in this packet.
     fn answer_status(&self, packet: &[u8]) -> Option<AnswerStatus>;
 
+    /// Which life of the store made an answer with these headers; 0 from a store that does
+    /// not tell.
+    ///
+    /// # Errors
+    /// When the headers tell it in a form that cannot be read.
+    fn store_era(&self, headers: &http::HeaderMap) -> Result<u64, RejectedItem>;
+
     /// Path and query that list the store's items after a key.
     fn list_path(&self, after: Option<&str>) -> String;
 
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -15,7 +15,7 @@
 use crate::metrics::StoreMetrics;
 use crate::platform::{Platform, RejectedItem};
 use crate::settings::CommonSettings;
-use crate::store_client::{StoreClient, StoreError};
+use crate::store_client::{StoreAnswer, StoreClient, StoreError};
 
 /// Longest wait for an answer that comes at once.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_200);
@@ -28,6 +28,28 @@
 /// Most pages of one listing.
 const MAXIMUM_PAGES: usize = 200;
 
+/// Why the whole store is listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListingReason {
+    /// Nothing is known yet.
+    Start,
+    /// The store was out of reach since the last listing.
+    Outage,
+    /// The store does not have the changes after the known revision.
+    HistoryGone,
+}
+
+impl ListingReason {
+    /// Label for logs and counters.
+    fn label(self) -> &'static str {
+        match self {
+            ListingReason::Start => "start",
+            ListingReason::Outage => "outage",
+            ListingReason::HistoryGone => "history_gone",
+        }
+    }
+}
+
 /// Reads the store whenever this balancer should.
 pub struct StoreReader<P> {
     platform: P,
@@ -109,27 +131,32 @@
     async fn read_once(&mut self) -> Result<(), StoreError> {
         let revision = self.node.borrow().revision();
         // What peers passed on is as good as a listing of one's own.
-        if revision == 0 || (self.needs_list && self.is_lost) {
-            return self.list().await;
+        if revision == 0 {
+            return self.list(ListingReason::Start).await;
+        }
+        if self.needs_list && self.is_lost {
+            return self.list(ListingReason::Outage).await;
         }
         let result = self.watch(revision).await;
         if let Err(StoreError::HistoryGone { .. }) = result {
             info!(self.log, "store: history gone, listing anew"; "event" => "store_history_gone",
                 "revision" => revision);
             self.needs_list = true;
-            return self.list().await;
+            return self.list(ListingReason::HistoryGone).await;
         }
         result
     }
 
-    async fn list(&mut self) -> Result<(), StoreError> {
+    async fn list(&mut self, reason: ListingReason) -> Result<(), StoreError> {
+        self.metrics.listings.increment(reason.label());
         let asked_at = self.clock.now();
         let mut listed = Listed::default();
         let mut after: Option<String> = None;
         for _ in 0..MAXIMUM_PAGES {
             let path = self.platform.list_path(after.as_deref());
-            let body = self.call(&path, ANSWER_LIMIT).await?;
-            let page = self.platform.read_list(&body);
+            let answer = self.call(&path, ANSWER_LIMIT).await?;
+            listed.era = answer.era;
+            let page = self.platform.read_list(&answer.body);
             let page = page.map_err(|rejected| self.unusable(rejected))?;
             self.log_rejected(&page.rejected);
             listed.at.get_or_insert(page.at);
@@ -143,6 +170,8 @@
         }
         self.needs_list = false;
         let through = listed.at.unwrap_or(0);
+        info!(self.log, "store: listed"; "event" => "store_listed", "reason" => reason.label(),
+            "era" => listed.era, "revision" => through, "known" => self.node.borrow().revision());
         self.apply(Update {
             after: 0,
             through,
@@ -160,8 +189,8 @@
         let wait_ms = self.timing.watch_wait_ms;
         let path = self.platform.watch_path(after, wait_ms);
         let limit = Duration::from_millis(wait_ms) + WATCH_SLACK;
-        let body = self.call(&path, limit).await?;
-        let page = self.platform.read_watch(&body);
+        let answer = self.call(&path, limit).await?;
+        let page = self.platform.read_watch(&answer.body);
         let page = page.map_err(|rejected| self.unusable(rejected))?;
         self.log_rejected(&page.rejected);
         let elapsed_ms = self.clock.now().saturating_sub(asked_at);
@@ -177,12 +206,15 @@
         self.node.borrow_mut().apply_from_store(update, now);
     }
 
-    async fn call(&mut self, path: &str, limit: Duration) -> Result<Bytes, StoreError> {
+    async fn call(&mut self, path: &str, limit: Duration) -> Result<EraAnswer, StoreError> {
         self.metrics.calls.inc();
         let began = self.clock.now();
         let result = self.client.get(path, limit).await;
         self.metrics.call_seconds.observe((self.clock.now() - began) as f64 / 1_000.0);
-        result
+        let StoreAnswer { headers, body } = result?;
+        let era = self.platform.store_era(&headers).map_err(|rejected| self.unusable(rejected))?;
+        self.metrics.era.set(i64::try_from(era).unwrap_or(i64::MAX));
+        Ok(EraAnswer { era, body })
     }
 
     fn unusable(&self, rejected: RejectedItem) -> StoreError {
@@ -217,8 +249,15 @@
     }
 }
 
+/// A successful answer, and which life of the store made it.
+struct EraAnswer {
+    era: u64,
+    body: Bytes,
+}
+
 #[derive(Default)]
 struct Listed {
+    era: u64,
     at: Option<u64>,
     configuration: Option<VersionedConfiguration>,
     targets: Vec<VersionedTarget>,
--- a/crates/relay/src/store_client.rs
+++ b/crates/relay/src/store_client.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use http::{Request, StatusCode, header};
+use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -70,6 +70,14 @@
     },
 }
 
+/// A successful answer.
+pub(crate) struct StoreAnswer {
+    /// Its headers.
+    pub(crate) headers: HeaderMap,
+    /// Its body.
+    pub(crate) body: Bytes,
+}
+
 /// A connection; closed when dropped, also while an exchange hangs.
 struct Connection {
     sender: SendRequest<Empty<Bytes>>,
@@ -111,12 +119,16 @@
     ///
     /// # Errors
     /// Names the step and the store, also when `limit` passed without an answer.
-    pub(crate) async fn get(&mut self, path: &str, limit: Duration) -> Result<Bytes, StoreError> {
+    pub(crate) async fn get(
+        &mut self,
+        path: &str,
+        limit: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
         let result = tokio::time::timeout(limit, self.exchange(path)).await;
         result.unwrap_or_else(|_| Err(self.step("wait for", "no answer in time")))
     }
 
-    async fn exchange(&mut self, path: &str) -> Result<Bytes, StoreError> {
+    async fn exchange(&mut self, path: &str) -> Result<StoreAnswer, StoreError> {
         let mut connection = match self.connection.take().filter(Connection::is_usable) {
             Some(connection) => connection,
             None => self.connect().await?,
@@ -128,10 +140,11 @@
         let response = connection.sender.send_request(request).await;
         let response = response.map_err(|error| self.step("ask", error))?;
         let status = response.status();
+        let headers = response.headers().clone();
         let body = Limited::new(response.into_body(), MAXIMUM_ANSWER).collect().await;
         let body = body.map_err(|error| self.step("read from", error))?.to_bytes();
         let result = match status {
-            StatusCode::OK => Ok(body),
+            StatusCode::OK => Ok(StoreAnswer { headers, body }),
             StatusCode::GONE => Err(StoreError::HistoryGone { peer: self.address }),
             status => {
                 return Err(StoreError::Status { peer: self.address, status: status.as_u16() });
