--- a/crates/weirhinge/tests/support/mod.rs
+++ b/crates/weirhinge/tests/support/mod.rs
@@ -88,6 +88,11 @@
     }
 }
 
+/// How often a balancer listed the whole store, by its log.
+pub fn listings(log: &str) -> usize {
+    log.matches("\"event\":\"store_listed\"").count()
+}
+
 /// Waits until this version of the configuration was in force at every balancer.
 pub async fn wait_for_version(fleet: &Fleet, version: u64, what: &str) -> eyre::Result<()> {
     let text = format!("\"version\":{version}");
