--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,16 +2,20 @@
 //! daemons, where the only shared memory is a store that it can read.
 //!
 //! Pure logic: times and messages are passed in. The store numbers every change
-//! with one revision, so that a [`Replica`] needs no agreement: the entry with
-//! the higher revision wins, whoever passed it on. The [`PeerTable`] spreads who
-//! exists, and [`reader`] settles which few daemons read the store for all.
+//! with one revision, so that a [`Replica`] needs no agreement: the later entry
+//! counts, whoever passed it on. Where the store comes back from a copy and its
+//! revisions with it, what the writers count themselves decides ([`TargetEntry`],
+//! [`VersionedConfiguration`]). The [`PeerTable`] spreads who exists, and [`reader`]
+//! settles which few daemons read the store for all.
 
 mod evacuation;
 mod message;
 mod model;
 mod peers;
+mod position;
 pub mod reader;
 mod replica;
+mod succession;
 mod timing;
 
 pub use evacuation::{EvacuatedZones, ZoneChange, ZoneNews};
@@ -24,7 +28,9 @@
     TargetState, ZoneId,
 };
 pub use peers::{PEER_LIFETIME_MS, PeerTable, ServingPeer};
-pub use replica::{Change, Replica, TargetEntry, Update, VersionedConfiguration, VersionedTarget};
+pub use position::Position;
+pub use replica::{Change, Replica, Update, VersionedConfiguration};
+pub use succession::{TargetEntry, VersionedTarget};
 pub use timing::{Bounds, Timing};
 
 /// Milliseconds on the process's steady clock since some fixed moment.
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -4,10 +4,11 @@
 
 use crate::evacuation::EvacuatedZones;
 use crate::model::ZoneId;
-use crate::replica::VersionedTarget;
+use crate::position::Position;
+use crate::succession::VersionedTarget;
 
 /// First byte of every datagram between daemons.
-const PROTOCOL_VERSION: u8 = 5;
+const PROTOCOL_VERSION: u8 = 6;
 
 /// Why a datagram from a peer was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -63,14 +64,14 @@
     pub stopping: bool,
     /// Whether the sender, a balancer, cannot keep up with its packets.
     pub overloaded: bool,
-    /// The store revision that the sender knows all changes up to.
-    pub revision: u64,
-    /// The store revision of the configuration that the sender knows; 0 if none.
-    pub configuration_revision: u64,
-    /// The zones whose targets are to get no new flows. They come with every digest, so
+    /// The position that the sender knows all changes of the store up to.
+    pub position: Position,
+    /// The version of the configuration that the sender knows; none before the first.
+    pub configuration: Option<u64>,
+    /// The evacuated zones as the store states them. They come with every digest, so
     /// that they reach all daemons without a fetch; nearly always there are none.
     pub evacuated: EvacuatedZones,
-    /// Milliseconds since the store confirmed that revision; none if never.
+    /// Milliseconds since the store confirmed that position; none if never.
     pub age_ms: Option<u64>,
     /// Whether the sender reads the store for its peers.
     pub reading: bool,
@@ -82,11 +83,13 @@
     pub target: Option<TargetClaim>,
 }
 
-/// Asks a peer, over a stream, for all changes after a revision.
+/// Asks a peer, over a stream, for all changes after a position.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct FetchRequest {
-    /// The revision that the asker knows all changes up to.
-    pub after: u64,
+    /// The position that the asker knows all changes up to.
+    pub after: Position,
+    /// The version of the configuration that the asker knows; none before the first.
+    pub configuration: Option<u64>,
     /// What the asker wants.
     pub scope: FetchScope,
 }
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -128,6 +128,12 @@
     pub state: TargetState,
     /// Milliseconds for which the target stays slow after its start.
     pub warm_up_ms: u32,
+    /// When this life of the target began, on its machine's clock; none where targets do
+    /// not tell, and then an identifier stands for one life. It names the life and is
+    /// compared with that of the same target alone.
+    pub incarnation: Option<u64>,
+    /// The target's own count of its writes in this life.
+    pub sequence: u64,
 }
 
 impl TargetRecord {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -95,7 +95,7 @@
             capacity: digest.capacity,
             stopping: digest.stopping,
             overloaded: digest.overloaded,
-            configured: digest.configuration_revision > 0,
+            configured: digest.configuration.is_some(),
         };
         self.peers.insert(sender, peer);
         is_new
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -6,42 +6,35 @@
 
 use crate::Millis;
 use crate::evacuation::{EvacuatedZones, ZoneNews};
+use crate::message::{FetchRequest, FetchScope};
 use crate::model::{Configuration, TargetRecord};
+use crate::position::Position;
+use crate::succession::{TargetEntry, VersionedTarget};
+use crate::timing::Timing;
 
 /// How long a removed target is remembered, so that an older report does not
 /// bring it back and its open flows are still found.
 const REMOVED_TARGET_LIFETIME_MS: Millis = 90_000;
 
-/// A configuration with the store revision that wrote it.
+/// A configuration with the position of its write.
+///
+/// The operator's version orders configurations, not the position: a store that came back
+/// from a copy states an older one, and the operator writes the newest again.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct VersionedConfiguration {
-    /// The store revision of the write.
-    pub revision: u64,
+    /// The position of the write.
+    pub position: Position,
     /// The configuration written.
     pub configuration: Configuration,
 }
 
-/// The latest known change of one target's record.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct VersionedTarget {
-    /// The target's identifier in the store.
-    pub id: String,
-    /// The store revision of the change, or for a removal found by its absence
-    /// the revision at which it was absent.
-    pub revision: u64,
-    /// Whether the record is still in the store.
-    pub present: bool,
-    /// The record, or the last one known of a removed target.
-    pub record: Option<TargetRecord>,
-}
-
 /// What one source says about the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Update {
-    /// The update holds every change after this revision.
-    pub after: u64,
-    /// Up to this revision; 0 if the source does not know all changes of any span.
-    pub through: u64,
+    /// The update holds every change after this position.
+    pub after: Position,
+    /// Up to this position; the start if the source does not know all changes of any span.
+    pub through: Position,
     /// Whether the update lists everything; what it lacks is not in the store.
     pub complete: bool,
     /// Milliseconds since the store itself confirmed `through`.
@@ -68,8 +61,8 @@
     Configuration {
         /// Its version.
         version: u64,
-        /// Its store revision.
-        revision: u64,
+        /// The position of its write.
+        position: Position,
     },
     /// A target's record appeared or changed.
     Target {
@@ -77,6 +70,8 @@
         id: String,
         /// The record now known.
         record: TargetRecord,
+        /// Whether it is another life of a target that was known.
+        restarted: bool,
     },
     /// A target's record left the store.
     Removed {
@@ -97,32 +92,54 @@
     },
 }
 
-/// A target's latest known change and when this daemon learned of it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TargetEntry {
-    /// The latest change.
-    pub target: VersionedTarget,
-    /// When this daemon learned of the change.
-    pub learned_at: Millis,
+/// How far a daemon has come to terms with the newest era of the store.
+#[derive(Clone, Copy, Debug, Default)]
+struct EraHold {
+    /// The newest era heard of, from whomever.
+    newest: u64,
+    /// Until when its word is not taken against what was known before; none once all is
+    /// settled.
+    until: Option<Millis>,
 }
 
-/// The state of the store as far as this daemon knows it. No entry ever goes
-/// back to an older revision.
-#[derive(Clone, Debug, Default)]
+impl EraHold {
+    fn is_on(&self, now: Millis) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+}
+
+/// The state of the store as far as this daemon knows it. Within an era no entry goes back
+/// to an older position; across eras what the writers count themselves keeps the order.
+#[derive(Clone, Debug)]
 pub struct Replica {
     configuration: Option<VersionedConfiguration>,
     targets: BTreeMap<String, TargetEntry>,
+    /// Evacuated zones, as the store states them.
+    stored_zones: EvacuatedZones,
+    /// Zones whose state of before the store came back from a copy still counts, each with
+    /// whether it is evacuated.
+    kept_zones: BTreeMap<String, bool>,
+    /// The evacuated zones that count.
     evacuated: EvacuatedZones,
     /// When this daemon learned that a zone's evacuation ended, by zone.
     returned_at: BTreeMap<String, Millis>,
     /// All changes up to here are known.
-    revision: u64,
-    /// When the store last confirmed `revision`, to this daemon or to a peer, on this
+    position: Position,
+    /// When the store last confirmed `position`, to this daemon or to a peer, on this
     /// process's clock. Negative for a time before the process started: a daemon that
     /// has just started must not take what peers confirmed long ago for fresh.
     confirmed_at: Option<i64>,
-    /// Removed targets were forgotten up to this revision.
-    forgotten_through: u64,
+    /// Removed targets were forgotten up to this position.
+    forgotten_through: Position,
+    era: EraHold,
+    /// How long a new era's word is not taken against what was known before.
+    hold_ms: Millis,
+}
+
+impl Default for Replica {
+    fn default() -> Self {
+        Self::with_hold(Timing::default().settle_ms)
+    }
 }
 
 impl Replica {
@@ -131,6 +148,24 @@
         Self::default()
     }
 
+    /// An empty replica that holds the word of a new era back for this long where it
+    /// contradicts what was known before.
+    pub fn with_hold(hold_ms: Millis) -> Self {
+        Self {
+            configuration: None,
+            targets: BTreeMap::new(),
+            stored_zones: EvacuatedZones::default(),
+            kept_zones: BTreeMap::new(),
+            evacuated: EvacuatedZones::default(),
+            returned_at: BTreeMap::new(),
+            position: Position::default(),
+            confirmed_at: None,
+            forgotten_through: Position::default(),
+            era: EraHold::default(),
+            hold_ms,
+        }
+    }
+
     /// The configuration in force.
     pub fn configuration(&self) -> Option<&VersionedConfiguration> {
         self.configuration.as_ref()
@@ -141,7 +176,17 @@
         self.targets.values()
     }
 
-    /// The evacuated zones.
+    /// The version of the configuration in force.
+    pub fn version(&self) -> Option<u64> {
+        self.configuration.as_ref().map(|known| known.configuration.version)
+    }
+
+    /// The evacuated zones as the store states them, for peers.
+    pub fn stored_zones(&self) -> &EvacuatedZones {
+        &self.stored_zones
+    }
+
+    /// The evacuated zones that count.
     pub fn evacuated(&self) -> &EvacuatedZones {
         &self.evacuated
     }
@@ -151,12 +196,17 @@
         self.returned_at.get(zone).copied()
     }
 
-    /// The revision up to which all changes are known.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// The position up to which all changes are known.
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// The newest era heard of.
+    pub fn newest_era(&self) -> u64 {
+        self.era.newest
     }
 
-    /// Milliseconds since the store last confirmed the replica's revision.
+    /// Milliseconds since the store last confirmed the replica's position.
     pub fn age(&self, now: Millis) -> Option<Millis> {
         let age = self.confirmed_at.map(|confirmed_at| signed(now).saturating_sub(confirmed_at));
         age.map(|age| age.max(0).unsigned_abs())
@@ -165,9 +215,10 @@
     /// Takes in what a source says. Returns what changed.
     pub fn apply(&mut self, update: Update, now: Millis) -> Vec<Change> {
         let mut changes = Vec::new();
+        self.learn_eras(&update, now);
         self.apply_configuration(update.configuration, &mut changes);
-        if let Some(zones) = self.evacuated.updated(update.zones, update.after, update.through) {
-            self.set_evacuated(zones, now, &mut changes);
+        if let Some(zones) = self.stored_zones.updated(update.zones, update.after, update.through) {
+            self.set_zones(zones, now, &mut changes);
         }
         let absent = if update.complete {
             self.absent_targets(&update.targets, update.through)
@@ -178,11 +229,12 @@
             self.apply_target(target, now, &mut changes);
         }
         // A span that begins after what is known here leaves a gap.
-        let is_gapless = update.complete || update.after <= self.revision;
-        if is_gapless && update.through > 0 {
-            self.revision = self.revision.max(update.through);
+        let is_gapless = update.complete || update.after <= self.position;
+        if is_gapless && !update.through.is_start() {
+            self.advance(update.through);
             self.confirm(update.through, update.age_ms, now);
         }
+        changes.extend(self.settle(now));
         self.forget_removed(now);
         changes
     }
@@ -191,17 +243,54 @@
     /// Returns what changed.
     pub fn learn_evacuated(&mut self, zones: &EvacuatedZones, now: Millis) -> Vec<Change> {
         let mut changes = Vec::new();
-        if zones.is_news_for(&self.evacuated) {
-            self.set_evacuated(zones.clone(), now, &mut changes);
+        self.learn_era(zones.as_of.era, now);
+        if zones.is_news_for(&self.stored_zones) {
+            self.set_zones(zones.clone(), now, &mut changes);
         } else {
-            self.evacuated.as_of = self.evacuated.as_of.max(zones.as_of);
+            self.stored_zones.as_of = self.stored_zones.as_of.max(zones.as_of);
+            self.evacuated.as_of = self.stored_zones.as_of;
         }
         changes
     }
 
-    /// Records that somebody saw the store confirm `revision` `age_ms` ago.
-    pub fn confirm(&mut self, revision: u64, age_ms: u64, now: Millis) {
-        if revision < self.revision {
+    /// Takes in that the store is in this era. Returns whether it is a newer one than was
+    /// known; then what it states is not taken against what was known before, for as long
+    /// as the writers may take to write again.
+    pub fn learn_era(&mut self, era: u64, now: Millis) -> bool {
+        let is_newer = era > self.era.newest;
+        if is_newer {
+            self.era = EraHold { newest: era, until: Some(now + self.hold_ms) };
+        }
+        is_newer
+    }
+
+    /// Once the hold is over, takes the newest era at its word: what it did not renew is
+    /// gone. To be called regularly. Returns what changed.
+    pub fn settle(&mut self, now: Millis) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if self.era.until.is_none() || self.era.is_on(now) {
+            return changes;
+        }
+        for entry in self.targets.values_mut() {
+            let is_unrenewed =
+                entry.target.present && entry.target.position.era < self.position.era;
+            entry.target.present &= !is_unrenewed;
+            if entry.settle(now) || is_unrenewed {
+                entry.learned_at = now;
+                changes.push(change_of(&entry.target, false));
+            }
+        }
+        self.kept_zones.clear();
+        self.count_zones(now, &mut changes);
+        if self.position.era == self.era.newest {
+            self.era.until = None;
+        }
+        changes
+    }
+
+    /// Records that somebody saw the store confirm `position` `age_ms` ago.
+    pub fn confirm(&mut self, position: Position, age_ms: u64, now: Millis) {
+        if position < self.position {
             return;
         }
         let confirmed_at = signed(now).saturating_sub(signed(age_ms));
@@ -209,48 +298,79 @@
         self.confirmed_at = Some(latest);
     }
 
-    /// Everything that changed after `after`, for a peer.
-    pub fn update_after(&self, after: u64, now: Millis) -> Update {
-        let complete = after < self.forgotten_through || after == 0;
-        let is_wanted = |target: &VersionedTarget| {
-            if complete { target.present } else { target.revision > after }
+    /// What a peer asks for.
+    pub fn update_for(&self, request: &FetchRequest, now: Millis) -> Update {
+        let after = request.after;
+        // Positions of another era say nothing about what the asker knows of this one.
+        let complete =
+            after.is_start() || after.era != self.position.era || after < self.forgotten_through;
+        let is_own = |target: &VersionedTarget, machine| {
+            target.record.as_ref().is_some_and(|record| record.address == machine)
         };
-        let targets = self.targets.values().map(|entry| &entry.target);
+        let is_wanted = |entry: &TargetEntry, target: &VersionedTarget| match request.scope {
+            // One that knows nothing need not hear of what is gone.
+            FetchScope::All if after.is_start() => target.present || entry.is_disputed(),
+            FetchScope::All => complete || target.position > after,
+            FetchScope::Machine(machine) => is_own(target, machine),
+        };
+        let wanted = self
+            .targets
+            .values()
+            .flat_map(|entry| entry.claims().filter(move |target| is_wanted(entry, target)));
         let configuration = self.configuration.as_ref();
         Update {
             after,
-            through: self.revision,
-            complete,
+            through: self.position,
+            complete: complete && request.scope == FetchScope::All,
             age_ms: self.age(now).unwrap_or(u64::MAX),
             configuration: configuration
-                .filter(|configuration| complete || configuration.revision > after)
+                .filter(|known| {
+                    request.configuration.is_none_or(|asker| known.configuration.version > asker)
+                })
                 .cloned(),
-            targets: targets.filter(|target| is_wanted(target)).cloned().collect(),
-            zones: ZoneNews::Whole(self.evacuated.clone()),
+            targets: wanted.cloned().collect(),
+            zones: ZoneNews::Whole(self.stored_zones.clone()),
         }
     }
 
-    /// The configuration if it changed after `after`, and the targets of a machine.
-    pub fn update_for_machine(&self, after: u64, machine: u32, now: Millis) -> Update {
-        let is_own = |target: &VersionedTarget| {
-            target.record.as_ref().is_some_and(|record| record.address == machine)
-        };
-        let targets = self.targets.values().map(|entry| &entry.target);
-        let targets = targets.filter(|target| is_own(target)).cloned().collect();
-        Update { targets, complete: false, ..self.update_after(after, now) }
-    }
-
     /// The configuration and the evacuated zones alone, from a replica that does not have
     /// all targets.
     pub fn configuration_only(&self) -> Update {
         Update {
             configuration: self.configuration.clone(),
-            zones: ZoneNews::Whole(self.evacuated.clone()),
+            zones: ZoneNews::Whole(self.stored_zones.clone()),
             ..Update::default()
         }
     }
 
-    fn set_evacuated(&mut self, zones: EvacuatedZones, now: Millis, changes: &mut Vec<Change>) {
+    fn learn_eras(&mut self, update: &Update, now: Millis) {
+        let eras = update.targets.iter().map(|target| target.position.era);
+        let newest = eras.fold(update.through.era, u64::max);
+        self.learn_era(newest, now);
+    }
+
+    fn advance(&mut self, through: Position) {
+        if through.era > self.position.era {
+            // What confirmed the earlier era says nothing about this one.
+            self.confirmed_at = None;
+        }
+        self.position = self.position.max(through);
+    }
+
+    fn set_zones(&mut self, zones: EvacuatedZones, now: Millis, changes: &mut Vec<Change>) {
+        let began = self.stored_zones.as_of;
+        if zones.as_of.era > began.era && !began.is_start() && self.era.is_on(now) {
+            self.kept_zones = self.evacuated.differences(&zones);
+        }
+        // The operator has written again what the copy lacked.
+        self.kept_zones.retain(|zone, is_evacuated| zones.contains(zone) != *is_evacuated);
+        self.stored_zones = zones;
+        self.count_zones(now, changes);
+    }
+
+    /// Brings the evacuated zones that count up to date.
+    fn count_zones(&mut self, now: Millis, changes: &mut Vec<Change>) {
+        let zones = self.stored_zones.with(&self.kept_zones);
         let begins = zones.iter().filter(|zone| !self.evacuated.contains(zone));
         changes.extend(begins.map(|zone| Change::ZoneEvacuated { zone: zone.to_owned() }));
         for zone in self.evacuated.iter().filter(|zone| !zones.contains(zone)) {
@@ -266,14 +386,11 @@
         changes: &mut Vec<Change>,
     ) {
         let Some(offered) = offered else { return };
-        let known = self.configuration.as_ref().map_or(0, |known| known.revision);
-        if offered.revision <= known {
+        let version = offered.configuration.version;
+        if self.version().is_some_and(|known| version <= known) {
             return;
         }
-        changes.push(Change::Configuration {
-            version: offered.configuration.version,
-            revision: offered.revision,
-        });
+        changes.push(Change::Configuration { version, position: offered.position });
         self.configuration = Some(offered);
     }
 
@@ -283,33 +400,39 @@
         now: Millis,
         changes: &mut Vec<Change>,
     ) {
-        let known = self.targets.get(&offered.id);
-        if known.is_some_and(|known| !supersedes(&offered, &known.target)) {
+        let is_holding = self.era.is_on(now);
+        // The hold is over: what the newest era did not renew is gone.
+        offered.present &= is_holding || offered.position.era >= self.position.era;
+        let Some(entry) = self.targets.get_mut(&offered.id) else {
+            changes.push(change_of(&offered, false));
+            self.targets.insert(offered.id.clone(), TargetEntry::new(offered, now));
             return;
+        };
+        let incarnation = |entry: &TargetEntry| {
+            entry.target.record.as_ref().and_then(|record| record.incarnation)
+        };
+        let before = incarnation(entry);
+        if entry.take(offered, is_holding, now) {
+            let restarted = before.is_some() && before != incarnation(entry);
+            changes.push(change_of(&entry.target, restarted));
         }
-        if offered.record.is_none() {
-            offered.record = known.and_then(|known| known.target.record.clone());
-        }
-        let id = offered.id.clone();
-        match (&offered.record, offered.present) {
-            (Some(record), true) => {
-                changes.push(Change::Target { id: id.clone(), record: record.clone() });
-            }
-            (record, _) => {
-                changes.push(Change::Removed { id: id.clone(), record: record.clone() });
-            }
-        }
-        self.targets.insert(id, TargetEntry { target: offered, learned_at: now });
     }
 
-    /// Targets known here that a complete list as of `through` does not have.
-    fn absent_targets(&self, listed: &[VersionedTarget], through: u64) -> Vec<VersionedTarget> {
+    /// Targets known here that a complete list as of `through` does not have. The list of
+    /// a new era proves nothing about what was known before: the copy that the store came
+    /// back from may be older.
+    fn absent_targets(
+        &self,
+        listed: &[VersionedTarget],
+        through: Position,
+    ) -> Vec<VersionedTarget> {
         let is_listed = |id: &str| listed.iter().any(|target| target.id == id);
-        let known = self.targets.values().map(|entry| &entry.target);
+        let known = self.targets.values().flat_map(TargetEntry::claims);
         known
-            .filter(|target| target.present && target.revision <= through)
+            .filter(|target| target.present && target.position <= through)
+            .filter(|target| target.position.era == through.era)
             .filter(|target| !is_listed(&target.id))
-            .map(|target| VersionedTarget { present: false, revision: through, ..target.clone() })
+            .map(|target| VersionedTarget { present: false, position: through, ..target.clone() })
             .collect()
     }
 
@@ -320,7 +443,7 @@
             let age = now.saturating_sub(entry.learned_at);
             let keep = entry.target.present || age < REMOVED_TARGET_LIFETIME_MS;
             if !keep {
-                forgotten_through = forgotten_through.max(entry.target.revision);
+                forgotten_through = forgotten_through.max(entry.target.position);
             }
             keep
         });
@@ -328,18 +451,15 @@
     }
 }
 
+fn change_of(target: &VersionedTarget, restarted: bool) -> Change {
+    let id = target.id.clone();
+    match (&target.record, target.present) {
+        (Some(record), true) => Change::Target { id, record: record.clone(), restarted },
+        (record, _) => Change::Removed { id, record: record.clone() },
+    }
+}
+
 /// A time or span as a signed number; one too long for that counts as endless.
 fn signed(millis: Millis) -> i64 {
     i64::try_from(millis).unwrap_or(i64::MAX)
 }
-
-/// Whether `offered` is newer than `known`. At one revision, a removal wins: a
-/// complete list proves the absence of a target at the very revision of its
-/// latest change only if that change was the removal.
-fn supersedes(offered: &VersionedTarget, known: &VersionedTarget) -> bool {
-    match offered.revision.cmp(&known.revision) {
-        std::cmp::Ordering::Greater => true,
-        std::cmp::Ordering::Equal => known.present && !offered.present,
-        std::cmp::Ordering::Less => false,
-    }
-}
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -59,7 +59,8 @@
     /// Knowledge older than this counts as lost.
     pub stale_ms: Millis,
     /// How long targets without a record may take flows after the store's word
-    /// became fresh again: living ones have renewed their records by then.
+    /// became fresh again: living ones have renewed their records by then. For as long,
+    /// a store that came back from a copy is not believed against what was known before.
     pub settle_ms: Millis,
     /// How long a target whose record left without a word may take flows when its
     /// service has no other.
--- a/crates/fleet/tests/evacuation.rs
+++ b/crates/fleet/tests/evacuation.rs
@@ -1,25 +1,32 @@
 //! Evacuated zones: whole in every message, never back to an older state.
 
 use proptest::prelude::*;
-use weirhinge_fleet::{Change, EvacuatedZones, Replica, Update, ZoneChange, ZoneNews};
+use weirhinge_fleet::{
+    Change, EvacuatedZones, FetchRequest, FetchScope, Position, Replica, Update, ZoneChange,
+    ZoneNews,
+};
+
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
 
 fn zones(as_of: u64, names: &[&str]) -> EvacuatedZones {
-    EvacuatedZones::new(as_of, names.iter().map(|name| (*name).to_owned()))
+    EvacuatedZones::new(at(as_of), names.iter().map(|name| (*name).to_owned()))
 }
 
-fn listing(at: u64, names: &[&str]) -> Update {
-    let zones = ZoneNews::Whole(zones(at, names));
-    Update { through: at, complete: true, zones, ..Update::default() }
+fn listing(through: u64, names: &[&str]) -> Update {
+    let zones = ZoneNews::Whole(zones(through, names));
+    Update { through: at(through), complete: true, zones, ..Update::default() }
 }
 
 fn events(after: u64, through: u64, changes: &[(u64, &str, bool)]) -> Update {
     let changes = changes.iter().map(|(revision, zone, begins)| ZoneChange {
         zone: (*zone).to_owned(),
-        revision: *revision,
+        position: at(*revision),
         begins: *begins,
     });
     let zones = ZoneNews::Changes(changes.collect());
-    Update { after, through, zones, ..Update::default() }
+    Update { after: at(after), through: at(through), zones, ..Update::default() }
 }
 
 fn evacuated(replica: &Replica) -> Vec<&str> {
@@ -72,7 +79,9 @@
     balancer.apply(listing(10, &["a"]), 0);
     let mut agent = Replica::new();
     agent.learn_evacuated(balancer.evacuated(), 5);
-    for source in [balancer.update_after(0, 10), agent.configuration_only()] {
+    let everything =
+        FetchRequest { after: Position::default(), configuration: None, scope: FetchScope::All };
+    for source in [balancer.update_for(&everything, 10), agent.configuration_only()] {
         let mut restarted = Replica::new();
         restarted.apply(source, 20);
         assert_eq!(evacuated(&restarted), ["a"]);
@@ -95,7 +104,7 @@
 #[test]
 fn the_number_of_zones_is_bounded() {
     let names: Vec<String> = (0..1_000).map(|number| format!("zone-{number}")).collect();
-    assert_eq!(EvacuatedZones::new(1, names).len(), 64);
+    assert_eq!(EvacuatedZones::new(at(1), names).len(), 64);
 }
 
 proptest! {
@@ -105,7 +114,7 @@
         states in proptest::collection::vec(proptest::collection::btree_set("[a-c]", 0..3), 1..8),
         order in proptest::collection::vec((any::<bool>(), any::<proptest::sample::Index>()), 0..30),
     ) {
-        let as_of = |place: usize| 10 + place as u64;
+        let as_of = |place: usize| at(10 + place as u64);
         let whole = |place: usize| EvacuatedZones::new(as_of(place), states[place].clone());
         let mut replica = Replica::new();
         let mut newest = None;
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -6,7 +6,7 @@
 use weirhinge_fleet::reader::{CheckSchedule, ReaderInputs, should_read, wait_after_failure};
 use weirhinge_fleet::{
     Bounds, Digest, EvacuatedZones, MessageError, Millis, PEER_LIFETIME_MS, PeerMessage, PeerRole,
-    PeerTable, SearchPath, Timing, ZoneId, decode, encode,
+    PeerTable, Position, SearchPath, Timing, ZoneId, decode, encode,
 };
 
 const OWN: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 5);
@@ -23,8 +23,8 @@
         capacity: Some(500),
         stopping: false,
         overloaded: false,
-        revision: 1,
-        configuration_revision: 1,
+        position: Position::new(0, 1),
+        configuration: Some(1),
         evacuated: EvacuatedZones::default(),
         age_ms: Some(0),
         reading,
@@ -74,7 +74,7 @@
 fn configured_peers_know_a_configuration_and_go_on() {
     let mut peers = PeerTable::new(OWN, []);
     peers.heard(&digest(address(1), false), 7);
-    peers.heard(&Digest { configuration_revision: 0, ..digest(address(2), false) }, 7);
+    peers.heard(&Digest { configuration: None, ..digest(address(2), false) }, 7);
     peers.heard(&Digest { stopping: true, ..digest(address(3), false) }, 7);
     let serving: Vec<_> = peers.serving().map(|peer| (peer.address, peer.heard_at)).collect();
     assert_eq!(serving, vec![(address(1), 7)]);
@@ -147,7 +147,7 @@
 }
 
 /// First byte of the datagrams of this version of the protocol.
-const OUR_VERSION: u8 = 5;
+const OUR_VERSION: u8 = 6;
 
 #[test]
 fn foreign_datagrams_are_refused() {
@@ -228,7 +228,7 @@
     table.heard(&overloaded(2, false), 1_000);
     table.heard(&overloaded(3, true), 1_000);
     table.heard(&Digest { stopping: true, ..digest(address(4), false) }, 1_000);
-    table.heard(&Digest { configuration_revision: 0, ..digest(address(5), false) }, 1_000);
+    table.heard(&Digest { configuration: None, ..digest(address(5), false) }, 1_000);
     let heard_lately = table.serving().filter(|peer| peer.was_heard_within(700, 1_200));
     let overloads: Vec<_> = heard_lately.map(|peer| (peer.address, peer.overloaded)).collect();
     assert_eq!(overloads, [(address(2), false), (address(3), true)]);
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -2,10 +2,19 @@
 
 use proptest::prelude::*;
 use weirhinge_fleet::{
-    Change, Configuration, Replica, TargetRecord, TargetState, Update, VersionedConfiguration,
-    VersionedTarget,
+    Change, Configuration, FetchRequest, FetchScope, Position, Replica, TargetRecord, TargetState,
+    Update, VersionedConfiguration, VersionedTarget,
 };
 
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
+/// A request of a peer that knows no configuration.
+fn after(revision: u64) -> FetchRequest {
+    FetchRequest { after: at(revision), configuration: None, scope: FetchScope::All }
+}
+
 fn record(address: u32, state: TargetState) -> TargetRecord {
     TargetRecord {
         service: "sheets".to_owned(),
@@ -14,13 +23,15 @@
         slots: 5,
         state,
         warm_up_ms: 0,
+        incarnation: None,
+        sequence: 1,
     }
 }
 
 fn target(id: &str, revision: u64, state: Option<TargetState>) -> VersionedTarget {
     VersionedTarget {
         id: id.to_owned(),
-        revision,
+        position: at(revision),
         present: state.is_some(),
         record: state.map(|state| record(7, state)),
     }
@@ -33,11 +44,11 @@
         idle_timeout_ms: 15_000,
         ..Configuration::default()
     };
-    VersionedConfiguration { revision, configuration }
+    VersionedConfiguration { position: at(revision), configuration }
 }
 
 fn events(after: u64, through: u64, targets: Vec<VersionedTarget>) -> Update {
-    Update { after, through, targets, ..Update::default() }
+    Update { after: at(after), through: at(through), targets, ..Update::default() }
 }
 
 fn listing(through: u64, targets: Vec<VersionedTarget>) -> Update {
@@ -48,7 +59,7 @@
     replica
         .targets()
         .filter(|entry| entry.target.present)
-        .map(|entry| (entry.target.id.clone(), entry.target.revision))
+        .map(|entry| (entry.target.id.clone(), entry.target.position.revision))
         .collect()
 }
 
@@ -63,7 +74,7 @@
     let changes = replica.apply(with(configuration(4, 12), 4), 1);
     assert_eq!(changes, Vec::new());
     assert_eq!(replica.configuration().map(|known| known.configuration.version), Some(31));
-    assert_eq!(replica.revision(), 9);
+    assert_eq!(replica.position().revision, 9);
 }
 
 #[test]
@@ -101,7 +112,7 @@
     let mut replica = Replica::new();
     replica.apply(listing(3, Vec::new()), 0);
     replica.apply(events(5, 9, vec![target("x", 8, Some(TargetState::Ready))]), 1);
-    assert_eq!(replica.revision(), 3);
+    assert_eq!(replica.position().revision, 3);
     // The entry itself counts all the same.
     assert_eq!(present(&replica), vec![("x".to_owned(), 8)]);
 }
@@ -111,12 +122,12 @@
     let mut replica = Replica::new();
     replica.apply(listing(7, Vec::new()), 1_000);
     assert_eq!(replica.age(1_500), Some(500));
-    replica.confirm(6, 0, 1_500);
+    replica.confirm(at(6), 0, 1_500);
     assert_eq!(replica.age(1_500), Some(500));
-    replica.confirm(7, 100, 1_500);
+    replica.confirm(at(7), 100, 1_500);
     assert_eq!(replica.age(1_500), Some(100));
     // An older confirmation does not make it older.
-    replica.confirm(7, 900, 1_500);
+    replica.confirm(at(7), 900, 1_500);
     assert_eq!(replica.age(1_500), Some(100));
 }
 
@@ -127,9 +138,9 @@
         vec![target("x", 3, Some(TargetState::Ready)), target("y", 4, Some(TargetState::Ready))];
     replica.apply(listing(4, targets), 0);
     replica.apply(events(4, 6, vec![target("x", 6, None)]), 0);
-    let update = replica.update_after(4, 10);
+    let update = replica.update_for(&after(4), 10);
     assert!(!update.complete);
-    assert_eq!((update.after, update.through, update.age_ms), (4, 6, 10));
+    assert_eq!((update.after, update.through, update.age_ms), (at(4), at(6), 10));
     let ids: Vec<&str> = update.targets.iter().map(|target| target.id.as_str()).collect();
     assert_eq!(ids, vec!["x"]);
 }
@@ -140,8 +151,8 @@
     replica.apply(listing(3, vec![target("x", 3, Some(TargetState::Ready))]), 0);
     replica.apply(events(3, 5, vec![target("x", 5, None)]), 0);
     replica.apply(events(5, 5, Vec::new()), 200_000);
-    assert!(replica.update_after(4, 200_000).complete);
-    assert!(!replica.update_after(5, 200_000).complete);
+    assert!(replica.update_for(&after(4), 200_000).complete);
+    assert!(!replica.update_for(&after(5), 200_000).complete);
 }
 
 prop_compose! {
@@ -169,16 +180,16 @@
         let last = history.len() as u64;
         let mut expected = Replica::new();
         for change in &history {
-            expected.apply(events(0, change.revision, vec![change.clone()]), 0);
+            expected.apply(events(0, change.position.revision, vec![change.clone()]), 0);
         }
         let mut replica = Replica::new();
         for index in order {
             let change = index.get(&history).clone();
-            replica.apply(events(change.revision - 1, change.revision, vec![change]), 0);
+            replica.apply(events(change.position.revision - 1, change.position.revision, vec![change]), 0);
         }
         replica.apply(events(0, last, history.iter().rev().cloned().collect()), 0);
         prop_assert_eq!(present(&replica), present(&expected));
-        prop_assert_eq!(replica.revision(), last);
+        prop_assert_eq!(replica.position().revision, last);
     }
 
     /// A replica that follows another by differences ends equal to it.
@@ -188,15 +199,15 @@
         let mut leader = Replica::new();
         let mut follower = Replica::new();
         for change in &history[..cut] {
-            leader.apply(events(change.revision - 1, change.revision, vec![change.clone()]), 0);
+            leader.apply(events(change.position.revision - 1, change.position.revision, vec![change.clone()]), 0);
         }
-        follower.apply(leader.update_after(0, 0), 0);
+        follower.apply(leader.update_for(&after(0), 0), 0);
         for change in &history[cut..] {
-            leader.apply(events(change.revision - 1, change.revision, vec![change.clone()]), 0);
+            leader.apply(events(change.position.revision - 1, change.position.revision, vec![change.clone()]), 0);
         }
-        follower.apply(leader.update_after(follower.revision(), 0), 0);
+        follower.apply(leader.update_for(&after(follower.position().revision), 0), 0);
         prop_assert_eq!(present(&follower), present(&leader));
-        prop_assert_eq!(follower.revision(), leader.revision());
+        prop_assert_eq!(follower.position(), leader.position());
     }
 }
 
@@ -208,8 +219,9 @@
     let targets = vec![target("other", 3, Some(TargetState::Ready)), own];
     let update = Update { configuration: Some(configuration(2, 31)), ..listing(4, targets) };
     replica.apply(update, 0);
+    let own = FetchRequest { scope: FetchScope::Machine(9), ..after(0) };
     let mut beside = Replica::new();
-    beside.apply(replica.update_for_machine(0, 9, 0), 0);
+    beside.apply(replica.update_for(&own, 0), 0);
     assert_eq!(present(&beside), vec![("own".to_owned(), 4)]);
     assert_eq!(beside.configuration().map(|known| known.configuration.version), Some(31));
 }
@@ -223,7 +235,7 @@
     let mut restarted = Replica::new();
     restarted.apply(replica.configuration_only(), 10);
     assert_eq!(restarted.configuration().map(|known| known.configuration.version), Some(31));
-    assert_eq!((restarted.revision(), restarted.age(10)), (0, None));
+    assert_eq!((restarted.position(), restarted.age(10)), (at(0), None));
 }
 
 /// A process that runs for 100 ms and learns of a confirmation 680 ms ago once counted
@@ -235,8 +247,8 @@
     replica.apply(Update { age_ms: 680, ..listing(347, Vec::new()) }, 100);
     assert_eq!(replica.age(100), Some(680));
     assert_eq!(replica.age(400), Some(980));
-    assert_eq!(replica.update_after(347, 400).age_ms, 980);
-    replica.confirm(347, 700, 400);
+    assert_eq!(replica.update_for(&after(347), 400).age_ms, 980);
+    replica.confirm(at(347), 700, 400);
     assert_eq!(replica.age(400), Some(700), "a fresher word counts");
 }
 
@@ -245,7 +257,7 @@
     let mut replica = Replica::new();
     replica.apply(Update { age_ms: u64::MAX, ..listing(5, Vec::new()) }, 50);
     assert!(replica.age(60).is_some_and(|age| age > 1_000_000_000));
-    replica.confirm(5, 20, 60);
+    replica.confirm(at(5), 20, 60);
     assert_eq!(replica.age(60), Some(20));
 }
 
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -299,7 +299,7 @@
         let node = self.node.borrow();
         Basis {
             configuration: node.view().label(),
-            revision: node.revision(),
+            revision: node.position().revision,
             age_ms: node.age(now),
         }
     }
--- a/crates/relay/src/fleet_node/contacts.rs
+++ b/crates/relay/src/fleet_node/contacts.rs
@@ -153,7 +153,7 @@
         receivers.extend(self.choose(&silent, asked));
         receivers.sort();
         receivers.dedup();
-        let knows_nothing = self.replica.revision() == 0;
+        let knows_nothing = self.replica.position().is_start();
         let ask = |receiver| knows_nothing || self.peers.is_due(receiver, now);
         receivers.into_iter().map(|receiver| (receiver, ask(receiver))).collect()
     }
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -9,8 +9,8 @@
 use rand::{RngExt, SeedableRng};
 use slog::{Logger, info};
 use weirhinge_fleet::{
-    Change, Digest, FetchRequest, FetchScope, Millis, PeerRole, PeerTable, Replica, TargetClaim,
-    Timing, Update, VersionedTarget, ZoneId, reader,
+    Change, Digest, FetchRequest, FetchScope, Millis, PeerRole, PeerTable, Position, Replica,
+    TargetClaim, Timing, Update, VersionedTarget, ZoneId, reader,
 };
 use weirhinge_steering::{FleetView, Locality};
 
@@ -77,7 +77,7 @@
         Self {
             address,
             role,
-            replica: Replica::new(),
+            replica: Replica::with_hold(settings.timing.settle_ms),
             peers: PeerTable::new(address, settings.seeds.iter().copied()),
             view: FleetView::default(),
             was_fresh: false,
@@ -107,9 +107,14 @@
         &self.view
     }
 
-    /// The revision up to which all changes are known.
-    pub fn revision(&self) -> u64 {
-        self.replica.revision()
+    /// The position up to which all changes are known.
+    pub fn position(&self) -> Position {
+        self.replica.position()
+    }
+
+    /// The newest era of the store heard of.
+    pub fn newest_era(&self) -> u64 {
+        self.replica.newest_era()
     }
 
     /// Milliseconds since the store confirmed what is known.
@@ -122,7 +127,8 @@
         self.age(now).is_some_and(|age| age < self.timing.fresh_ms)
     }
 
-    /// When the store's word became fresh after it was lost; given out once.
+    /// When the store's word became fresh after it was lost, or the store came back from a
+    /// copy; given out once.
     pub fn take_regained(&mut self) -> Option<Millis> {
         self.regained_at.take()
     }
@@ -130,42 +136,33 @@
     /// What a peer asks for. An agent does not have all targets and gives the
     /// configuration alone.
     pub fn answer(&self, request: FetchRequest, now: Millis) -> Update {
-        match (self.role, request.scope) {
-            (PeerRole::Agent, _) => self.replica.configuration_only(),
-            (PeerRole::Balancer, FetchScope::All) => self.replica.update_after(request.after, now),
-            (PeerRole::Balancer, FetchScope::Machine(machine)) => {
-                self.replica.update_for_machine(request.after, machine, now)
-            }
+        match self.role {
+            PeerRole::Agent => self.replica.configuration_only(),
+            PeerRole::Balancer => self.replica.update_for(&request, now),
         }
     }
 
     /// What this daemon asks a peer for.
     pub fn request(&self) -> FetchRequest {
-        let after = self.replica.revision();
-        match self.role {
-            PeerRole::Balancer => FetchRequest { after, scope: FetchScope::All },
-            PeerRole::Agent => {
-                let scope = FetchScope::Machine(self.address.to_bits());
-                // Its own target may have been recorded before the configuration.
-                let after = self.configuration_revision().min(after);
-                FetchRequest { after, scope }
-            }
-        }
-    }
-
-    fn configuration_revision(&self) -> u64 {
-        self.replica.configuration().map_or(0, |known| known.revision)
+        let scope = match self.role {
+            PeerRole::Balancer => FetchScope::All,
+            PeerRole::Agent => FetchScope::Machine(self.address.to_bits()),
+        };
+        let (after, configuration) = (self.replica.position(), self.replica.version());
+        FetchRequest { after, configuration, scope }
     }
 
     /// Whether a peer's digest tells of something that this daemon wants.
     fn wants(&self, digest: &Digest) -> bool {
-        let newer = digest.revision > self.replica.revision();
-        let newer_configuration = digest.configuration_revision > self.configuration_revision();
+        let newer = digest.position > self.replica.position();
+        let newer_configuration = digest.configuration > self.replica.version();
         match (self.role, digest.role) {
-            (PeerRole::Balancer, PeerRole::Balancer) => newer,
+            // A store that came back from a copy states an older configuration than peers
+            // know, at a later position.
+            (PeerRole::Balancer, PeerRole::Balancer) => newer || newer_configuration,
             // Agents are asked only by those who know nothing.
             (PeerRole::Balancer, PeerRole::Agent) => {
-                self.configuration_revision() == 0 && newer_configuration
+                self.replica.version().is_none() && newer_configuration
             }
             // Agents are told of their targets' records.
             (PeerRole::Agent, _) => newer_configuration,
@@ -181,9 +178,9 @@
             capacity: self.capacity,
             stopping: self.stopping,
             overloaded: self.overloaded,
-            revision: self.replica.revision(),
-            configuration_revision: self.configuration_revision(),
-            evacuated: self.replica.evacuated().clone(),
+            position: self.replica.position(),
+            configuration: self.replica.version(),
+            evacuated: self.replica.stored_zones().clone(),
             age_ms: self.replica.age(now),
             reading: self.reading,
             reply,
@@ -198,11 +195,12 @@
         if is_new {
             info!(self.log, "fleet: peer found"; "event" => "peer_found",
                 "peer" => Ipv4Addr::from_bits(digest.sender).to_string(),
-                "role" => ?digest.role, "revision" => digest.revision);
+                "role" => ?digest.role, "revision" => digest.position.revision);
         }
-        let known = self.replica.revision();
+        self.learn_era(digest.position.era, "peer", now);
+        let known = self.replica.position();
         let age_before = self.replica.age(now);
-        let age_ms = digest.age_ms.filter(|_| digest.revision == known && known > 0);
+        let age_ms = digest.age_ms.filter(|_| digest.position == known && !known.is_start());
         if let Some(age_ms) = age_ms {
             self.replica.confirm(known, age_ms, now);
         }
@@ -240,21 +238,38 @@
     /// Whether the sender of a digest would want what this daemon knows.
     fn has_news_for(&self, digest: &Digest) -> bool {
         match digest.role {
-            PeerRole::Balancer => digest.revision < self.replica.revision(),
+            PeerRole::Balancer => {
+                digest.position < self.replica.position()
+                    || digest.configuration < self.replica.version()
+            }
             PeerRole::Agent => {
-                digest.configuration_revision < self.configuration_revision()
-                    || self.replica.evacuated().is_news_for(&digest.evacuated)
+                digest.configuration < self.replica.version()
+                    || self.replica.stored_zones().is_news_for(&digest.evacuated)
             }
         }
     }
 
     /// Takes in what the store or a peer says. Returns whether anything changed.
     pub fn apply(&mut self, update: Update, source: &str, now: Millis) -> bool {
-        let before = self.replica.revision();
+        let before = self.replica.position();
+        self.learn_era(update.through.era, source, now);
         let changes = self.replica.apply(update, now);
         self.note_changes(&changes, source, now);
         self.note_freshness(now);
-        !changes.is_empty() || self.replica.revision() > before
+        !changes.is_empty() || self.replica.position() > before
+    }
+
+    /// Takes in which era the store is in. In a new one targets may live that the store
+    /// lacks.
+    fn learn_era(&mut self, era: u64, source: &str, now: Millis) {
+        if !self.replica.learn_era(era, now) {
+            return;
+        }
+        self.regained_at = Some(now);
+        let known = self.replica.position();
+        info!(self.log, "fleet: the store came back from a copy"; "event" => "store_restored",
+            "era" => era, "known_era" => known.era, "revision" => known.revision,
+            "configuration" => self.replica.version(), "source" => source);
     }
 
     /// Logs changes and brings the view up to date.
@@ -274,9 +289,9 @@
 
     /// Takes in what the store itself says.
     pub fn apply_from_store(&mut self, update: Update, now: Millis) {
-        let known = self.replica.revision();
+        let known = self.replica.position();
         self.apply(update, "store", now);
-        let changed = self.replica.targets().filter(|entry| entry.target.revision > known);
+        let changed = self.replica.targets().filter(|entry| entry.target.position > known);
         let records = changed.map(|entry| &entry.target).filter(|target| target.record.is_some());
         self.recorded = records.take(AGENTS_TOLD).cloned().collect();
     }
@@ -331,41 +346,46 @@
             self.was_fresh = true;
             self.regained_at = Some(now);
             info!(self.log, "fleet: knowledge of the store is fresh"; "event" => "store_view_fresh",
-                "revision" => self.replica.revision(), "age_ms" => age);
+                "revision" => self.replica.position().revision, "age_ms" => age);
         } else if is_lost && self.was_fresh {
             self.was_fresh = false;
             info!(self.log, "fleet: knowledge of the store is old"; "event" => "store_view_old",
-                "revision" => self.replica.revision(), "age_ms" => age);
+                "revision" => self.replica.position().revision, "age_ms" => age);
         }
     }
 
-    /// Notices that time alone made the knowledge old.
+    /// Notices what time alone changes: knowledge becomes old, and a store that came back
+    /// from a copy is believed in the end.
     pub fn check_freshness(&mut self, now: Millis) {
+        let changes = self.replica.settle(now);
+        self.note_changes(&changes, "hold over", now);
         self.note_freshness(now);
     }
 
     fn log_change(&self, change: &Change, source: &str, now: Millis) {
         let age_ms = self.replica.age(now);
         match change {
-            Change::Configuration { version, revision } => {
+            Change::Configuration { version, position } => {
                 info!(self.log, "fleet: configuration in force"; "event" => "configuration",
-                    "version" => version, "revision" => revision, "source" => source,
+                    "version" => version, "era" => position.era, "revision" => position.revision,
+                    "source" => source,
                     "age_ms" => age_ms);
             }
-            Change::Target { id, record } => {
+            Change::Target { id, record, restarted } => {
                 info!(self.log, "fleet: target recorded"; "event" => "target", "target" => id,
                     "agent" => record.machine().to_string(), "state" => ?record.state,
                     "service" => &record.service, "cold_ms" => record.warm_up_ms,
+                    "restarted" => restarted,
                     "source" => source, "age_ms" => age_ms);
             }
             Change::ZoneEvacuated { zone } => {
                 info!(self.log, "fleet: zone evacuated"; "event" => "zone_evacuated",
-                    "zone" => zone, "revision" => self.replica.evacuated().as_of,
+                    "zone" => zone, "revision" => self.replica.evacuated().as_of.revision,
                     "source" => source, "age_ms" => age_ms);
             }
             Change::ZoneReturned { zone } => {
                 info!(self.log, "fleet: zone taken back"; "event" => "zone_returned",
-                    "zone" => zone, "revision" => self.replica.evacuated().as_of,
+                    "zone" => zone, "revision" => self.replica.evacuated().as_of.revision,
                     "source" => source, "age_ms" => age_ms);
             }
             Change::Removed { id, record } => {
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -7,7 +7,7 @@
 use eyre::WrapErr;
 use slog::{Logger, warn};
 use tokio::net::UdpSocket;
-use weirhinge_fleet::{Digest, MessageError, Millis, PeerMessage, TargetRecord, encode};
+use weirhinge_fleet::{Digest, MessageError, Millis, PeerMessage, Position, TargetRecord, encode};
 
 use crate::clock::Clock;
 use crate::fleet_node::FleetNode;
@@ -15,7 +15,7 @@
 use crate::peer_stream;
 use crate::settings::CommonSettings;
 
-/// A fetch that has not brought its revision for this long is tried elsewhere.
+/// A fetch that has not brought its position for this long is tried elsewhere.
 const FETCH_PATIENCE_MS: Millis = 150;
 
 /// This daemon's end of the conversation with its peers.
@@ -27,8 +27,8 @@
     metrics: FleetMetrics,
     log: Logger,
     buffer: RefCell<Vec<u8>>,
-    /// The revision last fetched for, and since when.
-    wanted: Cell<(u64, Millis)>,
+    /// The position last fetched for, and since when.
+    wanted: Cell<(Position, Millis)>,
 }
 
 impl PeerLink {
@@ -61,7 +61,7 @@
             metrics,
             log,
             buffer: RefCell::new(Vec::new()),
-            wanted: Cell::new((0, 0)),
+            wanted: Cell::default(),
         }))
     }
 
@@ -107,7 +107,7 @@
             self.send_digest(sender, false);
         }
         if let Some(source) = reaction.fetch_from {
-            self.fetch(source, digest.revision, now);
+            self.fetch(source, digest.position, now);
         }
         if let Some(record) = reaction.record {
             self.send(sender, &PeerMessage::Record(record));
@@ -209,12 +209,12 @@
     }
 
     /// Fetches what a peer knows, unless the same is on its way from another.
-    fn fetch(self: &Rc<Self>, peer: Ipv4Addr, revision: u64, now: Millis) {
+    fn fetch(self: &Rc<Self>, peer: Ipv4Addr, position: Position, now: Millis) {
         let (wanted, since) = self.wanted.get();
-        if revision <= wanted && now.saturating_sub(since) < FETCH_PATIENCE_MS {
+        if position <= wanted && now.saturating_sub(since) < FETCH_PATIENCE_MS {
             return;
         }
-        self.wanted.set((revision, now));
+        self.wanted.set((position, now));
         let link = Rc::clone(self);
         tokio::task::spawn_local(async move { link.fetch_from(peer).await });
     }
@@ -247,7 +247,8 @@
         let node = self.node.borrow();
         let age = node.age(self.clock.now());
         let version = node.view().label().map_or(0, |label| label.version);
-        self.metrics.revision.set(node.revision() as i64);
+        self.metrics.revision.set(node.position().revision as i64);
+        self.metrics.era.set(node.newest_era() as i64);
         self.metrics.configuration.set(version as i64);
         self.metrics.zones_evacuated.set(node.view().evacuated_count() as i64);
         self.metrics.age_ms.set(age.map_or(-1, |age| age as i64));
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -95,6 +95,8 @@
 pub struct FleetMetrics {
     /// Store revision known.
     pub revision: Gauge,
+    /// Newest era of the store heard of.
+    pub era: Gauge,
     /// Version of the configuration in force.
     pub configuration: Gauge,
     /// Milliseconds since the store confirmed what is known; -1 if never.
@@ -114,6 +116,7 @@
     pub fn declare(metrics: &mut Metrics) -> Self {
         Self {
             revision: metrics.gauge("store_revision", "Store revision known"),
+            era: metrics.gauge("store_era", "How often the store came back from a copy"),
             configuration: metrics.gauge("configuration_version", "Configuration in force"),
             age_ms: metrics.gauge("store_age_ms", "Milliseconds since the store's confirmation"),
             zones_evacuated: metrics
@@ -136,8 +139,6 @@
     pub rejected_items: Counter,
     /// Listings of all items, by reason.
     pub listings: ReasonCounters,
-    /// Era that the store's latest answer stated.
-    pub era: Gauge,
     /// Seconds of one call, the wait of a watch included.
     pub call_seconds: Histogram,
 }
@@ -150,7 +151,6 @@
             failures: metrics.counter("store_failures", "Failed calls to the store"),
             rejected_items: metrics.counter("store_items_refused", "Unusable items of the store"),
             listings: metrics.reasons("store_listings", "Listings of the whole store"),
-            era: metrics.gauge("store_era", "How often the store came back from a copy"),
             call_seconds: metrics.histogram("store_call_seconds", "Seconds of one store call"),
         }
     }
--- a/crates/relay/src/platform.rs
+++ b/crates/relay/src/platform.rs
@@ -2,7 +2,7 @@
 //! asked and answers. An implementation translates and decides nothing.
 
 use weirhinge_fleet::{
-    Millis, Update, VersionedConfiguration, VersionedTarget, ZoneChange, ZoneNews,
+    Millis, Position, Update, VersionedConfiguration, VersionedTarget, ZoneChange, ZoneNews,
 };
 use weirhinge_steering::{AnswerStatus, FlowKey, MalformedPacket, PacketHead};
 
@@ -23,8 +23,8 @@
 /// One page of a listing of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListPage {
-    /// The store's revision when it answered.
-    pub at: u64,
+    /// The store's position when it answered.
+    pub at: Position,
     /// The key after which the next page begins; none on the last page.
     pub next_after: Option<String>,
     /// The configuration, if it is on this page.
@@ -37,11 +37,11 @@
     pub rejected: Vec<RejectedItem>,
 }
 
-/// What changed in the store after a revision.
+/// What changed in the store after a position.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WatchPage {
-    /// The revision to continue from.
-    pub at: u64,
+    /// The position to continue from.
+    pub at: Position,
     /// The configuration, if it changed.
     pub configuration: Option<VersionedConfiguration>,
     /// Targets that changed, in the store's order.
@@ -54,12 +54,12 @@
 
 /// An answer that was made from an older state than the reader has seen already.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("answer as of revision {at}, asked for changes after {after}")]
+#[error("answer as of position {at}, known is {after}")]
 pub struct AnswerBehind {
-    /// The revision that the answer states.
-    pub at: u64,
-    /// The revision that was known.
-    pub after: u64,
+    /// The position that the answer states.
+    pub at: Position,
+    /// The position that was known.
+    pub after: Position,
 }
 
 impl WatchPage {
@@ -72,7 +72,7 @@
     /// When the answer does not prove that the store's state is the one known.
     pub fn into_update(
         self,
-        after: u64,
+        after: Position,
         wait_ms: Millis,
         elapsed_ms: Millis,
     ) -> Result<Update, AnswerBehind> {
@@ -125,20 +125,20 @@
     /// Path and query that list the store's items after a key.
     fn list_path(&self, after: Option<&str>) -> String;
 
-    /// Path and query that wait for changes after a revision.
+    /// Path and query that wait for changes after a revision of the store's present era.
     fn watch_path(&self, after: u64, wait_ms: Millis) -> String;
 
-    /// Reads a listing.
+    /// Reads a listing that the store made in this era.
     ///
     /// # Errors
     /// When the answer as a whole cannot be used.
-    fn read_list(&self, body: &[u8]) -> Result<ListPage, RejectedItem>;
+    fn read_list(&self, era: u64, body: &[u8]) -> Result<ListPage, RejectedItem>;
 
-    /// Reads an answer to a watch.
+    /// Reads an answer to a watch that the store made in this era.
     ///
     /// # Errors
     /// When the answer as a whole cannot be used.
-    fn read_watch(&self, body: &[u8]) -> Result<WatchPage, RejectedItem>;
+    fn read_watch(&self, era: u64, body: &[u8]) -> Result<WatchPage, RejectedItem>;
 
     /// Path at which the platform asks whether a daemon is ready.
     fn readiness_path(&self) -> &'static str;
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -7,13 +7,14 @@
 use hyper::body::Bytes;
 use slog::{Logger, info, warn};
 use weirhinge_fleet::{
-    EvacuatedZones, Millis, Timing, Update, VersionedConfiguration, VersionedTarget, ZoneNews,
+    EvacuatedZones, Millis, Position, Timing, Update, VersionedConfiguration, VersionedTarget,
+    ZoneNews,
 };
 
 use crate::clock::Clock;
 use crate::fleet_node::FleetNode;
 use crate::metrics::StoreMetrics;
-use crate::platform::{Platform, RejectedItem};
+use crate::platform::{AnswerBehind, Platform, RejectedItem};
 use crate::settings::CommonSettings;
 use crate::store_client::{StoreAnswer, StoreClient, StoreError};
 
@@ -35,8 +36,10 @@
     Start,
     /// The store was out of reach since the last listing.
     Outage,
-    /// The store does not have the changes after the known revision.
+    /// The store does not have the changes after the known position.
     HistoryGone,
+    /// The store came back from a copy: its revisions are others.
+    Restored,
 }
 
 impl ListingReason {
@@ -46,6 +49,7 @@
             ListingReason::Start => "start",
             ListingReason::Outage => "outage",
             ListingReason::HistoryGone => "history_gone",
+            ListingReason::Restored => "restored",
         }
     }
 }
@@ -61,6 +65,8 @@
     log: Logger,
     needs_list: bool,
     is_lost: bool,
+    /// Watches in a row that the store refused, as it lacks the changes since.
+    refused_watches: u32,
 }
 
 impl<P: Platform> StoreReader<P> {
@@ -83,6 +89,7 @@
             log,
             needs_list: true,
             is_lost: false,
+            refused_watches: 0,
         }
     }
 
@@ -93,7 +100,7 @@
             let now = self.clock.now();
             if !self.node.borrow().should_read(now) {
                 self.set_reading(false);
-                let known = self.node.borrow().revision() > 0;
+                let known = !self.node.borrow().position().is_start();
                 tokio::time::sleep(if known { IDLE_POLL } else { START_POLL }).await;
                 continue;
             }
@@ -108,11 +115,9 @@
                 Err(error) => {
                     self.lost(&error);
                     self.set_reading(false);
-                    if !matches!(error, StoreError::HistoryGone { .. }) {
-                        failures += 1;
-                        let wait_ms = self.node.borrow().wait_after_failure(failures);
-                        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-                    }
+                    failures += 1;
+                    let wait_ms = self.node.borrow().wait_after_failure(failures);
+                    tokio::time::sleep(Duration::from_millis(wait_ms)).await;
                 }
             }
         }
@@ -129,35 +134,52 @@
     }
 
     async fn read_once(&mut self) -> Result<(), StoreError> {
-        let revision = self.node.borrow().revision();
+        let known = self.node.borrow().position();
         // What peers passed on is as good as a listing of one's own.
-        if revision == 0 {
+        if known.is_start() {
             return self.list(ListingReason::Start).await;
         }
         if self.needs_list && self.is_lost {
             return self.list(ListingReason::Outage).await;
         }
-        let result = self.watch(revision).await;
-        if let Err(StoreError::HistoryGone { .. }) = result {
-            info!(self.log, "store: history gone, listing anew"; "event" => "store_history_gone",
-                "revision" => revision);
-            self.needs_list = true;
-            return self.list(ListingReason::HistoryGone).await;
+        let result = self.watch(known).await;
+        let reason = match result {
+            Err(StoreError::HistoryGone { .. }) => ListingReason::HistoryGone,
+            Err(StoreError::Restored { .. }) => ListingReason::Restored,
+            result => {
+                self.refused_watches = 0;
+                return result;
+            }
+        };
+        info!(self.log, "store: history gone, listing anew"; "event" => "store_history_gone",
+            "reason" => reason.label(), "revision" => known.revision);
+        self.needs_list = true;
+        self.wait_after_refusal().await;
+        self.list(reason).await
+    }
+
+    /// The first refused watch is mended by a listing. Where it was not, listing again at
+    /// once would load the store with nothing gained.
+    async fn wait_after_refusal(&mut self) {
+        self.refused_watches += 1;
+        if self.refused_watches > 1 {
+            let wait_ms = self.node.borrow().wait_after_failure(self.refused_watches);
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         }
-        result
     }
 
     async fn list(&mut self, reason: ListingReason) -> Result<(), StoreError> {
         self.metrics.listings.increment(reason.label());
         let asked_at = self.clock.now();
+        let known = self.node.borrow().position();
         let mut listed = Listed::default();
         let mut after: Option<String> = None;
         for _ in 0..MAXIMUM_PAGES {
             let path = self.platform.list_path(after.as_deref());
             let answer = self.call(&path, ANSWER_LIMIT).await?;
-            listed.era = answer.era;
-            let page = self.platform.read_list(&answer.body);
+            let page = self.platform.read_list(answer.era, &answer.body);
             let page = page.map_err(|rejected| self.unusable(rejected))?;
+            self.check_page(known, &listed, page.at)?;
             self.log_rejected(&page.rejected);
             listed.at.get_or_insert(page.at);
             listed.configuration = listed.configuration.or(page.configuration);
@@ -169,11 +191,12 @@
             }
         }
         self.needs_list = false;
-        let through = listed.at.unwrap_or(0);
+        let through = listed.at.unwrap_or_default();
         info!(self.log, "store: listed"; "event" => "store_listed", "reason" => reason.label(),
-            "era" => listed.era, "revision" => through, "known" => self.node.borrow().revision());
+            "era" => through.era, "revision" => through.revision,
+            "known_era" => known.era, "known" => known.revision);
         self.apply(Update {
-            after: 0,
+            after: Position::default(),
             through,
             complete: true,
             age_ms: self.clock.now().saturating_sub(asked_at),
@@ -184,18 +207,35 @@
         Ok(())
     }
 
-    async fn watch(&mut self, after: u64) -> Result<(), StoreError> {
+    /// A page proves nothing if it is older than what was known when it was asked for, or if the store came back
+    /// from a copy since the first page.
+    fn check_page(&self, known: Position, listed: &Listed, at: Position) -> Result<(), StoreError> {
+        let peer = self.client.address();
+        if at < known {
+            return Err(StoreError::Behind { peer, behind: AnswerBehind { at, after: known } });
+        }
+        if listed.at.is_some_and(|first| first.era != at.era) {
+            return Err(StoreError::Restored { peer, era: at.era });
+        }
+        Ok(())
+    }
+
+    async fn watch(&mut self, after: Position) -> Result<(), StoreError> {
         let asked_at = self.clock.now();
         let wait_ms = self.timing.watch_wait_ms;
-        let path = self.platform.watch_path(after, wait_ms);
+        let path = self.platform.watch_path(after.revision, wait_ms);
         let limit = Duration::from_millis(wait_ms) + WATCH_SLACK;
         let answer = self.call(&path, limit).await?;
-        let page = self.platform.read_watch(&answer.body);
+        let peer = self.client.address();
+        // The revision may exist in both eras: an answer can look right and lack changes.
+        if answer.era > after.era {
+            return Err(StoreError::Restored { peer, era: answer.era });
+        }
+        let page = self.platform.read_watch(answer.era, &answer.body);
         let page = page.map_err(|rejected| self.unusable(rejected))?;
         self.log_rejected(&page.rejected);
         let elapsed_ms = self.clock.now().saturating_sub(asked_at);
         let update = page.into_update(after, wait_ms, elapsed_ms);
-        let peer = self.client.address();
         let update = update.map_err(|behind| StoreError::Behind { peer, behind })?;
         self.apply(update);
         Ok(())
@@ -213,7 +253,6 @@
         self.metrics.call_seconds.observe((self.clock.now() - began) as f64 / 1_000.0);
         let StoreAnswer { headers, body } = result?;
         let era = self.platform.store_era(&headers).map_err(|rejected| self.unusable(rejected))?;
-        self.metrics.era.set(i64::try_from(era).unwrap_or(i64::MAX));
         Ok(EraAnswer { era, body })
     }
 
@@ -242,9 +281,9 @@
     fn regained(&mut self) {
         if self.is_lost {
             self.is_lost = false;
-            let revision = self.node.borrow().revision();
+            let position = self.node.borrow().position();
             info!(self.log, "store: regained"; "event" => "store_regained",
-                "revision" => revision);
+                "era" => position.era, "revision" => position.revision);
         }
     }
 }
@@ -257,8 +296,7 @@
 
 #[derive(Default)]
 struct Listed {
-    era: u64,
-    at: Option<u64>,
+    at: Option<Position>,
     configuration: Option<VersionedConfiguration>,
     targets: Vec<VersionedTarget>,
     evacuated: Vec<String>,
--- a/crates/relay/src/store_client.rs
+++ b/crates/relay/src/store_client.rs
@@ -52,6 +52,14 @@
         /// The store's address.
         peer: SocketAddr,
     },
+    /// The store came back from a copy: its revisions are others than those known.
+    #[error("store {peer}: came back from a copy, now in era {era}")]
+    Restored {
+        /// The store's address.
+        peer: SocketAddr,
+        /// The era that it states.
+        era: u64,
+    },
     /// The answer is older than what is known.
     #[error("store {peer}: {behind}")]
     Behind {
--- a/crates/relay/tests/fleet_node.rs
+++ b/crates/relay/tests/fleet_node.rs
@@ -8,8 +8,8 @@
 use slog::{Discard, Logger, o};
 use support::settings;
 use weirhinge_fleet::{
-    Configuration, Digest, Millis, PeerRole, ServiceId, TargetClaim, TargetRecord, TargetState,
-    Update, VersionedConfiguration, VersionedTarget, ZoneChange, ZoneNews,
+    Configuration, Digest, Millis, PeerRole, Position, ServiceId, TargetClaim, TargetRecord,
+    TargetState, Update, VersionedConfiguration, VersionedTarget, ZoneChange, ZoneNews,
 };
 use weirhinge_relay::FleetNode;
 
@@ -24,10 +24,14 @@
     Ipv4Addr::new(10, 0, 1, number)
 }
 
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 fn target(number: u8, revision: u64) -> VersionedTarget {
     VersionedTarget {
         id: format!("target-{number}"),
-        revision,
+        position: at(revision),
         present: true,
         record: Some(TargetRecord {
             service: "sheets".to_owned(),
@@ -36,12 +40,15 @@
             slots: 5,
             state: TargetState::Ready,
             warm_up_ms: 0,
+            incarnation: None,
+            sequence: 1,
         }),
     }
 }
 
 fn update(after: u64, through: u64, targets: Vec<VersionedTarget>) -> Update {
-    Update { after, through, complete: after == 0, targets, ..Update::default() }
+    let (after, through) = (at(after), at(through));
+    Update { after, through, complete: after.is_start(), targets, ..Update::default() }
 }
 
 /// Agents once learned of their targets' size from their next digest, up to half a
@@ -128,7 +135,7 @@
         idle_timeout_ms: 15_000,
         ..Configuration::default()
     };
-    let configuration = Some(VersionedConfiguration { revision: 2, configuration });
+    let configuration = Some(VersionedConfiguration { position: at(2), configuration });
     let update = Update { configuration, ..update(0, 2, Vec::new()) };
     balancer.apply_from_store(update, now);
     balancer
@@ -189,7 +196,7 @@
 
 /// An update from the store in which an evacuation of zone `a` began.
 fn evacuation(after: u64, through: u64) -> Update {
-    let change = ZoneChange { zone: "a".to_owned(), revision: through, begins: true };
+    let change = ZoneChange { zone: "a".to_owned(), position: at(through), begins: true };
     Update { zones: ZoneNews::Changes(vec![change]), ..update(after, through, Vec::new()) }
 }
 
@@ -208,7 +215,7 @@
     agent.apply(other.answer(agent.request(), now), "peer", 100);
     let unaware = node(machine(3), PeerRole::Agent);
     let mut unaware_digest = unaware.digest(false, 100);
-    unaware_digest.configuration_revision = 2;
+    unaware_digest.configuration = Some(1);
     assert!(other.on_digest(&unaware_digest, now + 3).reply);
     assert!(agent.is_evacuated());
     // A balancer without memory hears of it from that agent.
--- a/crates/relay/tests/fleet_scale.rs
+++ b/crates/relay/tests/fleet_scale.rs
@@ -11,8 +11,8 @@
 use slog::{Discard, Logger, o};
 use support::settings;
 use weirhinge_fleet::{
-    Configuration, Digest, Millis, PeerMessage, PeerRole, TargetClaim, TargetRecord, TargetState,
-    Update, VersionedConfiguration, VersionedTarget, encode,
+    Configuration, Digest, Millis, PeerMessage, PeerRole, Position, TargetClaim, TargetRecord,
+    TargetState, Update, VersionedConfiguration, VersionedTarget, encode,
 };
 use weirhinge_relay::FleetNode;
 
@@ -28,13 +28,13 @@
     Poll,
     Deliver(Box<Digest>),
     Fetched(Box<Update>),
-    Read(u64),
+    Read(Position),
 }
 
 struct Hollow {
     node: FleetNode,
     is_balancer: bool,
-    wanted: (u64, Millis),
+    wanted: (Position, Millis),
     bytes: u64,
 }
 
@@ -45,7 +45,7 @@
     next_event: u64,
     daemons: Vec<Hollow>,
     by_address: HashMap<Ipv4Addr, usize>,
-    store_revision: u64,
+    store: Position,
     store_refuses: Option<usize>,
     calls: u64,
     random: u64,
@@ -64,7 +64,7 @@
             next_event: 0,
             daemons: Vec::new(),
             by_address: HashMap::new(),
-            store_revision: 1,
+            store: Position::new(0, 1),
             store_refuses: None,
             calls: 0,
             random: 1,
@@ -87,7 +87,12 @@
                 recorded: true,
             });
             simulation.by_address.insert(address_of(place), place);
-            simulation.daemons.push(Hollow { node, is_balancer, wanted: (0, 0), bytes: 0 });
+            simulation.daemons.push(Hollow {
+                node,
+                is_balancer,
+                wanted: (Position::default(), 0),
+                bytes: 0,
+            });
             let start = simulation.draw(300);
             simulation.schedule(start, place, Event::Tick);
             if is_balancer {
@@ -153,17 +158,17 @@
             node.reading = false;
             return self.schedule(now + 40, place, Event::Poll);
         }
-        let after = node.revision();
+        let after = node.position();
         self.calls += 1;
         if self.store_refuses == Some(place) {
             node.reading = false;
             return self.schedule(now + 500, place, Event::Poll);
         }
-        let wait = if after == self.store_revision { 1_000 } else { READ_MS };
+        let wait = if after == self.store { 1_000 } else { READ_MS };
         self.schedule(now + wait, place, Event::Read(after));
     }
 
-    fn read(&mut self, place: usize, after: u64) {
+    fn read(&mut self, place: usize, after: Position) {
         let now = self.now;
         let update = self.store_update(after);
         let node = &mut self.daemons[place].node;
@@ -175,10 +180,10 @@
 
     /// What the store says: one record an agent from the start, and a configuration
     /// that changes with every further revision.
-    fn store_update(&self, after: u64) -> Update {
-        let through = self.store_revision;
+    fn store_update(&self, after: Position) -> Update {
+        let through = self.store;
         let configuration = Configuration {
-            version: through,
+            version: through.revision,
             routes: Vec::new(),
             idle_timeout_ms: 15_000,
             ..Configuration::default()
@@ -187,7 +192,7 @@
         let agents = (0..self.daemons.len()).filter(|place| !self.daemons[*place].is_balancer);
         let targets = agents.map(|place| VersionedTarget {
             id: format!("target-{place}"),
-            revision: 1,
+            position: Position::new(0, 1),
             present: true,
             record: Some(TargetRecord {
                 service: "sheets".to_owned(),
@@ -196,16 +201,18 @@
                 slots: 5,
                 state: TargetState::Ready,
                 warm_up_ms: 0,
+                incarnation: None,
+                sequence: 1,
             }),
         });
         Update {
             after,
             through,
-            complete: after == 0,
+            complete: after.is_start(),
             age_ms: 0,
             configuration: is_new
-                .then_some(VersionedConfiguration { revision: through, configuration }),
-            targets: if after == 0 { targets.collect() } else { Vec::new() },
+                .then_some(VersionedConfiguration { position: through, configuration }),
+            targets: if after.is_start() { targets.collect() } else { Vec::new() },
             ..Update::default()
         }
     }
@@ -221,9 +228,9 @@
         let daemon = &mut self.daemons[place];
         let (wanted, since) = daemon.wanted;
         let is_on_its_way =
-            digest.revision <= wanted && now.saturating_sub(since) < FETCH_PATIENCE_MS;
+            digest.position <= wanted && now.saturating_sub(since) < FETCH_PATIENCE_MS;
         if let Some(source) = reaction.fetch_from.filter(|_| !is_on_its_way) {
-            daemon.wanted = (digest.revision, now);
+            daemon.wanted = (digest.position, now);
             let request = daemon.node.request();
             let from = self.by_address[&source];
             let update = self.daemons[from].node.answer(request, now);
@@ -258,13 +265,13 @@
         self.schedule(self.now + late, to, Event::Deliver(Box::new(digest)));
     }
 
-    fn all_balancers_know(&self, revision: u64) -> bool {
+    fn all_balancers_know(&self, position: Position) -> bool {
         let mut balancers = self.daemons.iter().filter(|daemon| daemon.is_balancer);
-        balancers.all(|daemon| daemon.node.revision() >= revision)
+        balancers.all(|daemon| daemon.node.position() >= position)
     }
 
-    fn everyone_knows(&self, revision: u64) -> bool {
-        self.daemons.iter().all(|daemon| daemon.node.revision() >= revision)
+    fn everyone_knows(&self, position: Position) -> bool {
+        self.daemons.iter().all(|daemon| daemon.node.position() >= position)
     }
 
     /// Bytes a second sent by the busiest daemon and on average since `began`, then
@@ -284,7 +291,7 @@
 fn a_thousand_daemons_follow_changes_within_three_seconds_and_six_kilobytes() {
     let mut simulation = Simulation::new(300, 700);
     simulation.run_until(15_000, |_| false);
-    assert!(simulation.everyone_knows(1));
+    assert!(simulation.everyone_knows(Position::new(0, 1)));
     let (most, mean) = simulation.take_bytes(0);
     println!("start, 15 s: {most} B/s at most, {mean} B/s on average");
     let (calls, began) = (simulation.calls, simulation.now);
@@ -296,11 +303,11 @@
     assert!(calls < 60, "{calls} calls in 20 s");
     let mut longest = (0, 0);
     for _ in 0..5 {
-        simulation.store_revision += 1;
-        let (revision, began) = (simulation.store_revision, simulation.now);
+        simulation.store.revision += 1;
+        let (position, began) = (simulation.store, simulation.now);
         let balancers =
-            simulation.run_until(began + 10_000, |sim| sim.all_balancers_know(revision)) - began;
-        let all = simulation.run_until(began + 10_000, |sim| sim.everyone_knows(revision)) - began;
+            simulation.run_until(began + 10_000, |sim| sim.all_balancers_know(position)) - began;
+        let all = simulation.run_until(began + 10_000, |sim| sim.everyone_knows(position)) - began;
         longest = (longest.0.max(balancers), longest.1.max(all));
         let now = simulation.now;
         simulation.run_until(now + 3_000, |_| false);
@@ -317,9 +324,9 @@
     simulation.run_until(10_000, |_| false);
     let reader = simulation.daemons.iter().position(|daemon| daemon.node.reading);
     simulation.store_refuses = reader;
-    simulation.store_revision += 1;
-    let (revision, began) = (simulation.store_revision, simulation.now);
-    let took = simulation.run_until(began + 10_000, |sim| sim.all_balancers_know(revision)) - began;
+    simulation.store.revision += 1;
+    let (position, began) = (simulation.store, simulation.now);
+    let took = simulation.run_until(began + 10_000, |sim| sim.all_balancers_know(position)) - began;
     println!("change past a refused reader: {took} ms at all balancers");
     assert!(reader.is_some() && took < 3_000, "{took} ms");
 }
@@ -332,5 +339,5 @@
     let contacts: Vec<usize> =
         daemons.map(|daemon| daemon.node.tick_receivers(8_000).len()).collect();
     assert!(contacts.iter().all(|count| *count > 0));
-    assert!(simulation.everyone_knows(1));
+    assert!(simulation.everyone_knows(Position::new(0, 1)));
 }
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -183,7 +183,8 @@
         let mut view = Self { services, evacuated, regions, own_region, ..Self::default() };
         let Some(versioned) = replica.configuration() else { return view };
         let configuration = &versioned.configuration;
-        let label = VersionLabel { version: configuration.version, revision: versioned.revision };
+        let label =
+            VersionLabel { version: configuration.version, revision: versioned.position.revision };
         view.label = Some(label);
         view.idle_timeout_ms = Some(configuration.idle_timeout_ms);
         for route in &configuration.routes {
@@ -282,7 +283,7 @@
     let mut newest: HashMap<Ipv4Addr, (&TargetEntry, &TargetRecord)> = HashMap::new();
     for entry in replica.targets() {
         let Some(record) = &entry.target.record else { continue };
-        let rank = |entry: &TargetEntry| (entry.target.present, entry.target.revision);
+        let rank = |entry: &TargetEntry| (entry.target.present, entry.target.position);
         let known = newest.get(&record.machine());
         if known.is_none_or(|(known, _)| rank(known) < rank(entry)) {
             newest.insert(record.machine(), (entry, record));
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -8,8 +8,9 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use weirhinge_fleet::{
-    ColdStartPolicy, Configuration, EvacuatedZones, Replica, Route, RoutePart, TargetClaim,
-    TargetRecord, TargetState, Update, VersionedConfiguration, VersionedTarget, ZoneNews,
+    ColdStartPolicy, Configuration, EvacuatedZones, Position, Replica, Route, RoutePart,
+    TargetClaim, TargetRecord, TargetState, Update, VersionedConfiguration, VersionedTarget,
+    ZoneNews,
 };
 use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, Locality, PacketHead};
 
@@ -39,6 +40,8 @@
         slots: 4,
         state,
         warm_up_ms: 0,
+        incarnation: None,
+        sequence: 1,
     }
 }
 
@@ -131,7 +134,8 @@
             idle_timeout_ms: 15_000,
             cold_starts: self.cold_starts.clone(),
         };
-        let configuration = Some(VersionedConfiguration { revision: self.revision, configuration });
+        let configuration =
+            Some(VersionedConfiguration { position: self.position(), configuration });
         let update = Update { configuration, ..self.change() };
         self.replica.apply(update, 0);
     }
@@ -156,7 +160,7 @@
     fn change_target(&mut self, id: String, record: Option<TargetRecord>, now: u64) {
         self.revision += 1;
         let target =
-            VersionedTarget { id, revision: self.revision, present: record.is_some(), record };
+            VersionedTarget { id, position: self.position(), present: record.is_some(), record };
         let update = Update { targets: vec![target], ..self.change() };
         self.replica.apply(update, now);
     }
@@ -165,7 +169,7 @@
     pub fn evacuate(&mut self, zones: &[&str], now: u64) {
         self.revision += 1;
         let zones = zones.iter().map(|zone| (*zone).to_owned());
-        let zones = ZoneNews::Whole(EvacuatedZones::new(self.revision, zones));
+        let zones = ZoneNews::Whole(EvacuatedZones::new(self.position(), zones));
         self.replica.apply(Update { zones, ..self.change() }, now);
     }
 
@@ -191,7 +195,12 @@
     }
 
     fn change(&self) -> Update {
-        Update { after: self.revision - 1, through: self.revision, ..Update::default() }
+        let after = Position::new(0, self.revision - 1);
+        Update { after, through: self.position(), ..Update::default() }
+    }
+
+    fn position(&self) -> Position {
+        Position::new(0, self.revision)
     }
 }
 
--- a/crates/weirhinge/tests/store_restored.rs
+++ b/crates/weirhinge/tests/store_restored.rs
@@ -87,3 +87,14 @@
     }
     wait_for_draining(&fleet, 0).await
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_losses_in_a_row_hide_no_version() -> eyre::Result<()> {
+    let mut fleet = start(&plan()).await?;
+    for _ in 0..2 {
+        lose_writes(&mut fleet).await?;
+        let version = write_version(&mut fleet);
+        wait_for_version(&fleet, version, "a version written after a loss").await?;
+    }
+    Ok(())
+}
