Tell the lives of a target apart, and let entries of other writers name none

Cause: nothing read which life of a target a record was about, so that an ejection, requests in hand and flows that the agent vouched for outlived the target that they were about; an entry that stopped being readable left the record before it in use, and one of an unknown service took the address of a living target. An agent whose target's record names another life forgets what it found out about the one before, but for openings that wait and the count of a cold target. Records are checked for form and range, keys for one name behind the prefix; what cannot be read is a removal of what stood there; an entry of a service without a route displaces none that has one. Each is logged once as long as it stays the same, and counted by reason. Ruled out: resets of the lost flows by the agent itself, as flows that opened between the start and the record cannot be told from older ones and would be cut.

--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -62,6 +62,8 @@
     cold_overshoot: f64,
     cold_slack: f64,
     leaving: Cell<bool>,
+    /// The life of the target that its latest record names.
+    incarnation: Cell<Option<u64>>,
     metrics: AgentMetrics,
     decisions: DecisionLog,
     log: Logger,
@@ -105,6 +107,7 @@
         cold_overshoot: settings.cold_overshoot,
         cold_slack: settings.cold_slack,
         leaving: Cell::new(false),
+        incarnation: Cell::new(None),
         metrics: agent_metrics,
         decisions: DecisionLog::new(log.clone()),
         log: log.clone(),
@@ -184,6 +187,11 @@
         let own = candidates.copied().find(|candidate| candidate.agent == self.address);
         let mut core = self.core.borrow_mut();
         if let Some(own) = own {
+            if self.is_other_life(own.incarnation) {
+                info!(self.log, "agent: target started again"; "event" => "target_restarted",
+                    "waiting" => core.waiting(), "flows" => core.flow_count());
+                core.target_restarted();
+            }
             core.set_slots(own.slots);
         }
         let Some(policy) = view.cold_start(service) else { return };
@@ -193,6 +201,12 @@
         core.set_cold_start(rate, cold_until);
     }
 
+    /// Whether the target's record names another life than the last one did.
+    fn is_other_life(&self, incarnation: Option<u64>) -> bool {
+        let known = self.incarnation.replace(incarnation.or(self.incarnation.get()));
+        known.zip(incarnation).is_some_and(|(known, now)| known != now)
+    }
+
     /// Takes over whether this agent's zone is evacuated.
     fn note_evacuation(&self) {
         let evacuated = self.node.borrow().is_evacuated();
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -164,8 +164,12 @@
             (PeerRole::Balancer, PeerRole::Agent) => {
                 self.replica.version().is_none() && newer_configuration
             }
-            // Agents are told of their targets' records.
-            (PeerRole::Agent, _) => newer_configuration,
+            // Agents are told of their targets' records. In a new era of the store they have
+            // to know which of those may be the copy's.
+            (PeerRole::Agent, PeerRole::Balancer) => {
+                newer_configuration || digest.position.era > self.replica.position().era
+            }
+            (PeerRole::Agent, PeerRole::Agent) => newer_configuration,
         }
     }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -135,8 +135,8 @@
     pub calls: Counter,
     /// Calls that failed.
     pub failures: Counter,
-    /// Items that could not be used.
-    pub rejected_items: Counter,
+    /// Items that could not be used, by reason; each once as long as it does not change.
+    pub rejected_items: ReasonCounters,
     /// Listings of all items, by reason.
     pub listings: ReasonCounters,
     /// Seconds of one call, the wait of a watch included.
@@ -149,7 +149,7 @@
         Self {
             calls: metrics.counter("store_calls", "Calls to the store"),
             failures: metrics.counter("store_failures", "Failed calls to the store"),
-            rejected_items: metrics.counter("store_items_refused", "Unusable items of the store"),
+            rejected_items: metrics.reasons("store_items_refused", "Unusable items of the store"),
             listings: metrics.reasons("store_listings", "Listings of the whole store"),
             call_seconds: metrics.histogram("store_call_seconds", "Seconds of one store call"),
         }
--- a/crates/relay/src/platform.rs
+++ b/crates/relay/src/platform.rs
@@ -6,10 +6,34 @@
 };
 use weirhinge_steering::{AnswerStatus, FlowKey, MalformedPacket, PacketHead};
 
+/// What is wrong with an item of the store, for counters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RejectReason {
+    /// Its bytes are no document of the stated form.
+    Form,
+    /// A number, an address or a name is outside of what any writer means.
+    Range,
+    /// Its key looks like one of those that are read, and is none.
+    Key,
+}
+
+impl RejectReason {
+    /// Label for logs and counters.
+    pub fn label(self) -> &'static str {
+        match self {
+            RejectReason::Form => "form",
+            RejectReason::Range => "range",
+            RejectReason::Key => "key",
+        }
+    }
+}
+
 /// An item of the store that cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{key}: field {field}: found {found}, expected {expected}")]
 pub struct RejectedItem {
+    /// What kind of fault it is.
+    pub reason: RejectReason,
     /// The item's key, or the call for an answer that cannot be used at all.
     pub key: String,
     /// Path of the field.
@@ -31,6 +55,9 @@
     pub configuration: Option<VersionedConfiguration>,
     /// The targets on this page.
     pub targets: Vec<VersionedTarget>,
+    /// Targets whose records on this page cannot be used: whatever they said before does not
+    /// count any more.
+    pub removed: Vec<VersionedTarget>,
     /// The names of the evacuated zones on this page.
     pub evacuated: Vec<String>,
     /// Items that cannot be used; each is left out whole.
@@ -44,7 +71,8 @@
     pub at: Position,
     /// The configuration, if it changed.
     pub configuration: Option<VersionedConfiguration>,
-    /// Targets that changed, in the store's order.
+    /// Targets that changed, in the store's order; one whose record cannot be used any more
+    /// counts as removed.
     pub targets: Vec<VersionedTarget>,
     /// Evacuations that began or ended, in the store's order.
     pub zones: Vec<ZoneChange>,
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -15,6 +15,7 @@
 use crate::fleet_node::FleetNode;
 use crate::metrics::StoreMetrics;
 use crate::platform::{AnswerBehind, Platform, RejectedItem};
+use crate::refused_items::RefusedItems;
 use crate::settings::CommonSettings;
 use crate::store_client::{StoreAnswer, StoreClient, StoreError};
 
@@ -67,6 +68,7 @@
     is_lost: bool,
     /// Watches in a row that the store refused, as it lacks the changes since.
     refused_watches: u32,
+    refused: RefusedItems,
 }
 
 impl<P: Platform> StoreReader<P> {
@@ -90,6 +92,7 @@
             needs_list: true,
             is_lost: false,
             refused_watches: 0,
+            refused: RefusedItems::default(),
         }
     }
 
@@ -184,6 +187,7 @@
             listed.at.get_or_insert(page.at);
             listed.configuration = listed.configuration.or(page.configuration);
             listed.targets.extend(page.targets);
+            listed.targets.extend(page.removed);
             listed.evacuated.extend(page.evacuated);
             after = page.next_after;
             if after.is_none() {
@@ -260,10 +264,14 @@
         StoreError::Unusable { peer: self.client.address(), rejected: Box::new(rejected) }
     }
 
-    fn log_rejected(&self, rejected: &[RejectedItem]) {
+    fn log_rejected(&mut self, rejected: &[RejectedItem]) {
         for item in rejected {
-            self.metrics.rejected_items.inc();
+            if !self.refused.is_news(item) {
+                continue;
+            }
+            self.metrics.rejected_items.increment(item.reason.label());
             warn!(self.log, "store: item refused"; "event" => "item_refused", "key" => &item.key,
+                "reason" => item.reason.label(),
                 "field" => &item.field, "found" => &item.found, "expected" => &item.expected);
         }
     }
--- a/crates/steering/src/agent/breaker.rs
+++ b/crates/steering/src/agent/breaker.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Whether the target is ejected, or tested after it was.
+    pub(super) fn is_open(&self) -> bool {
+        !matches!(self.state, State::Closed(_))
+    }
+
     /// Takes in a good answer.
     pub(super) fn succeeded(&mut self, now: Millis) -> Option<BreakerChange> {
         self.note(false);
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -117,6 +117,23 @@
         self.leaving = true;
     }
 
+    /// Notes that the target started again: it holds nothing of before, and what was found
+    /// out about the life before says nothing about this one. Openings that wait keep their
+    /// turn, and new flows of the last second still count against a cold target's limit.
+    pub fn target_restarted(&mut self) {
+        let was_ejected = self.breaker.is_open();
+        let fresh = Self::new(self.service);
+        *self = Self {
+            deliveries: std::mem::take(&mut self.deliveries),
+            openings: std::mem::take(&mut self.openings),
+            cold_start: std::mem::take(&mut self.cold_start),
+            breaker_change: was_ejected.then_some(BreakerChange::Closed),
+            leaving: self.leaving,
+            evacuated: self.evacuated,
+            ..fresh
+        };
+    }
+
     /// Notes whether the zone of the target is evacuated: then it takes no new flows, also
     /// not from balancers that do not know of that yet.
     pub fn set_evacuated(&mut self, evacuated: bool) {
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -161,10 +161,10 @@
         self.statuses.entry(agent).or_default().failing_at = Some(now);
     }
 
-    /// Whether an agent said lately that its target fails.
-    pub fn is_failing(&self, agent: Ipv4Addr, now: Millis) -> bool {
-        let said_at = self.statuses.get(&agent).and_then(|status| status.failing_at);
-        said_at.is_some_and(|at| now.saturating_sub(at) < FAILING_MS)
+    /// Whether an agent said lately that its target fails, and meant this life of it.
+    pub fn is_failing(&self, target: &Candidate, now: Millis) -> bool {
+        let said_at = self.statuses.get(&target.agent).and_then(|status| status.failing_at);
+        said_at.is_some_and(|at| !target.is_newer_than(at) && now.saturating_sub(at) < FAILING_MS)
     }
 
     /// Whether new flows should pass a target over: its agent is about to stop or left
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -218,8 +218,7 @@
         let ready = candidates.iter().filter(is_ready);
         let ready = rendezvous_order(flow_hash, ready);
         let is_silent = |candidate: &Candidate| {
-            self.statuses.is_suspect(candidate, now)
-                || self.statuses.is_failing(candidate.agent, now)
+            self.statuses.is_suspect(candidate, now) || self.statuses.is_failing(candidate, now)
         };
         let (silent, mut answering): (Vec<_>, Vec<_>) = ready.into_iter().partition(is_silent);
         if answering.is_empty() {
@@ -272,6 +271,7 @@
         evacuated: false,
         slots: 1,
         cold_until: 0,
+        incarnation: None,
         distance: Distance::Region,
         region,
         learned_at: now,
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -145,6 +145,8 @@
     pub slots: u32,
     /// Until when it is slow from its start.
     pub cold_until: Millis,
+    /// Which life of the target this is, if it tells.
+    pub incarnation: Option<u64>,
     /// How far it is.
     pub distance: Distance,
     /// Its region, if known.
@@ -256,9 +258,12 @@
         self.services.values().map(Vec::len).sum()
     }
 
-    /// The agents of all known targets.
+    /// The agents of all known targets of routed services.
     pub fn agents(&self) -> Vec<Ipv4Addr> {
-        self.services.values().flatten().map(|candidate| candidate.agent).collect()
+        let routed: HashSet<ServiceId> =
+            self.routes.values().flat_map(RouteChoice::services).collect();
+        let candidates = routed.into_iter().flat_map(|service| self.candidates(service));
+        candidates.map(|candidate| candidate.agent).collect()
     }
 }
 
@@ -278,14 +283,22 @@
 }
 
 /// Targets by service; of several records of one machine the newest counts, as
-/// an address that was used again belongs to its new user alone.
+/// an address that was used again belongs to its new user alone. One that names no service
+/// of a route displaces none that does: it may be of another writer.
 fn compile_services(replica: &Replica, locality: &Locality) -> HashMap<ServiceId, Vec<Candidate>> {
+    let routes = replica.configuration().map(|known| known.configuration.routes.iter());
+    let parts = routes.into_iter().flatten().flat_map(|route| &route.parts);
+    let routed: HashSet<&str> = parts.map(|part| part.service.as_str()).collect();
     let mut newest: HashMap<Ipv4Addr, (&TargetEntry, &TargetRecord)> = HashMap::new();
     for entry in replica.targets() {
         let Some(record) = &entry.target.record else { continue };
-        let rank = |entry: &TargetEntry| (entry.target.present, entry.target.position);
+        let rank = |entry: &TargetEntry, record: &TargetRecord| {
+            let is_present = entry.target.present;
+            let is_routed = routed.contains(record.service.as_str());
+            (is_present && is_routed, is_present, entry.target.position)
+        };
         let known = newest.get(&record.machine());
-        if known.is_none_or(|(known, _)| rank(known) < rank(entry)) {
+        if known.is_none_or(|(known, their)| rank(known, their) < rank(entry, record)) {
             newest.insert(record.machine(), (entry, record));
         }
     }
@@ -325,6 +338,7 @@
         evacuated: false,
         slots: record.slots.max(1),
         cold_until: entry.learned_at + Millis::from(record.warm_up_ms),
+        incarnation: record.incarnation,
         distance: locality.distance(&record.zone),
         region: locality.region_of(&record.zone),
         learned_at: entry.learned_at,
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -97,6 +97,8 @@
 pub struct Store {
     replica: Replica,
     revision: u64,
+    /// Lives of targets that started again.
+    lives: u64,
     /// Part of all configurations written from now on.
     pub cold_starts: Vec<ColdStartPolicy>,
 }
@@ -157,6 +159,21 @@
         self.change_target(format!("{service}-{number}"), record, now);
     }
 
+    /// A target starts again under its identifier.
+    pub fn restart_target(&mut self, number: u8, service: &str, now: u64) {
+        self.lives += 1;
+        let zone = if number < 50 { "a" } else { "b" };
+        let record = record(agent(number), service, zone, TargetState::Ready);
+        let record = TargetRecord { incarnation: Some(self.lives), ..record };
+        self.change_target(format!("{service}-{number}"), Some(record), now);
+    }
+
+    /// An entry under another key that names the machine of a target.
+    pub fn target_at(&mut self, number: u8, service: &str, id: &str, now: u64) {
+        let record = record(agent(number), service, "a", TargetState::Ready);
+        self.change_target(id.to_owned(), Some(record), now);
+    }
+
     fn change_target(&mut self, id: String, record: Option<TargetRecord>, now: u64) {
         self.revision += 1;
         let target =
