--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -1,6 +1,6 @@
 //! A replica of the store's contents, fed by the store itself and by peers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use musli::{Decode, Encode};
 
@@ -12,6 +12,12 @@
 use crate::succession::{TargetEntry, VersionedTarget};
 use crate::timing::Timing;
 
+/// Holds after which a daemon that heard nothing of the store since takes its last word: it
+/// has been cut off for some 12 s then, or is an agent, which follows configurations alone.
+const LONGEST_HOLDS: u64 = 4;
+/// Most spans remembered of which a listing told the outcome alone, 32 bytes each; peers
+/// that stand before a span that was forgotten are told all.
+const MOST_GAPS: usize = 4;
 /// How long a removed target is remembered, so that an older report does not
 /// bring it back and its open flows are still found.
 const REMOVED_TARGET_LIFETIME_MS: Millis = 90_000;
@@ -37,6 +43,9 @@
     pub through: Position,
     /// Whether the update lists everything; what it lacks is not in the store.
     pub complete: bool,
+    /// Whether targets that came and went in the span may be missing, as the source knows
+    /// a part of it by a listing alone.
+    pub skips: bool,
     /// Milliseconds since the store itself confirmed `through`.
     pub age_ms: u64,
     /// The configuration, if it changed in this span.
@@ -97,14 +106,23 @@
 struct EraHold {
     /// The newest era heard of, from whomever.
     newest: u64,
-    /// Until when its word is not taken against what was known before; none once all is
-    /// settled.
+    /// Up to here its entries may be those of the copy that it began with; all of them
+    /// while this daemon knows no position of it.
+    began_with: Option<u64>,
+    /// The earliest time at which its word is taken against what was known before; none
+    /// once all is settled.
     until: Option<Millis>,
 }
 
 impl EraHold {
-    fn is_on(&self, now: Millis) -> bool {
-        self.until.is_some_and(|until| now < until)
+    fn is_on(&self) -> bool {
+        self.until.is_some()
+    }
+
+    /// The position up to which the era's word is held back; none once it is not.
+    fn held_through(&self) -> Option<Position> {
+        let revision = self.began_with.unwrap_or(u64::MAX);
+        self.until.map(|_| Position::new(self.newest, revision))
     }
 }
 
@@ -129,10 +147,13 @@
     /// process's clock. Negative for a time before the process started: a daemon that
     /// has just started must not take what peers confirmed long ago for fresh.
     confirmed_at: Option<i64>,
-    /// Removed targets were forgotten up to this position.
+    /// Removals up to this position are not all known.
     forgotten_through: Position,
+    /// Spans, each from one position to before another, of which a listing told the outcome
+    /// alone: what went in them is not fully known here.
+    gaps: VecDeque<(Position, Position)>,
     era: EraHold,
-    /// How long a new era's word is not taken against what was known before.
+    /// How long a new era's word is not taken against what was known before, at least.
     hold_ms: Millis,
 }
 
@@ -161,6 +182,7 @@
             position: Position::default(),
             confirmed_at: None,
             forgotten_through: Position::default(),
+            gaps: VecDeque::new(),
             era: EraHold::default(),
             hold_ms,
         }
@@ -230,6 +252,9 @@
         }
         // A span that begins after what is known here leaves a gap.
         let is_gapless = update.complete || update.after <= self.position;
+        if update.complete || (update.skips && is_gapless) {
+            self.note_gap(update.through);
+        }
         if is_gapless && !update.through.is_start() {
             self.advance(update.through);
             self.confirm(update.through, update.age_ms, now);
@@ -259,7 +284,7 @@
     pub fn learn_era(&mut self, era: u64, now: Millis) -> bool {
         let is_newer = era > self.era.newest;
         if is_newer {
-            self.era = EraHold { newest: era, until: Some(now + self.hold_ms) };
+            self.era = EraHold { newest: era, began_with: None, until: Some(now + self.hold_ms) };
         }
         is_newer
     }
@@ -268,15 +293,13 @@
     /// gone. To be called regularly. Returns what changed.
     pub fn settle(&mut self, now: Millis) -> Vec<Change> {
         let mut changes = Vec::new();
-        if self.era.until.is_none() || self.era.is_on(now) {
+        let is_due = self.era.until.is_some_and(|until| self.is_hold_over(until, now));
+        if !is_due {
             return changes;
         }
         for entry in self.targets.values_mut() {
-            let is_unrenewed =
-                entry.target.present && entry.target.position.era < self.position.era;
-            entry.target.present &= !is_unrenewed;
-            if entry.settle(now) || is_unrenewed {
-                entry.learned_at = now;
+            let has_changed = entry.settle(self.position.era, now);
+            if has_changed {
                 changes.push(change_of(&entry.target, false));
             }
         }
@@ -302,8 +325,11 @@
     pub fn update_for(&self, request: &FetchRequest, now: Millis) -> Update {
         let after = request.after;
         // Positions of another era say nothing about what the asker knows of this one.
-        let complete =
-            after.is_start() || after.era != self.position.era || after < self.forgotten_through;
+        let is_in = |gap: &(Position, Position)| (gap.0..gap.1).contains(&after);
+        let complete = after.is_start()
+            || after.era != self.position.era
+            || after < self.forgotten_through
+            || self.gaps.iter().any(is_in);
         let is_own = |target: &VersionedTarget, machine| {
             target.record.as_ref().is_some_and(|record| record.address == machine)
         };
@@ -322,6 +348,7 @@
             after,
             through: self.position,
             complete: complete && request.scope == FetchScope::All,
+            skips: self.gaps.iter().any(|gap| gap.1 > after),
             age_ms: self.age(now).unwrap_or(u64::MAX),
             configuration: configuration
                 .filter(|known| {
@@ -343,24 +370,55 @@
         }
     }
 
+    /// The hold ends with a word of the store from after it: what writers did meanwhile is
+    /// known then. A daemon that hears nothing goes on with what it knew, but not for ever.
+    fn is_hold_over(&self, until: Millis, now: Millis) -> bool {
+        let is_confirmed = self.position.era == self.era.newest
+            && self.confirmed_at.is_some_and(|at| at >= signed(until));
+        is_confirmed || now >= until + LONGEST_HOLDS * self.hold_ms
+    }
+
     fn learn_eras(&mut self, update: &Update, now: Millis) {
         let eras = update.targets.iter().map(|target| target.position.era);
         let newest = eras.fold(update.through.era, u64::max);
         self.learn_era(newest, now);
     }
 
+    /// A listing tells nothing of targets that came and went since the known position, nor
+    /// of what was left out there as a word of the past. A peer that stands in between may
+    /// know such a target, and must be told all: after a lost history each daemon once.
+    fn note_gap(&mut self, through: Position) {
+        if self.position.is_start() {
+            self.forgotten_through = self.forgotten_through.max(through);
+        } else if through > self.position {
+            self.gaps.push_back((self.position, through));
+        }
+        if self.gaps.len() > MOST_GAPS
+            && let Some((_, end)) = self.gaps.pop_front()
+        {
+            self.forgotten_through = self.forgotten_through.max(end);
+        }
+    }
+
     fn advance(&mut self, through: Position) {
         if through.era > self.position.era {
             // What confirmed the earlier era says nothing about this one.
             self.confirmed_at = None;
+            if through.era == self.era.newest {
+                self.era.began_with = Some(through.revision);
+            }
         }
         self.position = self.position.max(through);
     }
 
     fn set_zones(&mut self, zones: EvacuatedZones, now: Millis, changes: &mut Vec<Change>) {
         let began = self.stored_zones.as_of;
-        if zones.as_of.era > began.era && !began.is_start() && self.era.is_on(now) {
+        if zones.as_of.era > began.era && !began.is_start() && self.era.is_on() {
             self.kept_zones = self.evacuated.differences(&zones);
+            // An evacuation that the copy has counts, unless its end was heard of.
+            let returned_at = &self.returned_at;
+            self.kept_zones
+                .retain(|zone, is_evacuated| *is_evacuated || returned_at.contains_key(zone));
         }
         // The operator has written again what the copy lacked.
         self.kept_zones.retain(|zone, is_evacuated| zones.contains(zone) != *is_evacuated);
@@ -400,9 +458,9 @@
         now: Millis,
         changes: &mut Vec<Change>,
     ) {
-        let is_holding = self.era.is_on(now);
+        let held_through = self.era.held_through();
         // The hold is over: what the newest era did not renew is gone.
-        offered.present &= is_holding || offered.position.era >= self.position.era;
+        offered.present &= held_through.is_some() || offered.position.era >= self.position.era;
         let Some(entry) = self.targets.get_mut(&offered.id) else {
             changes.push(change_of(&offered, false));
             self.targets.insert(offered.id.clone(), TargetEntry::new(offered, now));
@@ -412,7 +470,7 @@
             entry.target.record.as_ref().and_then(|record| record.incarnation)
         };
         let before = incarnation(entry);
-        if entry.take(offered, is_holding, now) {
+        if entry.take(offered, held_through, now) {
             let restarted = before.is_some() && before != incarnation(entry);
             changes.push(change_of(&entry.target, restarted));
         }
@@ -426,12 +484,15 @@
         listed: &[VersionedTarget],
         through: Position,
     ) -> Vec<VersionedTarget> {
-        let is_listed = |id: &str| listed.iter().any(|target| target.id == id);
+        // A peer also names what is gone, and what it holds of earlier eras.
+        let listed = listed.iter();
+        let listed = listed.filter(|target| target.present && target.position.era == through.era);
+        let listed: BTreeSet<&str> = listed.map(|target| target.id.as_str()).collect();
         let known = self.targets.values().flat_map(TargetEntry::claims);
         known
             .filter(|target| target.present && target.position <= through)
             .filter(|target| target.position.era == through.era)
-            .filter(|target| !is_listed(&target.id))
+            .filter(|target| !listed.contains(target.id.as_str()))
             .map(|target| VersionedTarget { present: false, position: through, ..target.clone() })
             .collect()
     }
--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -54,17 +54,18 @@
         }
     }
 
-    /// Whether this claim, of a newer era, may have been made before `older`: it brings
-    /// back what had left, or an incarnation that began earlier by the target's own clock.
-    fn may_predate(&self, older: &Self) -> bool {
-        if !self.present || self.position.era <= older.position.era {
+    /// Whether this claim, of a newer era, may have been made before `older`: it is among
+    /// those that the era began with, and brings back what had left, or another life.
+    fn may_predate(&self, older: &Self, era_began_with: Position) -> bool {
+        let is_of_newer_era = self.position.era > older.position.era;
+        if !self.present || !is_of_newer_era || self.position > era_began_with {
             return false;
         }
         let (Some(record), Some(before)) = (&self.record, &older.record) else { return false };
         if self.shares_life_with(older) {
             return !older.present && record.sequence <= before.sequence;
         }
-        record.incarnation.zip(before.incarnation).is_some_and(|(mine, known)| mine < known)
+        record.incarnation.is_some() && before.incarnation.is_some()
     }
 
     /// This claim, made after `older`, with what stays true of `older`.
@@ -118,44 +119,57 @@
         std::iter::once(&self.target).chain(&self.disputed)
     }
 
-    /// Takes in a further claim; while `is_holding`, claims of a newer era may be held in
-    /// dispute. Returns whether what is believed changed.
-    pub(crate) fn take(&mut self, offered: VersionedTarget, is_holding: bool, now: Millis) -> bool {
-        let is_of_ended = offered.incarnation().is_some_and(|began| self.ended.contains(&began));
-        if offered.present && is_of_ended {
-            return false;
-        }
+    /// Takes in a further claim. While a new era's word is held back, `era_began_with` is the
+    /// position up to which its claims may be those of the copy. Returns whether what is
+    /// believed changed.
+    pub(crate) fn take(
+        &mut self,
+        offered: VersionedTarget,
+        era_began_with: Option<Position>,
+        now: Millis,
+    ) -> bool {
         let before = self.target.clone();
         match self.disputed.take() {
             Some(disputed) if offered.position.era >= disputed.position.era => {
                 let latest = if offered.supersedes(&disputed) { offered } else { disputed };
-                self.weigh(latest, is_holding);
+                self.weigh(latest, era_began_with);
             }
             disputed => {
-                self.weigh(offered, is_holding);
+                self.weigh(offered, era_began_with);
                 if let Some(disputed) = disputed {
-                    self.weigh(disputed, is_holding);
+                    self.weigh(disputed, era_began_with);
                 }
             }
         }
         self.note_change(&before, now)
     }
 
-    /// Ends a dispute: what the newer era states, and was not taken back since, counts.
-    /// Returns whether what is believed changed.
-    pub(crate) fn settle(&mut self, now: Millis) -> bool {
+    /// Ends a dispute: what the newer era states, and was not taken back since, counts, and
+    /// what `era` did not renew is gone. Returns whether what is believed changed.
+    pub(crate) fn settle(&mut self, era: u64, now: Millis) -> bool {
         let before = self.target.clone();
         if let Some(disputed) = self.disputed.take() {
-            self.weigh(disputed, false);
+            self.weigh(disputed, None);
         }
+        self.target.present &= self.target.position.era >= era;
         self.note_change(&before, now)
     }
 
-    fn weigh(&mut self, offered: VersionedTarget, is_holding: bool) {
+    fn weigh(&mut self, offered: VersionedTarget, era_began_with: Option<Position>) {
+        if offered.present && self.has_ended(&offered) {
+            // It is never believed, but kept until the store drops it: peers that do believe
+            // it are to hear of that.
+            let is_of_newer_era = offered.position.era > self.target.position.era;
+            self.disputed = Some(offered).filter(|_| is_of_newer_era);
+            return;
+        }
         let known = self.target.clone();
-        let (older, newer) =
-            if offered.supersedes(&known) { (known, offered) } else { (offered, known) };
-        if is_holding && newer.may_predate(&older) {
+        let is_late = !offered.supersedes(&known);
+        let (older, newer) = if is_late { (offered, known) } else { (known, offered) };
+        // Another life that a peer knew in an earlier era ends none that is believed here.
+        let is_open = !is_late || newer.shares_life_with(&older);
+        let may_predate = |began_with| newer.may_predate(&older, began_with);
+        if is_open && era_began_with.is_some_and(may_predate) {
             self.target = older;
             self.disputed = Some(newer);
             return;
@@ -164,11 +178,16 @@
         self.target = newer.after(&older);
     }
 
+    fn has_ended(&self, claim: &VersionedTarget) -> bool {
+        claim.incarnation().is_some_and(|began| self.ended.contains(&began))
+    }
+
     /// Remembers an incarnation that another one followed. The store orders the two only
     /// within one era.
     fn note_end(&mut self, older: &VersionedTarget, newer: &VersionedTarget) {
         let is_ordered = older.position.era == newer.position.era;
-        let follows = newer.record.is_some() && older.incarnation() != newer.incarnation();
+        // A removal brings the last record that its source knew, which may be an older one.
+        let follows = newer.present && older.incarnation() != newer.incarnation();
         let Some(ended) = older.incarnation().filter(|_| is_ordered && follows) else { return };
         if self.ended.contains(&ended) {
             return;
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -155,6 +155,47 @@
     assert!(!replica.update_for(&after(5), 200_000).complete);
 }
 
+/// A daemon that started with a listing once gave differences from before it. They lacked
+/// the removals that it had never heard of, and the peer kept those targets for good.
+#[test]
+fn a_peer_from_before_a_first_listing_gets_everything() {
+    let mut behind = Replica::new();
+    behind.apply(listing(3, vec![target("x", 3, Some(TargetState::Ready))]), 0);
+    let mut started = Replica::new();
+    started.apply(listing(5, Vec::new()), 0);
+    behind.apply(started.update_for(&after(3), 0), 0);
+    assert_eq!(present(&behind), Vec::new());
+}
+
+#[test]
+fn a_peer_that_stands_in_a_gap_gets_everything() {
+    let mut reader = Replica::new();
+    reader.apply(listing(3, Vec::new()), 0);
+    reader.apply(listing(9, Vec::new()), 0);
+    assert!(reader.update_for(&after(5), 0).complete, "what came and went is not known");
+    assert!(reader.update_for(&after(3), 0).complete);
+    assert!(!reader.update_for(&after(9), 0).complete);
+    // However many listings follow, nobody in an earlier gap is told too little.
+    for through in 10..30 {
+        reader.apply(listing(2 * through, Vec::new()), 0);
+    }
+    assert!(reader.update_for(&after(5), 0).complete);
+}
+
+/// A difference that a peer put together from a listing is none for those behind it.
+#[test]
+fn a_gap_is_passed_on_with_differences() {
+    let mut reader = Replica::new();
+    reader.apply(listing(1, Vec::new()), 0);
+    let mut second = reader.clone();
+    reader.apply(listing(3, Vec::new()), 0);
+    second.apply(reader.update_for(&after(1), 0), 0);
+    let mut third = Replica::new();
+    third.apply(listing(2, vec![target("x", 2, Some(TargetState::Ready))]), 0);
+    third.apply(second.update_for(&after(2), 0), 0);
+    assert_eq!(present(&third), Vec::new());
+}
+
 prop_compose! {
     fn any_history()(states in prop::collection::vec(
         (0..4u8, prop_oneof![
--- a/crates/relay/src/platform.rs
+++ b/crates/relay/src/platform.rs
@@ -112,6 +112,7 @@
             after,
             through: self.at,
             complete: false,
+            skips: false,
             age_ms: if is_unchanged { elapsed_ms.saturating_sub(wait_ms) } else { 0 },
             configuration: self.configuration,
             targets: self.targets,
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -203,6 +203,7 @@
             after: Position::default(),
             through,
             complete: true,
+            skips: true,
             age_ms: self.clock.now().saturating_sub(asked_at),
             configuration: listed.configuration,
             targets: listed.targets,
