Split the replica and the relay's knowledge by job, and end two import loops

Change: updates, the hold of an era and the history of removals have modules of their own; the arriving packet and the list of log files have theirs. No behaviour changed.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,15 +8,18 @@
 //! [`VersionedConfiguration`]). The [`PeerTable`] spreads who exists, and [`reader`]
 //! settles which few daemons read the store for all.
 
+mod era_hold;
 mod evacuation;
 mod message;
 mod model;
 mod peers;
 mod position;
 pub mod reader;
+mod removal_history;
 mod replica;
 mod succession;
 mod timing;
+mod update;
 
 pub use evacuation::{EvacuatedZones, ZoneChange, ZoneNews};
 pub use message::{
@@ -29,9 +32,10 @@
 };
 pub use peers::{PEER_LIFETIME_MS, PeerTable, ServingPeer};
 pub use position::Position;
-pub use replica::{Change, Replica, Update, VersionedConfiguration};
+pub use replica::Replica;
 pub use succession::{TargetEntry, VersionedTarget};
 pub use timing::{Bounds, Timing};
+pub use update::{Change, Update, VersionedConfiguration};
 
 /// Milliseconds on the process's steady clock since some fixed moment.
 pub type Millis = u64;
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -1,131 +1,21 @@
 //! A replica of the store's contents, fed by the store itself and by peers.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-
-use musli::{Decode, Encode};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::Millis;
+use crate::era_hold::EraHold;
 use crate::evacuation::{EvacuatedZones, ZoneNews};
 use crate::message::{FetchRequest, FetchScope};
-use crate::model::{Configuration, TargetRecord};
 use crate::position::Position;
+use crate::removal_history::RemovalHistory;
 use crate::succession::{TargetEntry, VersionedTarget};
 use crate::timing::Timing;
+use crate::update::{Change, Update, VersionedConfiguration};
 
-/// Holds after which a daemon that heard nothing of the store since takes its last word: it
-/// has been cut off for some 12 s then, or is an agent, which follows configurations alone.
-const LONGEST_HOLDS: u64 = 4;
-/// Most spans remembered of which a listing told the outcome alone, 32 bytes each; peers
-/// that stand before a span that was forgotten are told all.
-const MOST_GAPS: usize = 4;
 /// How long a removed target is remembered, so that an older report does not
 /// bring it back and its open flows are still found.
 const REMOVED_TARGET_LIFETIME_MS: Millis = 90_000;
 
-/// A configuration with the position of its write.
-///
-/// The operator's version orders configurations, not the position: a store that came back
-/// from a copy states an older one, and the operator writes the newest again.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct VersionedConfiguration {
-    /// The position of the write.
-    pub position: Position,
-    /// The configuration written.
-    pub configuration: Configuration,
-}
-
-/// What one source says about the store.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
-pub struct Update {
-    /// The update holds every change after this position.
-    pub after: Position,
-    /// Up to this position; the start if the source does not know all changes of any span.
-    pub through: Position,
-    /// Whether the update lists everything; what it lacks is not in the store.
-    pub complete: bool,
-    /// Whether targets that came and went in the span may be missing, as the source knows
-    /// a part of it by a listing alone.
-    pub skips: bool,
-    /// Milliseconds since the store itself confirmed `through`.
-    pub age_ms: u64,
-    /// The configuration, if it changed in this span.
-    pub configuration: Option<VersionedConfiguration>,
-    /// Targets that changed in this span.
-    pub targets: Vec<VersionedTarget>,
-    /// Evacuated zones.
-    pub zones: ZoneNews,
-}
-
-impl Update {
-    /// The same after `elapsed_ms` on its way from the source.
-    pub fn delayed_by(self, elapsed_ms: Millis) -> Self {
-        Self { age_ms: self.age_ms.saturating_add(elapsed_ms), ..self }
-    }
-}
-
-/// What an update changed in the replica, for logs and dependents.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// A configuration came into force.
-    Configuration {
-        /// Its version.
-        version: u64,
-        /// The position of its write.
-        position: Position,
-    },
-    /// A target's record appeared or changed.
-    Target {
-        /// The target's identifier.
-        id: String,
-        /// The record now known.
-        record: TargetRecord,
-        /// Whether it is another life of a target that was known.
-        restarted: bool,
-    },
-    /// A target's record left the store.
-    Removed {
-        /// The target's identifier.
-        id: String,
-        /// The last record known.
-        record: Option<TargetRecord>,
-    },
-    /// The targets of a zone are to get no new flows from now on.
-    ZoneEvacuated {
-        /// The zone's name.
-        zone: String,
-    },
-    /// A zone's evacuation ended.
-    ZoneReturned {
-        /// The zone's name.
-        zone: String,
-    },
-}
-
-/// How far a daemon has come to terms with the newest era of the store.
-#[derive(Clone, Copy, Debug, Default)]
-struct EraHold {
-    /// The newest era heard of, from whomever.
-    newest: u64,
-    /// Up to here its entries may be those of the copy that it began with; all of them
-    /// while this daemon knows no position of it.
-    began_with: Option<u64>,
-    /// The earliest time at which its word is taken against what was known before; none
-    /// once all is settled.
-    until: Option<Millis>,
-}
-
-impl EraHold {
-    fn is_on(&self) -> bool {
-        self.until.is_some()
-    }
-
-    /// The position up to which the era's word is held back; none once it is not.
-    fn held_through(&self) -> Option<Position> {
-        let revision = self.began_with.unwrap_or(u64::MAX);
-        self.until.map(|_| Position::new(self.newest, revision))
-    }
-}
-
 /// The state of the store as far as this daemon knows it. Within an era no entry goes back
 /// to an older position; across eras what the writers count themselves keeps the order.
 #[derive(Clone, Debug)]
@@ -147,11 +37,7 @@
     /// process's clock. Negative for a time before the process started: a daemon that
     /// has just started must not take what peers confirmed long ago for fresh.
     confirmed_at: Option<i64>,
-    /// Removals up to this position are not all known.
-    forgotten_through: Position,
-    /// Spans, each from one position to before another, of which a listing told the outcome
-    /// alone: what went in them is not fully known here.
-    gaps: VecDeque<(Position, Position)>,
+    removals: RemovalHistory,
     era: EraHold,
     /// How long a new era's word is not taken against what was known before, at least.
     hold_ms: Millis,
@@ -181,8 +67,7 @@
             returned_at: BTreeMap::new(),
             position: Position::default(),
             confirmed_at: None,
-            forgotten_through: Position::default(),
-            gaps: VecDeque::new(),
+            removals: RemovalHistory::default(),
             era: EraHold::default(),
             hold_ms,
         }
@@ -253,7 +138,7 @@
         // A span that begins after what is known here leaves a gap.
         let is_gapless = update.complete || update.after <= self.position;
         if update.complete || (update.skips && is_gapless) {
-            self.note_gap(update.through);
+            self.removals.skip(self.position, update.through);
         }
         if is_gapless && !update.through.is_start() {
             self.advance(update.through);
@@ -293,14 +178,15 @@
     /// gone. To be called regularly. Returns what changed.
     pub fn settle(&mut self, now: Millis) -> Vec<Change> {
         let mut changes = Vec::new();
-        let is_due = self.era.until.is_some_and(|until| self.is_hold_over(until, now));
-        if !is_due {
+        let is_current = self.position.era == self.era.newest;
+        let confirmed_at = self.confirmed_at.filter(|_| is_current);
+        if !self.era.is_over(self.hold_ms, confirmed_at, now) {
             return changes;
         }
         for entry in self.targets.values_mut() {
             let has_changed = entry.settle(self.position.era, now);
             if has_changed {
-                changes.push(change_of(&entry.target, false));
+                changes.push(Change::of_target(&entry.target, false));
             }
         }
         self.kept_zones.clear();
@@ -325,11 +211,9 @@
     pub fn update_for(&self, request: &FetchRequest, now: Millis) -> Update {
         let after = request.after;
         // Positions of another era say nothing about what the asker knows of this one.
-        let is_in = |gap: &(Position, Position)| (gap.0..gap.1).contains(&after);
         let complete = after.is_start()
             || after.era != self.position.era
-            || after < self.forgotten_through
-            || self.gaps.iter().any(is_in);
+            || self.removals.is_incomplete_after(after);
         let is_own = |target: &VersionedTarget, machine| {
             target.record.as_ref().is_some_and(|record| record.address == machine)
         };
@@ -348,7 +232,7 @@
             after,
             through: self.position,
             complete: complete && request.scope == FetchScope::All,
-            skips: self.gaps.iter().any(|gap| gap.1 > after),
+            skips: self.removals.has_gap_after(after),
             age_ms: self.age(now).unwrap_or(u64::MAX),
             configuration: configuration
                 .filter(|known| {
@@ -370,36 +254,12 @@
         }
     }
 
-    /// The hold ends with a word of the store from after it: what writers did meanwhile is
-    /// known then. A daemon that hears nothing goes on with what it knew, but not for ever.
-    fn is_hold_over(&self, until: Millis, now: Millis) -> bool {
-        let is_confirmed = self.position.era == self.era.newest
-            && self.confirmed_at.is_some_and(|at| at >= signed(until));
-        is_confirmed || now >= until + LONGEST_HOLDS * self.hold_ms
-    }
-
     fn learn_eras(&mut self, update: &Update, now: Millis) {
         let eras = update.targets.iter().map(|target| target.position.era);
         let newest = eras.fold(update.through.era, u64::max);
         self.learn_era(newest, now);
     }
 
-    /// A listing tells nothing of targets that came and went since the known position, nor
-    /// of what was left out there as a word of the past. A peer that stands in between may
-    /// know such a target, and must be told all: after a lost history each daemon once.
-    fn note_gap(&mut self, through: Position) {
-        if self.position.is_start() {
-            self.forgotten_through = self.forgotten_through.max(through);
-        } else if through > self.position {
-            self.gaps.push_back((self.position, through));
-        }
-        if self.gaps.len() > MOST_GAPS
-            && let Some((_, end)) = self.gaps.pop_front()
-        {
-            self.forgotten_through = self.forgotten_through.max(end);
-        }
-    }
-
     fn advance(&mut self, through: Position) {
         if through.era > self.position.era {
             // What confirmed the earlier era says nothing about this one.
@@ -462,7 +322,7 @@
         // The hold is over: what the newest era did not renew is gone.
         offered.present &= held_through.is_some() || offered.position.era >= self.position.era;
         let Some(entry) = self.targets.get_mut(&offered.id) else {
-            changes.push(change_of(&offered, false));
+            changes.push(Change::of_target(&offered, false));
             self.targets.insert(offered.id.clone(), TargetEntry::new(offered, now));
             return;
         };
@@ -472,7 +332,7 @@
         let before = incarnation(entry);
         if entry.take(offered, held_through, now) {
             let restarted = before.is_some() && before != incarnation(entry);
-            changes.push(change_of(&entry.target, restarted));
+            changes.push(Change::of_target(&entry.target, restarted));
         }
     }
 
@@ -499,24 +359,15 @@
 
     fn forget_removed(&mut self, now: Millis) {
         self.returned_at.retain(|_, at| now.saturating_sub(*at) < REMOVED_TARGET_LIFETIME_MS);
-        let mut forgotten_through = self.forgotten_through;
+        let removals = &mut self.removals;
         self.targets.retain(|_, entry| {
             let age = now.saturating_sub(entry.learned_at);
             let keep = entry.target.present || age < REMOVED_TARGET_LIFETIME_MS;
             if !keep {
-                forgotten_through = forgotten_through.max(entry.target.position);
+                removals.forget_through(entry.target.position);
             }
             keep
         });
-        self.forgotten_through = forgotten_through;
-    }
-}
-
-fn change_of(target: &VersionedTarget, restarted: bool) -> Change {
-    let id = target.id.clone();
-    match (&target.record, target.present) {
-        (Some(record), true) => Change::Target { id, record: record.clone(), restarted },
-        (record, _) => Change::Removed { id, record: record.clone() },
     }
 }
 
--- /dev/null
+++ b/crates/relay/src/fleet_node/changes.rs
@@ -0,0 +1,42 @@
+//! Tells in the log what is believed anew.
+
+use slog::info;
+use weirhinge_fleet::{Change, Millis};
+
+use super::FleetNode;
+
+impl FleetNode {
+    pub(super) fn log_change(&self, change: &Change, source: &str, now: Millis) {
+        let age_ms = self.replica.age(now);
+        match change {
+            Change::Configuration { version, position } => {
+                info!(self.log, "fleet: configuration in force"; "event" => "configuration",
+                    "version" => version, "era" => position.era, "revision" => position.revision,
+                    "source" => source,
+                    "age_ms" => age_ms);
+            }
+            Change::Target { id, record, restarted } => {
+                info!(self.log, "fleet: target recorded"; "event" => "target", "target" => id,
+                    "agent" => record.machine().to_string(), "state" => ?record.state,
+                    "service" => &record.service, "cold_ms" => record.warm_up_ms,
+                    "restarted" => restarted,
+                    "source" => source, "age_ms" => age_ms);
+            }
+            Change::ZoneEvacuated { zone } => {
+                info!(self.log, "fleet: zone evacuated"; "event" => "zone_evacuated",
+                    "zone" => zone, "revision" => self.replica.evacuated().as_of.revision,
+                    "source" => source, "age_ms" => age_ms);
+            }
+            Change::ZoneReturned { zone } => {
+                info!(self.log, "fleet: zone taken back"; "event" => "zone_returned",
+                    "zone" => zone, "revision" => self.replica.evacuated().as_of.revision,
+                    "source" => source, "age_ms" => age_ms);
+            }
+            Change::Removed { id, record } => {
+                let agent = record.as_ref().map(|record| record.machine().to_string());
+                info!(self.log, "fleet: target removed"; "event" => "target_removed",
+                    "target" => id, "agent" => agent, "source" => source, "age_ms" => age_ms);
+            }
+        }
+    }
+}
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -15,10 +15,9 @@
 
 pub use breaker::BreakerChange;
 pub use cold_start::ColdStartRate;
-pub use decision::{
-    Arrival, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, WaitOutcome,
-};
+pub use decision::{DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, WaitOutcome};
 
+use crate::arrival::Arrival;
 use crate::packet::{AnswerStatus, FlowKey, OPENING_SPAN_MS, PacketHead};
 use crate::waiting_room::WaitingRoom;
 use admission::Admission;
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod agent;
 mod agent_status;
+mod arrival;
 mod balancer;
 mod flow_table;
 mod overload;
@@ -21,10 +22,11 @@
 mod waiting_room;
 
 pub use agent::{
-    Agent, Arrival, BreakerChange, ColdStartRate, DeliveryDecision, HoldsNotice, OutputDecision,
-    OutputDrop, WaitOutcome,
+    Agent, BreakerChange, ColdStartRate, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop,
+    WaitOutcome,
 };
 pub use agent_status::AgentStatuses;
+pub use arrival::Arrival;
 pub use balancer::{
     Balancer, BalancerLimits, ClientPacket, Context, Decision, DropReason, Forward, ForwardReason,
     ResetReason, SelectionInputs,
--- a/crates/steering/src/waiting_room.rs
+++ b/crates/steering/src/waiting_room.rs
@@ -5,7 +5,7 @@
 
 use weirhinge_fleet::Millis;
 
-use crate::agent::Arrival;
+use crate::arrival::Arrival;
 use crate::packet::{FlowKey, PacketHead};
 
 /// Most opening packets that wait for room.
--- a/crates/weirhinge/src/cli/explain.rs
+++ b/crates/weirhinge/src/cli/explain.rs
@@ -10,6 +10,7 @@
 
 use super::CliFailure;
 use super::daemon::option;
+use super::log_files::files;
 
 const USAGE: &str = "\
 weirhinge explain: tell from logs what happened
@@ -57,16 +58,6 @@
     Ok(())
 }
 
-/// The files named by the rest of the command line.
-pub(super) fn files(arguments: Arguments) -> Result<Vec<String>, CliFailure> {
-    let files: Vec<String> =
-        arguments.finish().into_iter().map(|file| file.to_string_lossy().into_owned()).collect();
-    match files.iter().find(|file| file.starts_with('-')) {
-        Some(flag) => Err(CliFailure::usage(format!("argument {flag:?}: not known, see --help"))),
-        None => Ok(files),
-    }
-}
-
 fn read_subject(arguments: &mut Arguments) -> Result<Subject, CliFailure> {
     let request: Option<String> = option(arguments, "--request")?;
     let flow: Option<String> = option(arguments, "--flow")?;
--- a/crates/weirhinge/src/cli/mod.rs
+++ b/crates/weirhinge/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod daemon;
 mod explain;
 mod failure;
+mod log_files;
 mod relay;
 mod timeline;
 
--- a/crates/weirhinge/src/cli/timeline.rs
+++ b/crates/weirhinge/src/cli/timeline.rs
@@ -11,12 +11,13 @@
 
 use super::CliFailure;
 use super::daemon::option;
+use super::log_files::files;
 
 /// Tells what a fleet did over time, from its logs.
 pub fn run(mut arguments: Arguments) -> Result<(), CliFailure> {
     let options = read_options(&mut arguments)?;
     let as_json = arguments.contains("--json");
-    let files = super::explain::files(arguments)?;
+    let files = files(arguments)?;
     let report = read(&files, options).map_err(CliFailure::Runtime)?;
     if as_json {
         let text = serde_json::to_string(&report).wrap_err("write the report");
