Count the listings that a restored store gets from 300 balancers

Cause: after an outage all balancers want to read; a store that came back from a copy could get a listing from each of them. Change: a simulated case in fleet_scale. Conclusion: the drawn waits after failures keep it small; nothing was changed for it.

--- a/crates/relay/tests/fleet_scale.rs
+++ b/crates/relay/tests/fleet_scale.rs
@@ -35,6 +35,8 @@
     node: FleetNode,
     is_balancer: bool,
     wanted: (Position, Millis),
+    /// Calls in a row that the store did not answer.
+    failures: u32,
     bytes: u64,
 }
 
@@ -47,7 +49,11 @@
     by_address: HashMap<Ipv4Addr, usize>,
     store: Position,
     store_refuses: Option<usize>,
+    /// Whether the store answers nobody.
+    store_is_away: bool,
     calls: u64,
+    /// Calls that listed the whole store.
+    listings: u64,
     random: u64,
 }
 
@@ -66,7 +72,9 @@
             by_address: HashMap::new(),
             store: Position::new(0, 1),
             store_refuses: None,
+            store_is_away: false,
             calls: 0,
+            listings: 0,
             random: 1,
         };
         for place in 0..balancers + agents {
@@ -91,6 +99,7 @@
                 node,
                 is_balancer,
                 wanted: (Position::default(), 0),
+                failures: 0,
                 bytes: 0,
             });
             let start = simulation.draw(300);
@@ -160,10 +169,18 @@
         }
         let after = node.position();
         self.calls += 1;
+        if self.store_is_away {
+            node.reading = false;
+            self.daemons[place].failures += 1;
+            let wait = self.daemons[place].node.wait_after_failure(self.daemons[place].failures);
+            return self.schedule(now + wait, place, Event::Poll);
+        }
         if self.store_refuses == Some(place) {
             node.reading = false;
             return self.schedule(now + 500, place, Event::Poll);
         }
+        let is_listing = after.is_start() || after.era != self.store.era;
+        self.listings += u64::from(is_listing);
         let wait = if after == self.store { 1_000 } else { READ_MS };
         self.schedule(now + wait, place, Event::Read(after));
     }
@@ -171,6 +188,7 @@
     fn read(&mut self, place: usize, after: Position) {
         let now = self.now;
         let update = self.store_update(after);
+        self.daemons[place].failures = 0;
         let node = &mut self.daemons[place].node;
         node.apply_from_store(update, now);
         node.reading = true;
@@ -183,16 +201,17 @@
     fn store_update(&self, after: Position) -> Update {
         let through = self.store;
         let configuration = Configuration {
-            version: through.revision,
+            version: 1_000 * through.era + through.revision,
             routes: Vec::new(),
             idle_timeout_ms: 15_000,
             ..Configuration::default()
         };
         let is_new = through > after;
+        let is_listing = after.is_start() || after.era != through.era;
         let agents = (0..self.daemons.len()).filter(|place| !self.daemons[*place].is_balancer);
         let targets = agents.map(|place| VersionedTarget {
             id: format!("target-{place}"),
-            position: Position::new(0, 1),
+            position: Position::new(through.era, 1),
             present: true,
             record: Some(TargetRecord {
                 service: "sheets".to_owned(),
@@ -208,11 +227,11 @@
         Update {
             after,
             through,
-            complete: after.is_start(),
+            complete: after.is_start() || after.era != through.era,
             age_ms: 0,
             configuration: is_new
                 .then_some(VersionedConfiguration { position: through, configuration }),
-            targets: if after.is_start() { targets.collect() } else { Vec::new() },
+            targets: if is_listing { targets.collect() } else { Vec::new() },
             ..Update::default()
         }
     }
@@ -331,6 +350,30 @@
     assert!(reader.is_some() && took < 3_000, "{took} ms");
 }
 
+/// All balancers want to read when the store comes back, and it came back from a copy. A few
+/// list it, the others hear of it from them.
+#[test]
+fn a_restored_store_is_listed_by_a_few_for_all() {
+    let mut simulation = Simulation::new(300, 0);
+    simulation.run_until(10_000, |_| false);
+    simulation.store.revision = 40;
+    simulation.run_until(14_000, |_| false);
+    simulation.store_is_away = true;
+    simulation.run_until(16_000, |_| false);
+    simulation.store_is_away = false;
+    simulation.store = Position::new(1, 12);
+    let (listings, position) = (simulation.listings, simulation.store);
+    let (calls, began) = (simulation.calls, simulation.now);
+    let took = simulation.run_until(began + 10_000, |sim| sim.all_balancers_know(position)) - began;
+    simulation.run_until(began + 5_000, |_| false);
+    let (listings, calls) = (simulation.listings - listings, simulation.calls - calls);
+    println!(
+        "restored store: {took} ms at all balancers, {listings} listings, {calls} calls in 5 s"
+    );
+    assert!(took < 3_000, "{took} ms");
+    assert!(listings <= 30, "{listings} of 300 balancers list the store");
+}
+
 #[test]
 fn membership_spreads_from_three_seeds() {
     let mut simulation = Simulation::new(100, 200);
