--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -45,6 +45,8 @@
 OPTIONS OF soak:
   --seed S         Seed of the faults  [default: drawn, and printed]
   --seconds N      About how long to soak  [default: 120]
+  --scale N        Times three balancers and five targets, 1 to 25  [default: 1]
+  --series         Faults overlap, also of the store's and the targets' own lives
 
 EXIT CODES:
   0  every promise held
@@ -188,7 +190,13 @@
     let seconds: u64 = option(&mut arguments, "--seconds")?.unwrap_or(120);
     let episodes = seconds.div_ceil(EPISODE_SECONDS).max(1) as usize;
     println!("soak with seed {seed}, {episodes} episodes");
-    let options = weirhinge_soak::run::Options { seed, episodes, verbose: true };
+    let scale = option(&mut arguments, "--scale")?.unwrap_or(1);
+    let largest = weirhinge_soak::run::LARGEST_SCALE;
+    if !(1..=largest).contains(&scale) {
+        return Err(format!("argument --scale: found {scale}, expected 1 to {largest}"));
+    }
+    let in_series = arguments.contains("--series");
+    let options = weirhinge_soak::run::Options { seed, episodes, scale, in_series, verbose: true };
     Ok(measure(async move {
         let program = Program::find(None)?;
         let report = weirhinge_soak::run::soak(program.path(), options).await?;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
+use serde_json::json;
 use weirhinge_platform_standins::{
-    Fleet, Impairment, LinkFault, NEAR_ZONE, ProcessHandle, StoreFault,
+    Contents, Fleet, Impairment, LinkFault, NEAR_ZONE, ProcessHandle, StoreFault,
 };
 
 use crate::callers::{FIRST_PORT, SECOND_PORT};
@@ -54,6 +55,14 @@
             fleet.targets[place].crash();
             Ok(())
         }
+        Fault::RestartTarget(place) => {
+            fleet.targets[place].restart();
+            Ok(())
+        }
+        Fault::ForeignEntries => {
+            leave_foreign_entries(fleet);
+            Ok(())
+        }
         Fault::KillAll => {
             let mut processes = fleet.balancers.iter_mut().chain(&mut fleet.agents);
             processes.try_for_each(ProcessHandle::kill)
@@ -73,10 +82,16 @@
     }
 }
 
-/// Mends a fault.
-pub(crate) fn mend(fleet: &mut Fleet, fault: Fault) -> eyre::Result<()> {
+/// Mends a fault; a store that is restored gets this copy.
+pub(crate) fn mend(fleet: &mut Fleet, fault: Fault, copy: &Contents) -> eyre::Result<()> {
     match fault {
-        Fault::StopBalancer(_) | Fault::Reload(_) | Fault::Configure => Ok(()),
+        Fault::StopBalancer(_) | Fault::Reload(_) | Fault::Configure | Fault::RestartTarget(_) => {
+            Ok(())
+        }
+        Fault::ForeignEntries => {
+            FOREIGN_KEYS.iter().for_each(|key| fleet.store.remove(key));
+            Ok(())
+        }
         Fault::DrainTarget(place) => {
             fleet.targets[place].renew();
             Ok(())
@@ -97,6 +112,12 @@
             let mut processes = fleet.balancers.iter_mut().chain(&mut fleet.agents);
             processes.try_for_each(ProcessHandle::restart)
         }
+        Fault::Store(StoreTrouble::Restored) => {
+            fleet.store.restore(copy.clone());
+            fleet.store.fail(StoreFault::None);
+            fleet.write_again();
+            Ok(())
+        }
         Fault::Store(_) => {
             fleet.store.fail(StoreFault::None);
             Ok(())
@@ -112,11 +133,27 @@
     }
 }
 
+/// Keys that look like those of targets.
+const FOREIGN_KEYS: [&str; 3] = ["servers/foreign-1", "servers/foreign-2", "servers/a/b"];
+
+/// Bytes, a document of another form, and a service that no route names at the address of a
+/// target.
+fn leave_foreign_entries(fleet: &Fleet) {
+    let address = format!("{}:9", fleet.targets[0].address);
+    let stranger = json!({ "service": "nobody", "address": address, "zone": NEAR_ZONE,
+        "version": "v1", "slots": 900, "state": "ready", "cold_remaining_ms": 0,
+        "sequence": 1, "born": 1 });
+    let [bytes, document, nested] = FOREIGN_KEYS;
+    fleet.store.put_bytes(bytes, b"\xff\x00");
+    fleet.store.put(document, &stranger);
+    fleet.store.put(nested, &json!([]));
+}
+
 fn fail_store(fleet: &Fleet, trouble: StoreTrouble) {
     let fault = match trouble {
         StoreTrouble::Busy => StoreFault::Status(BUSY),
         StoreTrouble::Silent => StoreFault::Silent,
-        StoreTrouble::Reset => StoreFault::Reset,
+        StoreTrouble::Reset | StoreTrouble::Restored => StoreFault::Reset,
         StoreTrouble::Slow => StoreFault::Slow(SLOW),
         StoreTrouble::Forgets => return fleet.store.forget_history(),
     };
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -28,6 +28,9 @@
     Slow,
     /// It serves, but forgets what changed before.
     Forgets,
+    /// It is away, and comes back from a copy that lacks its latest writes. Operator and
+    /// targets write again.
+    Restored,
 }
 
 /// How the connection between one balancer and the store fails.
@@ -69,6 +72,10 @@
     PauseAgent(usize),
     /// A target is gone without a word, and starts again without its flows.
     CrashTarget(usize),
+    /// A target crashes and starts again at once under its identifier, without its flows.
+    RestartTarget(usize),
+    /// Another writer leaves entries in the store that name nothing.
+    ForeignEntries,
     /// All processes of the product are killed, and start again.
     KillAll,
     /// The store fails for everybody.
@@ -89,27 +96,41 @@
                 | Fault::EvacuateZone
                 | Fault::Reload(_)
                 | Fault::Configure
+                | Fault::ForeignEntries
                 // Not planned, but as harmless: flows do not need the store.
                 | Fault::Store(_)
                 | Fault::StoreLink(..)
         )
     }
 
+    /// Whether targets must get no new flows while it lasts.
+    fn is_drain(&self) -> bool {
+        matches!(self, Fault::DrainTarget(_) | Fault::EvacuateZone)
+    }
+
     /// Whether changes of the configuration reach all balancers meanwhile.
     pub fn lets_changes_through(self) -> bool {
         matches!(
             self,
-            Fault::DrainTarget(_) | Fault::EvacuateZone | Fault::Reload(_) | Fault::Configure
+            Fault::DrainTarget(_)
+                | Fault::EvacuateZone
+                | Fault::Reload(_)
+                | Fault::Configure
+                | Fault::ForeignEntries
+                | Fault::RestartTarget(_)
         )
     }
 }
 
-/// Faults that begin together and are mended together.
+/// Faults that overlap: they begin one after the other and are mended in that order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Episode {
     /// The faults.
     pub faults: Vec<Fault>,
-    /// How long they last.
+    /// Time from the begin of one to that of the next, and from mend to mend; 0 if all
+    /// begin and end together.
+    pub gap: Duration,
+    /// How long each lasts.
     pub lasts: Duration,
 }
 
@@ -131,6 +152,38 @@
     (0..episodes).map(|_| draw_episode(&mut random, size)).collect()
 }
 
+/// Most faults of one series.
+const LONGEST_SERIES: usize = 4;
+/// Longest time between two faults of a series, in milliseconds.
+const LONGEST_GAP_MS: u64 = 900;
+
+/// The series that a seed draws: up to four faults an episode that overlap, those of the
+/// store's and the targets' own lives among them.
+pub fn draw_series(seed: u64, episodes: usize, size: Size) -> Vec<Episode> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    (0..episodes).map(|_| draw_one_series(&mut random, size)).collect()
+}
+
+fn draw_one_series(random: &mut ChaCha8Rng, size: Size) -> Episode {
+    let count = random.random_range(2..=LONGEST_SERIES);
+    let mut faults: Vec<Fault> = Vec::new();
+    while faults.len() < count {
+        let fault = match random.random_range(0..6) {
+            0 => Fault::Store(StoreTrouble::Restored),
+            1 => Fault::RestartTarget(random.random_range(0..size.targets)),
+            2 => Fault::ForeignEntries,
+            _ => draw_fault(random, size),
+        };
+        if faults.iter().all(|known| !touch_the_same(*known, fault)) {
+            faults.push(fault);
+        }
+    }
+    let gap = Duration::from_millis(random.random_range(0..=LONGEST_GAP_MS));
+    let drains = faults.iter().any(|fault| fault.is_drain());
+    let lasts = Duration::from_millis(random.random_range(LASTS_MS));
+    Episode { faults, gap, lasts: if drains { DRAIN_LASTS } else { lasts } }
+}
+
 fn draw_episode(random: &mut ChaCha8Rng, size: Size) -> Episode {
     let count = random.random_range(1..=2);
     let mut faults: Vec<Fault> = Vec::new();
@@ -146,10 +199,9 @@
         }
     }
     faults.shuffle(random);
-    let is_drain = |fault: &Fault| matches!(fault, Fault::DrainTarget(_) | Fault::EvacuateZone);
-    let drains = faults.iter().any(is_drain);
+    let drains = faults.iter().any(|fault| fault.is_drain());
     let lasts = Duration::from_millis(random.random_range(LASTS_MS));
-    Episode { faults, lasts: if drains { DRAIN_LASTS } else { lasts } }
+    Episode { faults, gap: Duration::ZERO, lasts: if drains { DRAIN_LASTS } else { lasts } }
 }
 
 fn draw_fault(random: &mut ChaCha8Rng, size: Size) -> Fault {
@@ -193,7 +245,13 @@
 /// the other, or could together leave a service without a target.
 fn touch_the_same(one: Fault, other: Fault) -> bool {
     let takes_targets = |fault: Fault| {
-        matches!(fault, Fault::EvacuateZone | Fault::DrainTarget(_) | Fault::CrashTarget(_))
+        matches!(
+            fault,
+            Fault::EvacuateZone
+                | Fault::DrainTarget(_)
+                | Fault::CrashTarget(_)
+                | Fault::RestartTarget(_)
+        )
     };
     if takes_targets(one) && takes_targets(other) {
         return true;
@@ -206,12 +264,14 @@
         Fault::DrainTarget(place)
         | Fault::KillAgent(place)
         | Fault::PauseAgent(place)
-        | Fault::CrashTarget(place) => (1, place),
+        | Fault::CrashTarget(place)
+        | Fault::RestartTarget(place) => (1, place),
         Fault::Store(_) | Fault::StoreLink(..) => (2, 0),
         Fault::Configure => (3, 0),
         Fault::LossyClients => (4, 0),
         Fault::KillAll => (5, 0),
         Fault::EvacuateZone => (6, 0),
+        Fault::ForeignEntries => (7, 0),
     };
     touched(one) == touched(other)
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,23 +4,24 @@
 use std::time::{Duration, Instant};
 
 use weirhinge_platform_standins::{
-    Fleet, FleetPlan, HOME_ZONE, NEAR_ZONE, RouterHash, SETTINGS_TEMPLATE, counter, http_get,
+    Contents, Fleet, FleetPlan, HOME_ZONE, NEAR_ZONE, RouterHash, SETTINGS_TEMPLATE, counter,
+    http_get,
 };
 
 use crate::callers::Callers;
 use crate::faults::{self, SERVICES};
-use crate::plan::{Episode, Fault, Size, draw};
+use crate::plan::{Episode, Fault, Size, draw, draw_series};
 use crate::record::{Entry, Outcome, Record};
 use crate::verdict::{Drain, Evidence, Span, TargetHistory, Violation, excuse, judge};
 
-/// Balancers of the deployment that soaks.
+/// Balancers of the smallest deployment that soaks.
 const BALANCERS: u8 = 3;
-/// The service of each of its targets.
+/// The service of each of its targets. A larger one is so many times the same.
 const TARGETS: [&str; 5] = [SERVICES[0], SERVICES[0], SERVICES[0], SERVICES[1], SERVICES[1]];
 /// The zone of each of them: each service has targets in both.
 const TARGET_ZONES: [&str; 5] = [HOME_ZONE, HOME_ZONE, NEAR_ZONE, HOME_ZONE, NEAR_ZONE];
-/// Balancers and targets of the deployment that soaks.
-pub const SIZE: Size = Size { balancers: BALANCERS as usize, targets: TARGETS.len() };
+/// Largest deployment, in times the smallest: 200 processes.
+pub const LARGEST_SCALE: u8 = 25;
 /// Time between episodes, in which everything must be served again.
 const SETTLE: Duration = Duration::from_secs(7);
 /// Bound on a configuration, and what a look at it may be late by.
@@ -41,6 +42,12 @@
     pub seed: u64,
     /// Episodes to play.
     pub episodes: usize,
+    /// How many times the smallest deployment, of three balancers and five targets, is run;
+    /// 1 to [`LARGEST_SCALE`].
+    pub scale: u8,
+    /// Whether faults come in series that overlap, also of the store's and the targets' own
+    /// lives.
+    pub in_series: bool,
     /// Whether to print each episode as it begins.
     pub verbose: bool,
 }
@@ -61,9 +68,12 @@
 
 struct Soak {
     fleet: Fleet,
+    size: Size,
     excused: Vec<Span>,
     drains: Vec<Drain>,
     crashed_at: Vec<Vec<Instant>>,
+    /// What a restored store comes back with.
+    copy: Contents,
     /// Configuration last seen in each balancer's present life.
     seen: Vec<u64>,
     configurations: Vec<Violation>,
@@ -74,32 +84,38 @@
 /// # Errors
 /// When the deployment cannot be started or a fault cannot be brought about.
 pub async fn soak(program: &Path, options: Options) -> eyre::Result<Report> {
+    let scale = options.scale.clamp(1, LARGEST_SCALE);
     let plan = FleetPlan {
-        balancers: BALANCERS,
-        targets: TARGETS.to_vec(),
-        target_zones: TARGET_ZONES.to_vec(),
+        balancers: BALANCERS * scale,
+        targets: TARGETS.repeat(usize::from(scale)),
+        target_zones: TARGET_ZONES.repeat(usize::from(scale)),
         hash: if options.seed.is_multiple_of(2) { RouterHash::Steady } else { RouterHash::Mod },
         processor_shares: Vec::new(),
     };
     let fleet = Fleet::start(program, SETTINGS_TEMPLATE, &plan).await?;
+    let size = Size { balancers: fleet.balancers.len(), targets: fleet.targets.len() };
     let mut soak = Soak {
         fleet,
+        size,
         excused: Vec::new(),
         drains: Vec::new(),
-        crashed_at: vec![Vec::new(); SIZE.targets],
-        seen: vec![0; SIZE.balancers],
+        crashed_at: vec![Vec::new(); size.targets],
+        copy: Contents::default(),
+        seen: vec![0; size.balancers],
         configurations: Vec::new(),
     };
     soak.change_configuration(true).await;
+    soak.copy = soak.fleet.store.copy();
     let record = Record::default();
     let callers = Callers::start(&soak.fleet.client, &record);
     let started = Instant::now();
-    let episodes = draw(options.seed, options.episodes, SIZE);
+    let draw = if options.in_series { draw_series } else { draw };
+    let episodes = draw(options.seed, options.episodes, size);
     for (number, episode) in episodes.iter().enumerate() {
         if options.verbose {
             let seconds = started.elapsed().as_secs_f64();
-            let Episode { faults, lasts } = episode;
-            println!("{seconds:.1} s: episode {number}: {faults:?} for {lasts:?}");
+            let Episode { faults, gap, lasts } = episode;
+            println!("{seconds:.1} s: episode {number}: {faults:?}, {gap:?} apart, for {lasts:?}");
         }
         soak.play(episode).await?;
     }
@@ -123,22 +139,25 @@
 }
 
 /// The targets that must get no new flow while a fault lasts.
-fn drained(fault: Fault) -> impl Iterator<Item = usize> {
+fn drained(fault: Fault, targets: usize) -> impl Iterator<Item = usize> {
     let is_drained = move |place: &usize| match fault {
         Fault::DrainTarget(target) => target == *place,
-        Fault::EvacuateZone => TARGET_ZONES[*place] == NEAR_ZONE,
+        Fault::EvacuateZone => TARGET_ZONES[*place % TARGET_ZONES.len()] == NEAR_ZONE,
         _ => false,
     };
-    (0..SIZE.targets).filter(is_drained)
+    (0..targets).filter(is_drained)
 }
 
 impl Soak {
     async fn play(&mut self, episode: &Episode) -> eyre::Result<()> {
         let from = Instant::now();
         let store_serves = !episode.faults.iter().any(|fault| matches!(fault, Fault::Store(_)));
+        // A restored store lacks what was written since the episode before this one began.
+        let copy = std::mem::replace(&mut self.copy, self.fleet.store.copy());
         for fault in &episode.faults {
             faults::begin(&mut self.fleet, *fault).await?;
             self.note_begin(*fault);
+            self.look_for(episode.gap).await;
         }
         let changes = episode.faults.contains(&Fault::Configure);
         let reaches_all = episode.faults.iter().all(|fault| fault.lets_changes_through());
@@ -149,27 +168,41 @@
         for fault in &episode.faults {
             if store_serves {
                 let span = Span { from: from + DRAIN_BOUND, to: Instant::now() };
-                self.drains.extend(drained(*fault).map(|target| Drain { target, span }));
+                self.drains.extend(
+                    drained(*fault, self.size.targets).map(|target| Drain { target, span }),
+                );
             }
-            faults::mend(&mut self.fleet, *fault)?;
+            faults::mend(&mut self.fleet, *fault, &copy)?;
+            self.look_for(episode.gap).await;
         }
         if !episode.is_harmless() {
             self.excused.push(excuse(from, Instant::now()));
         }
         self.look_for(SETTLE).await;
+        self.check_version();
         Ok(())
     }
 
     /// Notes what a fault means for what is expected.
     fn note_begin(&mut self, fault: Fault) {
         match fault {
-            Fault::CrashTarget(place) => self.crashed_at[place].push(Instant::now()),
+            Fault::CrashTarget(place) | Fault::RestartTarget(place) => {
+                self.crashed_at[place].push(Instant::now());
+            }
             Fault::StopBalancer(place) | Fault::KillBalancer(place) => self.seen[place] = 0,
             Fault::KillAll => self.seen.fill(0),
             _ => {}
         }
     }
 
+    /// With all faults mended for long, the newest configuration is in force everywhere.
+    fn check_version(&mut self) {
+        let version = self.fleet.version();
+        let behind = (0..self.size.balancers).filter(|place| self.seen[*place] < version);
+        let behind = behind.map(|balancer| Violation::NotInForce { balancer, version });
+        self.configurations.extend(behind.collect::<Vec<_>>());
+    }
+
     async fn change_configuration(&mut self, reaches_all: bool) {
         faults::configure(&mut self.fleet);
         self.watch_configuration(reaches_all).await;
@@ -189,7 +222,7 @@
         if !reaches_all {
             return;
         }
-        let late = (0..SIZE.balancers).filter(|place| self.seen[*place] < version);
+        let late = (0..self.size.balancers).filter(|place| self.seen[*place] < version);
         let late = late.map(|balancer| Violation::NotInForce { balancer, version });
         self.configurations.extend(late.collect::<Vec<_>>());
     }
@@ -205,7 +238,7 @@
 
     /// Asks each balancer that answers for its configuration.
     async fn look(&mut self) {
-        for balancer in 0..SIZE.balancers {
+        for balancer in 0..self.size.balancers {
             let address = self.fleet.balancers[balancer].address.into();
             let asked = tokio::time::timeout(LOOK, http_get(address, METRICS, "/metrics")).await;
             let Ok(Ok(page)) = asked else { continue };
--- a/crates/soak/tests/verdict.rs
+++ b/crates/soak/tests/verdict.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use weirhinge_soak::plan::{Fault, Size, draw};
+use weirhinge_soak::plan::{Fault, Size, StoreTrouble, draw, draw_series};
 use weirhinge_soak::record::{Entry, Kind, Outcome};
 use weirhinge_soak::verdict::{Drain, Evidence, Span, TargetHistory, Violation, excuse, judge};
 
@@ -124,3 +124,14 @@
     kinds.dedup();
     assert_eq!(kinds.len(), 14);
 }
+
+#[test]
+fn series_overlap_and_hold_what_happens_to_the_store_and_the_targets() {
+    let series = draw_series(7, 200, SIZE);
+    assert_eq!(series, draw_series(7, 200, SIZE));
+    assert!(series.iter().all(|one| (2..=4).contains(&one.faults.len())));
+    assert!(series.iter().any(|one| !one.gap.is_zero()));
+    let has = |fault: Fault| series.iter().any(|one| one.faults.contains(&fault));
+    assert!(has(Fault::Store(StoreTrouble::Restored)));
+    assert!(has(Fault::ForeignEntries) && has(Fault::RestartTarget(0)) && has(Fault::KillAll));
+}
--- a/crates/weirhinge/tests/soak.rs
+++ b/crates/weirhinge/tests/soak.rs
@@ -17,10 +17,12 @@
     )
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_short_soak_runs_nothing_twice_and_breaks_no_held_flow() -> eyre::Result<()> {
+/// Its first series stops a balancer and reloads another; its second restarts a target, leaves
+/// foreign entries, changes the configuration and restores the store.
+const SERIES_SEED: u64 = 2;
+
+async fn breaks_nothing(options: Options) -> eyre::Result<()> {
     let program = Path::new(env!("CARGO_BIN_EXE_weirhinge"));
-    let options = Options { seed: SEED, episodes: EPISODES, verbose: false };
     let report = soak(program, options).await?;
     let violations = report.violations.into_iter();
     let broken: Vec<_> =
@@ -29,3 +31,17 @@
     assert!(report.answered > 0);
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_soak_of_overlapping_faults_breaks_no_promise() -> eyre::Result<()> {
+    let seed = SERIES_SEED;
+    breaks_nothing(Options { seed, episodes: EPISODES, scale: 1, in_series: true, verbose: false })
+        .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_soak_runs_nothing_twice_and_breaks_no_held_flow() -> eyre::Result<()> {
+    let seed = SEED;
+    breaks_nothing(Options { seed, episodes: EPISODES, scale: 1, in_series: false, verbose: false })
+        .await
+}
