--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -103,6 +103,19 @@
         )
     }
 
+    /// Whether it is brought about by a signal to one process.
+    fn is_signal(&self) -> bool {
+        matches!(
+            self,
+            Fault::StopBalancer(_)
+                | Fault::Reload(_)
+                | Fault::KillBalancer(_)
+                | Fault::PauseBalancer(_)
+                | Fault::KillAgent(_)
+                | Fault::PauseAgent(_)
+        )
+    }
+
     /// Whether targets must get no new flows while it lasts.
     fn is_drain(&self) -> bool {
         matches!(self, Fault::DrainTarget(_) | Fault::EvacuateZone)
@@ -256,6 +269,10 @@
     if takes_targets(one) && takes_targets(other) {
         return true;
     }
+    // What was killed takes no signal.
+    if [one, other].contains(&Fault::KillAll) && (one.is_signal() || other.is_signal()) {
+        return true;
+    }
     let touched = |fault: Fault| match fault {
         Fault::StopBalancer(place)
         | Fault::Reload(place)
