Count refused watches until one is answered, and tell starting daemons no restored store

Any failed call ended the count of refused watches, so that a store which refuses them between other failures was listed at once each time; a daemon that starts logged the store's present era as if it had just come back. Change: only an answered watch ends the count; the line needs something known before.

--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -267,11 +267,12 @@
     /// Takes in which era the store is in. In a new one targets may live that the store
     /// lacks.
     fn learn_era(&mut self, era: u64, source: &str, now: Millis) {
-        if !self.replica.learn_era(era, now) {
+        let known = self.replica.position();
+        // To a daemon that has just started the store's present era is no news.
+        if !self.replica.learn_era(era, now) || known.is_start() {
             return;
         }
         self.regained_at = Some(now);
-        let known = self.replica.position();
         info!(self.log, "fleet: the store came back from a copy"; "event" => "store_restored",
             "era" => era, "known_era" => known.era, "revision" => known.revision,
             "configuration" => self.replica.version(), "source" => source);
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -145,14 +145,14 @@
         if self.needs_list && self.is_lost {
             return self.list(ListingReason::Outage).await;
         }
-        let result = self.watch(known).await;
-        let reason = match result {
-            Err(StoreError::HistoryGone { .. }) => ListingReason::HistoryGone,
-            Err(StoreError::Restored { .. }) => ListingReason::Restored,
-            result => {
+        let reason = match self.watch(known).await {
+            Ok(()) => {
                 self.refused_watches = 0;
-                return result;
+                return Ok(());
             }
+            Err(StoreError::HistoryGone { .. }) => ListingReason::HistoryGone,
+            Err(StoreError::Restored { .. }) => ListingReason::Restored,
+            Err(error) => return Err(error),
         };
         info!(self.log, "store: history gone, listing anew"; "event" => "store_history_gone",
             "reason" => reason.label(), "revision" => known.revision);
@@ -212,8 +212,8 @@
         Ok(())
     }
 
-    /// A page proves nothing if it is older than what was known when it was asked for, or if the store came back
-    /// from a copy since the first page.
+    /// A page proves nothing if it is older than what was known when it was asked for, or if
+    /// the store came back from a copy since the first page.
     fn check_page(&self, known: Position, listed: &Listed, at: Position) -> Result<(), StoreError> {
         let peer = self.client.address();
         if at < known {
