Tell what is kept against a store that came back from a copy

Cause: an operator saw that the store came back, but not what daemons did not believe of it yet. Change: one line, store_hold, with the first list of a new era: targets that it lacks or states otherwise, and zones. No decision changed.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,7 +32,7 @@
 };
 pub use peers::{PEER_LIFETIME_MS, PeerTable, ServingPeer};
 pub use position::Position;
-pub use replica::Replica;
+pub use replica::{KeptAgainstCopy, Replica};
 pub use succession::{TargetEntry, VersionedTarget};
 pub use timing::{Bounds, Timing};
 pub use update::{Change, Update, VersionedConfiguration};
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -16,6 +16,17 @@
 /// bring it back and its open flows are still found.
 const REMOVED_TARGET_LIFETIME_MS: Millis = 90_000;
 
+/// What is kept for a time against a store that came back from a copy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KeptAgainstCopy {
+    /// Targets that the copy lacks.
+    pub unrenewed: usize,
+    /// Targets of which the copy states something else.
+    pub disputed: usize,
+    /// Zones whose state is another one in the copy.
+    pub zones: usize,
+}
+
 /// The state of the store as far as this daemon knows it. Within an era no entry goes back
 /// to an older position; across eras what the writers count themselves keeps the order.
 #[derive(Clone, Debug)]
@@ -113,6 +124,18 @@
         self.era.newest
     }
 
+    /// What is kept against the newest era's word, for logs.
+    pub fn kept(&self) -> KeptAgainstCopy {
+        let era = self.position.era;
+        let is_unrenewed =
+            |entry: &&TargetEntry| entry.target.present && entry.target.position.era < era;
+        KeptAgainstCopy {
+            unrenewed: self.targets().filter(is_unrenewed).count(),
+            disputed: self.targets().filter(|entry| entry.is_disputed()).count(),
+            zones: self.kept_zones.len(),
+        }
+    }
+
     /// Milliseconds since the store last confirmed the replica's position.
     pub fn age(&self, now: Millis) -> Option<Millis> {
         let age = self.confirmed_at.map(|confirmed_at| signed(now).saturating_sub(confirmed_at));
--- a/crates/fleet/tests/restored_store.rs
+++ b/crates/fleet/tests/restored_store.rs
@@ -141,6 +141,7 @@
     for replica in [&mut living, &mut dead] {
         let changes = replica.apply(listing(NEW, 30, Vec::new()), 500);
         assert_eq!((state(replica), changes), (Some(TargetState::Ready), Vec::new()));
+        assert_eq!(replica.kept().unrenewed, 1);
     }
     let again = claim((NEW, 31), record(1, 4, TargetState::Ready));
     assert!(living.apply(events(NEW, 30, 31, vec![again]), 1_400).is_empty());
@@ -157,7 +158,7 @@
     replica.apply(events(OLD, 60, 61, vec![removal((OLD, 61))]), 100);
     let copy = claim((NEW, 40), record(1, 5, TargetState::Ready));
     replica.apply(listing(NEW, 50, vec![copy]), 500);
-    assert_eq!(state(&replica), None);
+    assert_eq!((state(&replica), replica.kept().disputed), (None, 1));
     // The store drops the entry of a target that is silent ...
     let mut dropped = replica.clone();
     dropped.apply(events(NEW, 50, 52, vec![removal((NEW, 52))]), 1_000);
@@ -240,6 +241,7 @@
     // The copy lacks the evacuation of a, and that b was taken back.
     let changes = replica.apply(with_zones(&["b"], listing(NEW, 30, Vec::new())), 500);
     assert_eq!((evacuated(&replica).as_str(), changes.len()), ("a", 0));
+    assert_eq!(replica.kept().zones, 2);
     let mut rewritten = replica.clone();
     rewritten.apply(with_zones(&["a", "b"], events(NEW, 30, 31, Vec::new())), 600);
     rewritten.apply(with_zones(&["a"], events(NEW, 31, 32, Vec::new())), 610);
--- a/crates/relay/src/fleet_node/changes.rs
+++ b/crates/relay/src/fleet_node/changes.rs
@@ -6,6 +6,15 @@
 use super::FleetNode;
 
 impl FleetNode {
+    /// Tells what is not believed yet of a store that came back from a copy.
+    pub(super) fn log_kept(&self) {
+        let kept = self.replica.kept();
+        info!(self.log, "fleet: kept against the store's copy"; "event" => "store_hold",
+            "era" => self.replica.position().era, "unrenewed" => kept.unrenewed,
+            "disputed" => kept.disputed, "zones" => kept.zones,
+            "hold_ms" => self.timing.settle_ms);
+    }
+
     pub(super) fn log_change(&self, change: &Change, source: &str, now: Millis) {
         let age_ms = self.replica.age(now);
         match change {
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -259,6 +259,9 @@
         let before = self.replica.position();
         self.learn_era(update.through.era, source, now);
         let changes = self.replica.apply(update, now);
+        if self.replica.position().era > before.era && !before.is_start() {
+            self.log_kept();
+        }
         self.note_changes(&changes, source, now);
         self.note_freshness(now);
         !changes.is_empty() || self.replica.position() > before
