Leave foreign entries by the stand-ins alone, and split their fleet from its processes

Change: the stand-in writes the entries of another writer, all six kinds in both places; a process of the product has a module of its own. No behaviour of the product changed, no check either: the test meets one kind more than before.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use serde_json::json;
 use weirhinge_platform_standins::{
     Contents, Fleet, Impairment, LinkFault, NEAR_ZONE, ProcessHandle, StoreFault,
 };
@@ -60,7 +59,7 @@
             Ok(())
         }
         Fault::ForeignEntries => {
-            leave_foreign_entries(fleet);
+            fleet.leave_foreign_entries();
             Ok(())
         }
         Fault::KillAll => {
@@ -89,7 +88,7 @@
             Ok(())
         }
         Fault::ForeignEntries => {
-            FOREIGN_KEYS.iter().for_each(|key| fleet.store.remove(key));
+            fleet.remove_foreign_entries();
             Ok(())
         }
         Fault::DrainTarget(place) => {
@@ -133,22 +132,6 @@
     }
 }
 
-/// Keys that look like those of targets.
-const FOREIGN_KEYS: [&str; 3] = ["servers/foreign-1", "servers/foreign-2", "servers/a/b"];
-
-/// Bytes, a document of another form, and a service that no route names at the address of a
-/// target.
-fn leave_foreign_entries(fleet: &Fleet) {
-    let address = format!("{}:9", fleet.targets[0].address);
-    let stranger = json!({ "service": "nobody", "address": address, "zone": NEAR_ZONE,
-        "version": "v1", "slots": 900, "state": "ready", "cold_remaining_ms": 0,
-        "sequence": 1, "born": 1 });
-    let [bytes, document, nested] = FOREIGN_KEYS;
-    fleet.store.put_bytes(bytes, b"\xff\x00");
-    fleet.store.put(document, &stranger);
-    fleet.store.put(nested, &json!([]));
-}
-
 fn fail_store(fleet: &Fleet, trouble: StoreTrouble) {
     let fault = match trouble {
         StoreTrouble::Busy => StoreFault::Status(BUSY),
--- a/crates/weirhinge/tests/restarted_targets.rs
+++ b/crates/weirhinge/tests/restarted_targets.rs
@@ -3,7 +3,6 @@
 
 mod support;
 
-use serde_json::json;
 use support::{DEADLINE, all_held, open, open_flows, plan, request, start, wait_for_version};
 use weirhinge_platform_standins::Fleet;
 
@@ -59,17 +58,7 @@
 async fn nonsense_in_the_store_harms_no_neighbour() -> eyre::Result<()> {
     let mut fleet = start(&plan()).await?;
     let mut flows = open_flows(&fleet, 8).await?;
-    let address = format!("{}:9", fleet.targets[1].address);
-    fleet.store.put_bytes("servers/n-1", b"\xff\x00 no document");
-    fleet.store.put("servers/n-2", &json!({ "service": "dispatch", "slots": "many" }));
-    fleet.store.put("servers/", &json!({}));
-    fleet.store.put("op/evacuate/", &json!({}));
-    // A service that no route names, at the address of a target that lives.
-    fleet.store.put(
-        "servers/n-3",
-        &json!({ "service": "nobody", "address": address, "zone": "zone-a", "version": "v1",
-            "slots": 3, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1 }),
-    );
+    fleet.leave_foreign_entries();
     fleet.configure(&[(443, &[("dispatch", 1)])]);
     wait_for_version(&fleet, fleet.version(), "a version behind the nonsense").await?;
     all_held(&mut flows, "beside nonsense").await?;
