--- a/crates/agent/src/carry_out.rs
+++ b/crates/agent/src/carry_out.rs
@@ -10,12 +10,14 @@
 };
 
 use crate::dispatch::{Announcement, Dispatch, PassOn};
+use crate::flow_log;
 use crate::run::Agent;
 
 impl Agent {
     pub(crate) fn handle_message(&mut self, message: &AgentMessage<'_>) {
         let in_flight = self.in_flight.count();
         let dispatch = self.dispatcher.handle(message, in_flight, Instant::now());
+        flow_log::decided(&self.log, message, &dispatch);
         self.carry_out(dispatch, message);
     }
 
@@ -66,6 +68,7 @@
         if let Some(handle) = self.dispatcher.flows.get(key)
             && handle.queue.try_send(packet.to_vec()).is_err()
         {
+            flow_log::not_delivered(&self.log, key);
             self.metrics.packets_dropped.increment("flow_queue_full");
         }
     }
--- a/crates/agent/src/flows.rs
+++ b/crates/agent/src/flows.rs
@@ -10,6 +10,7 @@
 use weirhinge_wire::AgentMessage;
 
 use crate::dispatch::Announcement;
+use crate::flow_log;
 use crate::run::{Agent, random_u64};
 use crate::tcp_flow::TcpFlow;
 use crate::udp_flow::UdpFlow;
@@ -88,6 +89,7 @@
     pub(crate) fn handle_event(&mut self, event: FlowEvent) {
         match event {
             FlowEvent::Opened { key, has_timestamps } => {
+                flow_log::opened(&self.log, &key);
                 self.metrics.flows_opened.inc();
                 let announcement = self.dispatcher.opened(&key, has_timestamps);
                 if let Some(Announcement { agent, answer }) = announcement {
@@ -115,6 +117,7 @@
         reason: RefusalReason,
         packet: &[u8],
     ) {
+        flow_log::not_opened(&self.log, &flow.key, reason);
         if !self.is_current(flow) {
             return;
         }
@@ -128,6 +131,7 @@
 
     pub(crate) fn handle_ended(&mut self, flow: &FlowId, end: SpliceEnd) {
         let key = &flow.key;
+        flow_log::ended(&self.log, key, end);
         if self.is_current(flow) {
             // A flow that never opened may be tried again by its caller at once.
             if key.protocol == Protocol::Tcp && end != SpliceEnd::NeverOpened {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 mod carry_out;
 pub mod dispatch;
 mod fabric;
+mod flow_log;
 mod flows;
 mod load;
 mod metrics;
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -400,6 +400,10 @@
             arguments.push(flag.to_owned());
             arguments.push(value);
         }
+        if self.options.logs.is_some() {
+            // Kept logs are read to find out what became of single flows.
+            arguments.extend(["--log-level".to_owned(), "debug".to_owned()]);
+        }
         arguments
     }
 }
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -30,7 +30,7 @@
   --seconds N      Length of the load  [default: the scenario's]
   --seed S         Seed of everything random in the stand-ins  [default: 1]
   --candidates N   Targets that agents compare per new flow  [default: 3]
-  --logs FOLDER    Keep the processes' logs in FOLDER
+  --logs FOLDER    Keep the processes' logs in FOLDER, each decision about a flow among them
   --plant NAME     Plant a defect in every agent (needs a build with planted-defects)
   --json           Print the verdict as one JSON object on the last line
 
