--- a/crates/rehearsal/tests/promises.rs
+++ b/crates/rehearsal/tests/promises.rs
@@ -60,10 +60,14 @@
 static FLEETS: Semaphore = Semaphore::const_new(3);
 
 async fn run_text(text: &str, plant: Option<&str>) -> Verdict {
+    run_seeded(text, plant, 5).await
+}
+
+async fn run_seeded(text: &str, plant: Option<&str>, seed: u64) -> Verdict {
     let _turn = FLEETS.acquire().await.expect("never closed");
     let scenario = Scenario::from_toml("test", text).expect("sound");
     let options = FleetOptions {
-        seed: 5,
+        seed,
         candidates: 3,
         logs: None,
         // A defect may leave flows behind that never end.
@@ -146,6 +150,28 @@
     assert_held(&verdict);
 }
 
+/// Each agent in turn cannot be reached for 0.7 s, while its own packets still leave.
+///
+/// Feeds of callers without TCP timestamps never began: no update came within 4 s.
+const ADDRESSES_CHANGE_HANDS_IN_TURN: &str = "faults = [
+    { at = 1.5, action = { misdirect-target = { target = 0, to = 4, seconds = 0.7 } } },
+    { at = 2.5, action = { misdirect-target = { target = 1, to = 5, seconds = 0.7 } } },
+    { at = 3.5, action = { misdirect-target = { target = 2, to = 4, seconds = 0.7 } } },
+    { at = 4.5, action = { misdirect-target = { target = 3, to = 5, seconds = 0.7 } } },
+    { at = 5.5, action = { misdirect-target = { target = 0, to = 4, seconds = 0.7 } } },
+]";
+
+async fn feeds_begin(seed: u64) {
+    let text = format!("{ADDRESSES_CHANGE_HANDS_IN_TURN}\n{FLEET}");
+    let verdict = run_seeded(&text, None, seed).await;
+    assert_held(&verdict);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_begin_though_agents_cannot_be_reached_in_turn() {
+    tokio::join!(feeds_begin(13), feeds_begin(14), feeds_begin(5_001));
+}
+
 #[cfg(feature = "planted-defects")]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_missing_fence_is_noticed() {
