Keep what others claimed of a flow that an agent admits itself

Callers saw: a flow opened, and its first request was answered only after the caller had sent it again, 1 s later or 4 s where the SYN had been repeated ("no feed began").

Cause: where two chains of offers admit one opening packet, the owner heard the other agent's claim, then admitted the flow too and forgot the claim. The caller took up the other's answer, and its packets went to the owner, which handed them to its own half-open flow alone until 500 ms had passed.

Ruled out: a lost packet (the owner received it), a late claim (it came before the admission).

Change: claims stay known when an agent admits a flow; its packets then go to both. Why it holds: the caller acknowledges one random sequence number, which the other agent's half-open flow does not accept; what an older flow of the key left behind is denied by its agent and forgotten. The new test fails without the change.

--- a/crates/agent/src/dispatch/opening.rs
+++ b/crates/agent/src/dispatch/opening.rs
@@ -107,9 +107,10 @@
     }
 
     /// Admits the flow, and claims it with the owner and the deputy of its bucket.
-    pub(super) fn admit(&mut self, arrival: &Arrival<'_>) -> Dispatch {
+    /// Claims of others stay known: the caller may take up their answer, and its
+    /// packets then belong to them.
+    pub(super) fn admit(&self, arrival: &Arrival<'_>) -> Dispatch {
         let key = arrival.view.key;
-        self.directory.forget(&key);
         let (owner, deputy) = (self.owner(&key), self.deputy(&key));
         let announce = [owner, deputy]
             .into_iter()
--- /dev/null
+++ b/crates/agent/tests/rival_agents.rs
@@ -0,0 +1,44 @@
+//! Two agents answer one opening packet: the caller's first packets reach the one whose
+//! answer it took up.
+
+mod support;
+
+use std::time::Instant;
+
+use weirhinge_agent::dispatch::Dispatch;
+use weirhinge_packet::decode_packet;
+use weirhinge_wire::{AgentMessage, Delivery, HolderAnswer, Holding};
+
+use support::{AGENTS, agent, document, envelope, owner, segment};
+
+/// Two agents admit one opening packet, and the caller takes up the other's answer. Its
+/// first request was handed to the half-open flow here alone, as the claim was forgotten
+/// when the flow was admitted, and was lost until the caller repeated it seconds later.
+#[test]
+fn an_agent_that_admits_a_claimed_flow_passes_its_packets_to_the_claimant() {
+    let document = document(1, &[]);
+    let opening = segment(40_000, true, false);
+    let own = owner(&document, &opening);
+    let claimant = (own + 1) % AGENTS;
+    let mut agent = agent(own, &document);
+    let now = Instant::now();
+    let flow = decode_packet(&opening).expect("sound").key.into();
+    let holding = Holding::Opening;
+    let claim = HolderAnswer { service: 1, from: claimant, revision: 1, flow, holding };
+    agent.handle(&AgentMessage::HolderAnswer(claim), 0, now);
+    let assigned = AgentMessage::Packet(envelope(own, Delivery::Assigned, &opening));
+    let Dispatch::Open { key, .. } = agent.handle(&assigned, 0, now) else {
+        panic!("the agent admits what it is assigned");
+    };
+    agent.flows.insert(key, (), now).expect("inserted");
+    let request = segment(40_000, false, false);
+    let message = AgentMessage::Packet(envelope(own, Delivery::Owner, &request));
+    let Dispatch::Several(all) = agent.handle(&message, 0, now) else {
+        panic!("the packet goes to both");
+    };
+    assert_eq!(all[0], Dispatch::Deliver(key));
+    let Dispatch::PassOn(ways) = &all[1] else {
+        panic!("the packet goes to the claimant");
+    };
+    assert_eq!((ways[0].target.0, ways[0].delivery), (claimant, Delivery::Forwarded));
+}
