Hold a flow's first packets for agents that claim it later

Callers saw: a flow opened, and its first request was answered only after the caller had sent it again, 1 s later or 4 s where the SYN had been repeated ("no feed began").

Cause: where two agents admit one opening packet, the caller's first packets went to the agents that had claimed the flow by then, or to the half-open flow of the agent that they came to. A claim that came a moment later did not get them.

Change: up to four packets a flow, 1,024 in all, are held until the flow is reported open, and go to each later claimant, or to a holder that had not claimed. Entries without a claim are one kind now, asked about or not. Why it holds: whichever way claim and packet pass each other, the packet reaches every agent that may have the flow; copies are dropped by TCP.

--- a/crates/agent/src/dispatch/holders.rs
+++ b/crates/agent/src/dispatch/holders.rs
@@ -23,9 +23,13 @@
     pub(super) fn deliver_to_opening(&mut self, arrival: &Arrival<'_>, age: Duration) -> Dispatch {
         let key = arrival.view.key;
         let opens = arrival.view.tcp().is_some_and(TcpSegment::opens_flow);
-        let forwarded = arrival.envelope.delivery == Delivery::Forwarded;
+        if opens || arrival.envelope.delivery == Delivery::Forwarded {
+            return Dispatch::Deliver(key);
+        }
         let suspicious = age >= SUSPICIOUS_OPENING || self.directory.knows_claim(&key);
-        if opens || forwarded || !suspicious {
+        if !suspicious {
+            // Another agent's claim may still be on its way.
+            self.directory.hold_for_claimants(&key, arrival.envelope.packet, arrival.now);
             return Dispatch::Deliver(key);
         }
         let further = match self.locate(arrival) {
--- a/crates/agent/tests/rival_agents.rs
+++ b/crates/agent/tests/rival_agents.rs
@@ -42,3 +42,33 @@
     };
     assert_eq!((ways[0].target.0, ways[0].delivery), (claimant, Delivery::Forwarded));
 }
+
+/// The claim of the agent whose answer the caller took up came after its first request,
+/// which had gone to the half-open flow here alone.
+#[test]
+fn a_late_claimant_gets_what_the_half_open_flow_here_was_handed() {
+    let document = document(1, &[]);
+    let opening = segment(40_000, true, false);
+    let own = owner(&document, &opening);
+    let claimant = (own + 1) % AGENTS;
+    let mut agent = agent(own, &document);
+    let now = Instant::now();
+    let message = AgentMessage::Packet(envelope(own, Delivery::Owner, &opening));
+    let Dispatch::Open { key, .. } = agent.handle(&message, 0, now) else {
+        panic!("the owner admits");
+    };
+    agent.flows.insert(key, (), now).expect("inserted");
+    let request = segment(40_000, false, false);
+    let message = AgentMessage::Packet(envelope(own, Delivery::Owner, &request));
+    assert_eq!(agent.handle(&message, 0, now), Dispatch::Deliver(key));
+    let flow = key.into();
+    let holding = Holding::Opening;
+    let claim = HolderAnswer { service: 1, from: claimant, revision: 1, flow, holding };
+    let Dispatch::Release { packets, pass_on } =
+        agent.handle(&AgentMessage::HolderAnswer(claim), 0, now)
+    else {
+        panic!("the claimant gets the request");
+    };
+    assert_eq!(packets, [request]);
+    assert_eq!((pass_on.target.0, pass_on.delivery), (claimant, Delivery::Forwarded));
+}
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -11,9 +11,9 @@
 //! the sequence number that it acknowledges. Until one of them reports the flow
 //! as open, packets go to all that claim it: the others keep silent.
 //!
-//! A few packets of a flow that is being asked about are held back and go on
-//! as soon as an answer names the holder, so that the caller need not wait for
-//! its own retransmission.
+//! A few packets of a flow that is not known to be open are held: they go on to
+//! each agent that claims it from then on, so that the caller need not wait for
+//! its own retransmission if the agent whose answer it took up is heard of last.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -37,15 +37,15 @@
 const ABSENT_LIFETIME: Duration = Duration::from_secs(2);
 /// How long to wait for answers before asking again.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
-/// How long an entry without an answer is kept after the last question.
-const ASKING_LIFETIME: Duration = Duration::from_secs(5);
+/// How long an entry without a claim is kept after the last question.
+const UNCLAIMED_LIFETIME: Duration = Duration::from_secs(5);
 /// Most flows known at once; packets of further ones are dropped.
 const CAPACITY: usize = 16_384;
 /// Most claims remembered for one flow.
 const CLAIMS_PER_FLOW: usize = 4;
-/// Packets held back per flow that is being asked about; further ones are dropped.
+/// Packets held per flow that is not known to be open; further ones are not.
 const HELD_PER_FLOW: usize = 4;
-/// Packets held back over all flows.
+/// Packets held over all flows.
 const HELD_IN_ALL: usize = 1_024;
 
 /// What to do with a packet whose flow is not held here.
@@ -66,10 +66,47 @@
 
 #[derive(Debug)]
 enum Entry {
-    Asking { last_asked: Instant, denied: Vec<TargetId>, held: Vec<Vec<u8>> },
-    Claimed { claimants: Vec<TargetId>, since: Instant, last_asked: Instant },
-    Held { holder: TargetId, until: Instant },
-    Absent { until: Instant },
+    /// Nobody has claimed the flow; `last_asked` is none while nobody was asked.
+    Unclaimed {
+        since: Instant,
+        last_asked: Option<Instant>,
+        denied: Vec<TargetId>,
+        held: Vec<Vec<u8>>,
+    },
+    Claimed {
+        claimants: Vec<TargetId>,
+        since: Instant,
+        last_asked: Instant,
+        held: Vec<Vec<u8>>,
+    },
+    Held {
+        holder: TargetId,
+        until: Instant,
+    },
+    Absent {
+        until: Instant,
+    },
+}
+
+impl Entry {
+    fn unclaimed(now: Instant, last_asked: Option<Instant>) -> Self {
+        Entry::Unclaimed { since: now, last_asked, denied: Vec::new(), held: Vec::new() }
+    }
+
+    /// The packets held for whoever claims the flow next.
+    fn held(&self) -> &[Vec<u8>] {
+        match self {
+            Entry::Unclaimed { held, .. } | Entry::Claimed { held, .. } => held,
+            Entry::Held { .. } | Entry::Absent { .. } => &[],
+        }
+    }
+
+    fn held_mut(&mut self) -> Option<&mut Vec<Vec<u8>>> {
+        match self {
+            Entry::Unclaimed { held, .. } | Entry::Claimed { held, .. } => Some(held),
+            Entry::Held { .. } | Entry::Absent { .. } => None,
+        }
+    }
 }
 
 /// What one agent has learnt of flows that others hold.
@@ -90,10 +127,17 @@
         now: Instant,
     ) -> LookupStep {
         let step = self.step(key, others, now);
-        if matches!(step, LookupStep::Ask | LookupStep::Wait) {
+        self.hold(key, packet);
+        step
+    }
+
+    /// Holds a packet that went to a half-open flow of this agent's own, as
+    /// another agent may yet claim the flow.
+    pub fn hold_for_claimants(&mut self, key: &FlowKey, packet: &[u8], now: Instant) {
+        if !self.is_full_for(key) {
+            self.entries.entry(*key).or_insert_with(|| Entry::unclaimed(now, None));
             self.hold(key, packet);
         }
-        step
     }
 
     fn step(&mut self, key: &FlowKey, others: &[TargetId], now: Instant) -> LookupStep {
@@ -105,7 +149,7 @@
                 *until = now + HOLDER_LIFETIME;
                 LookupStep::Forward(vec![*holder])
             }
-            Some(Entry::Claimed { claimants, since, last_asked })
+            Some(Entry::Claimed { claimants, since, last_asked, .. })
                 if now.saturating_duration_since(*since) < CLAIM_LIFETIME =>
             {
                 let in_doubt = now.saturating_duration_since(*since) >= CLAIM_IN_DOUBT;
@@ -116,16 +160,17 @@
                 LookupStep::ForwardAndAsk(claimants.clone())
             }
             Some(Entry::Absent { until }) if *until > now => LookupStep::Absent,
-            Some(Entry::Asking { last_asked, denied, .. }) => {
+            Some(Entry::Unclaimed { last_asked, denied, .. }) => {
                 if others.iter().all(|other| denied.contains(other)) {
                     let until = now + ABSENT_LIFETIME;
                     self.replace(key, Entry::Absent { until });
                     return LookupStep::Absent;
                 }
-                if now.saturating_duration_since(*last_asked) < ASK_INTERVAL {
+                let was_asked = |asked| now.saturating_duration_since(asked) < ASK_INTERVAL;
+                if last_asked.is_some_and(was_asked) {
                     return LookupStep::Wait;
                 }
-                *last_asked = now;
+                *last_asked = Some(now);
                 LookupStep::Ask
             }
             _ => self.start_asking(key, now),
@@ -136,8 +181,7 @@
         if self.is_full_for(key) {
             return LookupStep::Wait;
         }
-        let entry = Entry::Asking { last_asked: now, denied: Vec::new(), held: Vec::new() };
-        self.entries.insert(*key, entry);
+        self.replace(key, Entry::unclaimed(now, Some(now)));
         LookupStep::Ask
     }
 
@@ -172,8 +216,10 @@
         match holding {
             Holding::Open if self.is_full_for(key) => Vec::new(),
             Holding::Open => {
+                let was_claimant = self.is_claimant(key, from);
                 let until = now + HOLDER_LIFETIME;
-                self.replace(key, Entry::Held { holder: from, until })
+                let held = self.replace(key, Entry::Held { holder: from, until });
+                if was_claimant { Vec::new() } else { held }
             }
             Holding::Opening => self.claimed(key, from, now),
             Holding::Not => {
@@ -190,22 +236,37 @@
         match self.entries.get_mut(key) {
             // One that is open stands against any number that claim.
             Some(Entry::Held { until, .. }) if *until > now => Vec::new(),
-            Some(Entry::Claimed { claimants, .. }) => {
-                if !claimants.contains(&from) && claimants.len() < CLAIMS_PER_FLOW {
-                    claimants.push(from);
+            Some(Entry::Claimed { claimants, held, .. }) => {
+                if claimants.contains(&from) || claimants.len() >= CLAIMS_PER_FLOW {
+                    return Vec::new();
                 }
-                Vec::new()
+                claimants.push(from);
+                held.clone()
             }
-            _ => self.replace(
-                key,
-                Entry::Claimed { claimants: vec![from], since: now, last_asked: now },
-            ),
+            _ => self.first_claimed(key, from, now),
+        }
+    }
+
+    fn first_claimed(&mut self, key: &FlowKey, from: TargetId, now: Instant) -> Vec<Vec<u8>> {
+        let claimants = vec![from];
+        let held = Vec::new();
+        let claimed = Entry::Claimed { claimants, since: now, last_asked: now, held };
+        let released = self.replace(key, claimed);
+        // Another claim may follow.
+        for packet in &released {
+            self.hold(key, packet);
         }
+        released
+    }
+
+    fn is_claimant(&self, key: &FlowKey, target: TargetId) -> bool {
+        let entry = self.entries.get(key);
+        matches!(entry, Some(Entry::Claimed { claimants, .. }) if claimants.contains(&target))
     }
 
     fn denied(&mut self, key: &FlowKey, from: TargetId) {
         let forget = match self.entries.get_mut(key) {
-            Some(Entry::Asking { denied, .. }) => {
+            Some(Entry::Unclaimed { denied, .. }) => {
                 if !denied.contains(&from) {
                     denied.push(from);
                 }
@@ -219,19 +280,19 @@
             _ => false,
         };
         if forget {
-            self.entries.remove(key);
+            self.forget(key);
         }
     }
 
     /// Forgets what is known of a flow, as when this agent holds it itself.
     pub fn forget(&mut self, key: &FlowKey) {
-        if let Some(Entry::Asking { held, .. }) = self.entries.remove(key) {
-            self.held_in_all -= held.len();
+        if let Some(entry) = self.entries.remove(key) {
+            self.held_in_all -= entry.held().len();
         }
     }
 
     fn hold(&mut self, key: &FlowKey, packet: &[u8]) {
-        if let Some(Entry::Asking { held, .. }) = self.entries.get_mut(key)
+        if let Some(held) = self.entries.get_mut(key).and_then(Entry::held_mut)
             && held.len() < HELD_PER_FLOW
             && self.held_in_all < HELD_IN_ALL
         {
@@ -240,15 +301,13 @@
         }
     }
 
-    /// Replaces an entry and returns the packets that it held back.
+    /// Replaces an entry and returns the packets that it held.
     fn replace(&mut self, key: &FlowKey, entry: Entry) -> Vec<Vec<u8>> {
-        match self.entries.insert(*key, entry) {
-            Some(Entry::Asking { held, .. }) => {
-                self.held_in_all -= held.len();
-                held
-            }
-            _ => Vec::new(),
-        }
+        let mut previous = self.entries.insert(*key, entry);
+        let held = previous.as_mut().and_then(Entry::held_mut).map(std::mem::take);
+        let held = held.unwrap_or_default();
+        self.held_in_all -= held.len();
+        held
     }
 
     fn is_full_for(&self, key: &FlowKey) -> bool {
@@ -258,16 +317,21 @@
     /// Drops what has expired. To be called every few seconds.
     pub fn expire(&mut self, now: Instant) {
         let held_in_all = &mut self.held_in_all;
-        self.entries.retain(|_, entry| match entry {
-            Entry::Asking { last_asked, held, .. } => {
-                let keep = now.saturating_duration_since(*last_asked) < ASKING_LIFETIME;
-                if !keep {
-                    *held_in_all -= held.len();
+        self.entries.retain(|_, entry| {
+            let keep = match entry {
+                Entry::Unclaimed { since, last_asked, .. } => {
+                    let last = last_asked.unwrap_or(*since);
+                    now.saturating_duration_since(last) < UNCLAIMED_LIFETIME
+                }
+                Entry::Claimed { since, .. } => {
+                    now.saturating_duration_since(*since) < CLAIM_LIFETIME
                 }
-                keep
+                Entry::Held { until, .. } | Entry::Absent { until } => *until > now,
+            };
+            if !keep {
+                *held_in_all -= entry.held().len();
             }
-            Entry::Claimed { since, .. } => now.saturating_duration_since(*since) < CLAIM_LIFETIME,
-            Entry::Held { until, .. } | Entry::Absent { until } => *until > now,
+            keep
         });
     }
 
--- a/crates/flow/tests/state.rs
+++ b/crates/flow/tests/state.rs
@@ -226,3 +226,60 @@
     let step = directory.locate(&key(1), &OTHERS, b"a", later);
     assert_eq!(step, LookupStep::Forward(vec![TargetId(3)]));
 }
+
+/// Two agents answered one opening packet, and the claim of the one whose answer the caller
+/// took up came a moment after its first request: that had gone to the other one alone, and
+/// was answered only after the caller had sent it again.
+#[test]
+fn held_packets_go_on_to_each_later_claimant() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.answered(&key(1), TargetId(2), Holding::Opening, now);
+    let step = directory.locate(&key(1), &OTHERS, b"request", now);
+    assert_eq!(step, LookupStep::Forward(vec![TargetId(2)]));
+    let released = directory.answered(&key(1), TargetId(3), Holding::Opening, now);
+    assert_eq!(released, [b"request".to_vec()]);
+    assert!(directory.answered(&key(1), TargetId(3), Holding::Opening, now).is_empty(), "once");
+    assert!(directory.answered(&key(1), TargetId(3), Holding::Open, now).is_empty(), "it has it");
+}
+
+#[test]
+fn held_packets_go_on_to_a_holder_that_never_claimed() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.answered(&key(1), TargetId(2), Holding::Opening, now);
+    directory.locate(&key(1), &OTHERS, b"request", now);
+    let released = directory.answered(&key(1), TargetId(3), Holding::Open, now);
+    assert_eq!(released, [b"request".to_vec()]);
+}
+
+/// The same at an agent whose own half-open flow was handed the packet.
+#[test]
+fn what_an_own_flow_was_handed_is_held_until_it_opens() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.hold_for_claimants(&key(1), b"request", now);
+    let released = directory.answered(&key(1), TargetId(3), Holding::Opening, now);
+    assert_eq!(released, [b"request".to_vec()]);
+    directory.hold_for_claimants(&key(2), b"request", now);
+    directory.forget(&key(2));
+    assert!(directory.answered(&key(2), TargetId(3), Holding::Opening, now).is_empty());
+}
+
+/// Packets are held for a moment each: what is held and never released would leave no room.
+#[test]
+fn what_is_held_makes_room_again() {
+    let mut directory = Directory::default();
+    let start = Instant::now();
+    for round in 0..4 {
+        let now = start + Duration::from_secs(60 * round);
+        for port in 0..2_000 {
+            directory.hold_for_claimants(&key(port), b"request", now);
+            directory.answered(&key(port), TargetId(2), Holding::Opening, now);
+        }
+        directory.expire(now + Duration::from_secs(40));
+        assert!(directory.is_empty());
+    }
+    directory.hold_for_claimants(&key(1), b"request", start);
+    assert_eq!(directory.answered(&key(1), TargetId(2), Holding::Open, start).len(), 1);
+}
