Pass on what was held when an agent gives up a half-open flow

Callers saw: a request that was held back while other agents were asked was not answered until the caller had sent it again, if the agent had a half-open flow of its own under the key.

Cause: the answer "open" made the agent give up its flow, and the packets that the same answer released were dropped with it.

Change: giving up and releasing are both carried out. Why it holds: held packets leave the directory in one place, and every way out of it now carries them on.

The test of an agent that gives up asserted "given up" alone, which was the loss; it now asserts that both come, with the packets and their receiver.

--- a/crates/agent/src/dispatch/holders.rs
+++ b/crates/agent/src/dispatch/holders.rs
@@ -221,19 +221,22 @@
         let holder = TargetId(answer.from);
         let packets = self.directory.answered(&key, holder, answer.holding, now);
         let own_phase = self.flows.phase(&key, now).map(|(phase, _)| phase);
-        if (own_phase, answer.holding) == (Some(FlowPhase::Opening), Holding::Open) {
-            return Dispatch::Abandon(key);
-        }
-        match self.view.table.target(holder) {
-            Some(target) if !packets.is_empty() => Dispatch::Release {
-                packets,
-                pass_on: PassOn {
-                    agent: target.agent,
-                    target: holder,
-                    delivery: Delivery::Forwarded,
-                },
-            },
-            _ => Dispatch::Learned,
+        let gives_up = (own_phase, answer.holding) == (Some(FlowPhase::Opening), Holding::Open);
+        match (gives_up, self.release(packets, holder)) {
+            (true, Some(release)) => Dispatch::Several(vec![Dispatch::Abandon(key), release]),
+            (true, None) => Dispatch::Abandon(key),
+            (false, Some(release)) => release,
+            (false, None) => Dispatch::Learned,
+        }
+    }
+
+    /// Sends held packets on to the agent that has their flow, if there are any.
+    fn release(&self, packets: Vec<Vec<u8>>, holder: TargetId) -> Option<Dispatch> {
+        if packets.is_empty() {
+            return None;
         }
+        let agent = self.view.table.target(holder)?.agent;
+        let delivery = Delivery::Forwarded;
+        Some(Dispatch::Release { packets, pass_on: PassOn { agent, target: holder, delivery } })
     }
 }
--- a/crates/agent/tests/dispatch.rs
+++ b/crates/agent/tests/dispatch.rs
@@ -277,8 +277,15 @@
         flow: query.flow,
         holding: Holding::Open,
     };
-    let abandoned = agent.handle(&AgentMessage::HolderAnswer(open), 0, later);
-    assert_eq!(abandoned, Dispatch::Abandon(key));
+    let Dispatch::Several(all) = agent.handle(&AgentMessage::HolderAnswer(open), 0, later) else {
+        panic!("the agent gives up, and passes on what it held");
+    };
+    assert_eq!(all[0], Dispatch::Abandon(key));
+    let Dispatch::Release { packets, pass_on } = &all[1] else {
+        panic!("what was held back goes on");
+    };
+    assert_eq!(packets, &[packet.clone(), packet.clone()], "handed over young and when asking");
+    assert_eq!(pass_on.target.0, open.from);
 }
 
 #[test]
