Tell clients at once which flows a target lost when it started again

Callers saw: a client that waits for an answer sends nothing, so that it learned that its target had started again without its flow only at its deadline, or at the next packet that it sent.

Cause: the agent knew of the new life from the target's record, but not which flows were opened between the target's start and the record, and left all of them to their clients' next packets.

Ruled out: resetting what was opened before the record (would cut flows of the new life); ordering by the start that the record names (another machine's clock).

Change: when the record names another life, the agent hands the latest packet of each flow's client to the target once more, waiting requests first, 64 in 60 ms. A flow whose packet comes back is reset; one that the target holds sees a repetition. Only flows on which the target wrote more than an answer to the opening packet are asked about. Cost: one packet kept a flow.

Figures: tests of the agent's decisions (six) and one with real processes, in which the target's clients are told without sending anything.

--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -6,12 +6,18 @@
 
 use slog::info;
 use weirhinge_fleet::{Millis, PeerMessage, ReturnReason, ServiceId, VersionedTarget, decode};
-use weirhinge_steering::{Arrival, DeliveryDecision, PacketHead, WaitOutcome, WaitedOpening};
+use weirhinge_steering::{
+    Arrival, DeliveryDecision, OutputDecision, PacketHead, RestartCheck, WaitOutcome, WaitedOpening,
+};
 
 use super::Daemon;
 use crate::platform::Platform;
 use crate::receive::receive;
 
+/// Flows that a target which started again is asked about at once, so that its input does
+/// not overflow: all of 2,000 within two seconds, those whose clients wait first.
+const CHECKS_AT_ONCE: usize = 64;
+
 impl<P: Platform> Daemon<P> {
     pub(super) async fn take_peer_messages(self: Rc<Self>) {
         let take = |datagram: &mut [u8], sender| self.peer_message(datagram, sender);
@@ -106,6 +112,24 @@
         self.return_packet(&opening.head, &opening.packet, opening.balancer, reason, now);
     }
 
+    /// Asks a target that started again about some of the flows that it may have lost.
+    pub(super) fn check_flows(&self) {
+        let now = self.clock.now();
+        for _ in 0..CHECKS_AT_ONCE {
+            let Some(RestartCheck { flow, mut packet, echo }) = self.core.borrow_mut().next_check()
+            else {
+                return;
+            };
+            self.platform.write_echo(&mut packet, echo);
+            if !self.hand_to_target(&packet) {
+                let decision = self.core.borrow_mut().not_taken(&flow, echo);
+                if let OutputDecision::Reset { sequence } = decision {
+                    self.reset_lost(&flow, sequence, now);
+                }
+            }
+        }
+    }
+
     fn hand_labelled(&self, head: &PacketHead, packet: &[u8], echo: u32, now: Millis) {
         let mut labelled = packet.to_vec();
         self.platform.write_echo(&mut labelled, echo);
--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -161,6 +161,7 @@
             tokio::time::sleep(OPENINGS_POLL).await;
             self.settle_openings();
             self.report_found();
+            self.check_flows();
         }
     }
 
--- a/crates/relay/src/agent/output.rs
+++ b/crates/relay/src/agent/output.rs
@@ -5,7 +5,7 @@
 
 use slog::info;
 use weirhinge_fleet::{Millis, PeerMessage, ReturnReason, ServiceId};
-use weirhinge_steering::{BreakerChange, HoldsNotice, OutputDecision, PacketHead};
+use weirhinge_steering::{BreakerChange, FlowKey, HoldsNotice, OutputDecision, PacketHead};
 
 use super::Daemon;
 use crate::platform::Platform;
@@ -91,11 +91,24 @@
                 };
                 self.link.send(agent, &message);
             }
+            OutputDecision::Reset { sequence } => {
+                self.reset_lost(&head.client_flow(), sequence, now)
+            }
             OutputDecision::ToClient { .. } => {}
             OutputDecision::Drop(_) => self.metrics.dropped.increment("unknown_delivery"),
         }
     }
 
+    /// Resets a flow that the target lost.
+    pub(super) fn reset_lost(&self, flow: &FlowKey, sequence: u32, now: Millis) {
+        self.metrics.flows_reset.inc();
+        self.decisions.reset_lost(flow, now);
+        let reset = self.platform.build_reset(flow, sequence);
+        let client = SocketAddrV4::new(*flow.client.ip(), self.client_port);
+        // Like any datagram, it may be lost; the client's next packet then finds no holder.
+        let _ = self.output.try_send_to(&reset, client.into());
+    }
+
     /// Tells balancers that searched what the target was found to hold.
     pub(super) fn report_found(&self) {
         let now = self.clock.now();
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -133,6 +133,14 @@
         }
     }
 
+    /// A flow was reset, as the target started again and sent its packet back.
+    pub fn reset_lost(&self, flow: &FlowKey, now: Millis) {
+        if self.resets.allows("reset", &self.log, now) {
+            info!(self.log, "agent: lost flow reset"; "event" => "reset",
+                "flow" => flow_text(flow), "outcome" => "target_restarted");
+        }
+    }
+
     /// A packet was dropped.
     pub fn dropped(&self, flow: &FlowKey, reason: DropReason, basis: Basis, now: Millis) {
         if self.drops.allows("drop", &self.log, now) {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -62,6 +62,8 @@
     pub to_clients: Counter,
     /// Packets dropped, by reason.
     pub dropped: ReasonCounters,
+    /// Flows reset as the target lost them when it started again.
+    pub flows_reset: Counter,
     /// Times that the target was ejected: it failed, and gets no new flows for a while.
     pub ejections: Counter,
     /// Whether the target is ejected now.
@@ -82,6 +84,7 @@
                 .counter("openings_waited", "Opening packets that waited for room"),
             to_clients: metrics.counter("packets_to_clients", "Packets sent to clients"),
             dropped: metrics.reasons("packets_dropped", "Packets dropped"),
+            flows_reset: metrics.counter("flows_reset", "Flows that a restarted target lost"),
             ejections: metrics.counter("target_ejections", "Times that the target was ejected"),
             ejected: metrics.gauge("target_ejected", "Whether the target is ejected now"),
             waiting: metrics.gauge("requests_waiting", "Requests waiting for the target"),
--- a/crates/steering/src/agent/decision.rs
+++ b/crates/steering/src/agent/decision.rs
@@ -38,6 +38,17 @@
     WaitsAlready,
 }
 
+/// A packet that asks a target which started again whether it holds a flow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RestartCheck {
+    /// The flow.
+    pub flow: FlowKey,
+    /// The latest packet of its client, to be handed to the target once more.
+    pub packet: Vec<u8>,
+    /// The label to hand it over under.
+    pub echo: u32,
+}
+
 /// Tells a balancer that the target holds a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HoldsNotice {
@@ -76,6 +87,11 @@
         /// The rest of the packet's way.
         path: SearchPath,
     },
+    /// Reset the client's flow: the target has lost it.
+    Reset {
+        /// Sequence number of the reset.
+        sequence: u32,
+    },
     /// Do nothing.
     Drop(OutputDrop),
 }
--- a/crates/steering/src/agent/deliveries.rs
+++ b/crates/steering/src/agent/deliveries.rs
@@ -17,6 +17,8 @@
     /// Agents that a searching packet goes to next; empty for all others, and then
     /// without an allocation.
     next: Vec<u32>,
+    /// Set if a bounce proves that the flow is lost: the sequence number of its reset.
+    reset: Option<u32>,
 }
 
 /// The latest deliveries.
@@ -29,11 +31,21 @@
 impl Deliveries {
     /// Remembers a packet. Returns its label.
     pub(super) fn remember(&mut self, balancer: Ipv4Addr, search: Option<&[u32]>) -> u32 {
+        let next = search.map(<[u32]>::to_vec).unwrap_or_default();
+        self.keep(|echo| Delivery { echo, balancer, next, reset: None })
+    }
+
+    /// Remembers a packet whose bounce proves that its flow is lost. Returns its label.
+    pub(super) fn remember_check(&mut self, balancer: Ipv4Addr, sequence: u32) -> u32 {
+        let reset = Some(sequence);
+        self.keep(|echo| Delivery { echo, balancer, next: Vec::new(), reset })
+    }
+
+    fn keep(&mut self, delivery: impl FnOnce(u32) -> Delivery) -> u32 {
         let echo = self.next_echo;
         // 0 is what clients and targets write themselves.
         self.next_echo = self.next_echo.checked_add(1).unwrap_or(1);
-        let next = search.map(<[u32]>::to_vec).unwrap_or_default();
-        self.places[echo as usize % REMEMBERED] = Some(Delivery { echo, balancer, next });
+        self.places[echo as usize % REMEMBERED] = Some(delivery(echo));
         echo
     }
 
@@ -42,6 +54,9 @@
     pub(super) fn onward(&mut self, echo: u32) -> Option<OutputDecision> {
         let place = &mut self.places[echo as usize % REMEMBERED];
         let delivery = place.take_if(|delivery| delivery.echo == echo)?;
+        if let Some(sequence) = delivery.reset {
+            return Some(OutputDecision::Reset { sequence });
+        }
         let balancer = delivery.balancer;
         let Some((agent, rest)) = delivery.next.split_first() else {
             return Some(OutputDecision::Return { balancer });
--- a/crates/steering/src/agent/flow.rs
+++ b/crates/steering/src/agent/flow.rs
@@ -4,9 +4,10 @@
 
 use weirhinge_fleet::Millis;
 
+use super::restart_checks::LatestPacket;
 use crate::packet::PacketHead;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Flow {
     pub(super) balancer: Ipv4Addr,
     /// When a request was delivered to which nothing was answered yet.
@@ -26,6 +27,8 @@
     /// When its first packet came here.
     pub(super) opened_at: Millis,
     pub(super) used_at: Millis,
+    /// The client's latest packet, unless it opened or ended the flow.
+    pub(super) latest: LatestPacket,
 }
 
 impl Flow {
@@ -35,6 +38,16 @@
         self.confirmed || (self.delivered_to.is_some() && self.searched_since.is_none())
     }
 
+    /// Keeps the packet, unless it opens or ends the flow.
+    pub(super) fn keep_latest(&mut self, head: &PacketHead, packet: &[u8]) {
+        let flags = head.flags;
+        if flags.syn || flags.fin || flags.rst {
+            self.latest = LatestPacket::default();
+        } else {
+            self.latest.set(packet, head.acknowledgment);
+        }
+    }
+
     /// Notes the packet's data. Returns whether any of it is new.
     pub(super) fn takes_new_data(&mut self, head: &PacketHead) -> bool {
         let end = head.sequence.wrapping_add(u32::from(head.length));
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod decision;
 mod deliveries;
 mod flow;
+mod restart_checks;
 mod round_trip;
 mod tracking;
 
@@ -15,7 +16,9 @@
 
 pub use breaker::BreakerChange;
 pub use cold_start::ColdStartRate;
-pub use decision::{DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, WaitOutcome};
+pub use decision::{
+    DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, RestartCheck, WaitOutcome,
+};
 
 use crate::arrival::Arrival;
 use crate::packet::{AnswerStatus, FlowKey, OPENING_SPAN_MS, PacketHead};
@@ -25,6 +28,7 @@
 use cold_start::ColdStart;
 use deliveries::Deliveries;
 use flow::Flow;
+use restart_checks::RestartChecks;
 use round_trip::RoundTrip;
 
 /// Most flows that an agent follows; the target itself holds fewer.
@@ -71,6 +75,7 @@
     leaving: bool,
     /// Whether the zone of the target is evacuated.
     evacuated: bool,
+    restart_checks: RestartChecks,
 }
 
 impl Agent {
@@ -93,6 +98,7 @@
             breaker_change: None,
             leaving: false,
             evacuated: false,
+            restart_checks: RestartChecks::default(),
         }
     }
 
@@ -118,14 +124,17 @@
 
     /// Notes that the target started again: it holds nothing of before, and what was found
     /// out about the life before says nothing about this one. Openings that wait keep their
-    /// turn, and new flows of the last second still count against a cold target's limit.
+    /// turn, and new flows of the last second still count against a cold target's limit. The
+    /// flows are to be checked by [`Self::next_check`].
     pub fn target_restarted(&mut self) {
         let was_ejected = self.breaker.is_open();
+        self.restart_checks.add(std::mem::take(&mut self.flows));
         let fresh = Self::new(self.service);
         *self = Self {
             deliveries: std::mem::take(&mut self.deliveries),
             openings: std::mem::take(&mut self.openings),
             cold_start: std::mem::take(&mut self.cold_start),
+            restart_checks: std::mem::take(&mut self.restart_checks),
             breaker_change: was_ejected.then_some(BreakerChange::Closed),
             leaving: self.leaving,
             evacuated: self.evacuated,
@@ -184,7 +193,7 @@
         let notice = self.search_notice(arrival);
         // A balancer that is told now need not be told when the target answers.
         let searched = arrival.search.is_some() && notice.is_none();
-        self.follow(arrival.head, arrival.balancer, searched, now);
+        self.follow(arrival.head, arrival.packet, arrival.balancer, searched, now);
         let echo = self.deliveries.remember(arrival.balancer, arrival.search);
         DeliveryDecision::Deliver { echo, notice }
     }
@@ -206,11 +215,20 @@
             return None;
         }
         let opening = self.openings.take_first(|urgent| !admission.is_busy(load, urgent))?;
-        self.follow(&opening.head, opening.balancer, false, now);
+        self.follow(&opening.head, &opening.packet, opening.balancer, false, now);
         let echo = self.deliveries.remember(opening.balancer, None);
         Some(WaitOutcome::Deliver(opening, echo))
     }
 
+    /// The next flow to ask a target about that started again: the packet to hand to it and
+    /// the packet's label.
+    pub fn next_check(&mut self) -> Option<RestartCheck> {
+        let check = self.restart_checks.next()?;
+        let sequence = check.latest.acknowledgment;
+        let echo = self.deliveries.remember_check(check.balancer, sequence);
+        Some(RestartCheck { flow: check.flow, packet: check.latest.bytes, echo })
+    }
+
     /// Why no new flow is taken at all, if so.
     fn takes_nothing(&self) -> Option<ReturnReason> {
         match (self.leaving, self.evacuated) {
--- a/crates/steering/src/agent/tracking.rs
+++ b/crates/steering/src/agent/tracking.rs
@@ -6,6 +6,7 @@
 use weirhinge_fleet::Millis;
 
 use super::flow::Flow;
+use super::restart_checks::LatestPacket;
 use super::{Agent, FLOW_CAPACITY, SEARCH_CAPACITY};
 use crate::packet::{FlowKey, PacketHead};
 
@@ -41,6 +42,7 @@
     pub(super) fn follow(
         &mut self,
         head: &PacketHead,
+        packet: &[u8],
         balancer: Ipv4Addr,
         searched: bool,
         now: Millis,
@@ -64,9 +66,11 @@
             admitted_at: is_expected.then_some(now),
             opened_at: now,
             used_at: now,
+            latest: LatestPacket::default(),
         });
         entry.balancer = balancer;
         entry.used_at = now;
+        entry.keep_latest(head, packet);
         if searched && entry.searched_since.is_none() {
             entry.searched_since = Some(now);
             if self.searches.len() < SEARCH_CAPACITY {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use agent::{
     Agent, BreakerChange, ColdStartRate, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop,
-    WaitOutcome,
+    RestartCheck, WaitOutcome,
 };
 pub use agent_status::AgentStatuses;
 pub use arrival::Arrival;
--- a/crates/steering/tests/restarted_targets.rs
+++ b/crates/steering/tests/restarted_targets.rs
@@ -3,10 +3,12 @@
 
 mod support;
 
-use support::beside::{answer, arrival, deliver, fill, new_agent, request};
-use support::{Fixture, LATER, SERVICE, Store, agent, data, flow, forwarded, opening};
+use support::beside::{answer, arrival, deliver, fill, new_agent, output, request};
+use support::{Fixture, LATER, SERVICE, Store, agent, data, flow, forwarded, opening, packet};
 use weirhinge_fleet::{ReturnReason, TargetState};
-use weirhinge_steering::{AnswerStatus, Arrival, BreakerChange, Decision, DeliveryDecision};
+use weirhinge_steering::{
+    Agent, AnswerStatus, Arrival, BreakerChange, Decision, DeliveryDecision, Flags, OutputDecision,
+};
 
 #[test]
 fn requests_in_hand_of_the_life_before_take_no_room() {
@@ -109,3 +111,92 @@
     fixture.view = store.view();
     assert_eq!(fixture.view.candidates(weirhinge_fleet::ServiceId::of(SERVICE)).len(), 0);
 }
+
+/// An agent whose target held the flows of these ports, each with a request in hand.
+fn restarted_with_requests(ports: std::ops::Range<u16>) -> Agent {
+    let mut agent = new_agent();
+    for port in ports {
+        agent.delivery(&arrival(&request(port, 0)), 0);
+        agent.output(&answer(flow(port)), 1);
+        agent.delivery(&arrival(&request(port, 100)), 2);
+    }
+    agent.target_restarted();
+    agent
+}
+
+/// A client that waits for its answer sends nothing. It was told only at its next packet, which
+/// came when it had given the request up.
+#[test]
+fn a_flow_that_the_target_sends_back_after_its_restart_is_reset() {
+    let mut agent = restarted_with_requests(1..3);
+    let mut reset = Vec::new();
+    while let Some(check) = agent.next_check() {
+        assert_eq!(check.packet, b"packet");
+        let bounced = agent.not_taken(&check.flow, check.echo);
+        assert_eq!(bounced, OutputDecision::Reset { sequence: 500 }, "where the client stands");
+        reset.push(check.flow);
+    }
+    reset.sort();
+    assert_eq!(reset, [flow(1), flow(2)]);
+}
+
+#[test]
+fn a_flow_of_the_new_life_goes_on() {
+    let mut agent = restarted_with_requests(1..2);
+    assert!(agent.next_check().is_some());
+    // The target holds it, and takes the packet for a repetition.
+    assert_eq!(agent.next_check(), None, "each flow is asked about once");
+    deliver(&mut agent, &request(1, 200), 40);
+    assert!(matches!(agent.output(&answer(flow(1)), 50), OutputDecision::ToClient { .. }));
+}
+
+/// Another target may hold the flow: this one wrote no more than an answer to the opening
+/// packet, or nothing at all.
+#[test]
+fn a_flow_that_another_target_may_hold_is_left_alone() {
+    let mut agent = new_agent();
+    deliver(&mut agent, &request(1, 0), 0);
+    deliver(&mut agent, &opening(flow(2)), 0);
+    let opened = Flags { syn: true, ack: true, ..Flags::default() };
+    agent.output(&output(flow(2), opened, 0), 1);
+    deliver(&mut agent, &request(2, 0), 2);
+    agent.target_restarted();
+    assert_eq!(agent.next_check(), None);
+}
+
+/// An opening packet would open a flow at the target, and a flow that ends needs no reset.
+#[test]
+fn packets_that_open_or_end_a_flow_are_not_handed_over_again() {
+    let ending = Flags { ack: true, fin: true, ..Flags::default() };
+    for flags in [Flags { syn: true, ..Flags::default() }, ending] {
+        let mut agent = new_agent();
+        deliver(&mut agent, &request(1, 0), 0);
+        agent.output(&answer(flow(1)), 1);
+        deliver(&mut agent, &packet(flow(1), flags, 0), 2);
+        agent.target_restarted();
+        assert_eq!(agent.next_check(), None);
+    }
+}
+
+/// Flows whose clients wait are asked about first, as the others can do without.
+#[test]
+fn clients_that_wait_are_told_first() {
+    let mut agent = new_agent();
+    for port in [1, 2] {
+        deliver(&mut agent, &request(port, 0), 0);
+        agent.output(&answer(flow(port)), 1);
+    }
+    deliver(&mut agent, &request(1, 100), 2);
+    deliver(&mut agent, &packet(flow(2), Flags { ack: true, ..Flags::default() }, 0), 3);
+    agent.target_restarted();
+    let order: Vec<_> = std::iter::from_fn(|| agent.next_check()).map(|check| check.flow).collect();
+    assert_eq!(order, [flow(1), flow(2)]);
+}
+
+#[test]
+fn a_second_restart_keeps_what_is_still_to_be_asked() {
+    let mut agent = restarted_with_requests(1..4);
+    assert!(agent.next_check().is_some());
+    agent.target_restarted();
+    assert_eq!(std::iter::from_fn(|| agent.next_check()).count(), 2);
+}
--- a/crates/weirhinge/tests/restarted_targets.rs
+++ b/crates/weirhinge/tests/restarted_targets.rs
@@ -3,7 +3,10 @@
 
 mod support;
 
-use support::{DEADLINE, all_held, open, open_flows, plan, request, start, wait_for_version};
+use support::{
+    DEADLINE, all_held, no_packet_was_changed, open, open_flows, plan, request, start,
+    wait_for_version,
+};
 use weirhinge_platform_standins::Fleet;
 
 /// Waits until this text stands in the log of each balancer.
@@ -54,6 +57,24 @@
     Err(eyre::eyre!("none of 200 new flows went to the target that started again"))
 }
 
+/// Clients that wait for an answer send nothing: they learned of the loss at their deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn clients_of_lost_flows_are_told_without_asking() -> eyre::Result<()> {
+    let fleet = start(&plan()).await?;
+    let flows = open_flows(&fleet, 12).await?;
+    let reborn = fleet.targets[0].name.clone();
+    let (mut lost, mut kept): (Vec<_>, Vec<_>) =
+        flows.into_iter().partition(|(_, server)| *server == reborn);
+    assert!(!lost.is_empty(), "no flow was opened at the target");
+    fleet.targets[0].restart();
+    for (flow, _) in &mut lost {
+        assert!(flow.is_reset_within(DEADLINE).await, "{} was not told", flow.source());
+    }
+    all_held(&mut kept, "beside a restart").await?;
+    no_packet_was_changed(&fleet);
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn nonsense_in_the_store_harms_no_neighbour() -> eyre::Result<()> {
     let mut fleet = start(&plan()).await?;
