--- a/crates/agent/src/carry_out.rs
+++ b/crates/agent/src/carry_out.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use weirhinge_flow::FlowPhase;
 use weirhinge_packet::FlowKey;
 use weirhinge_stack::PacketSink;
 use weirhinge_wire::{
@@ -65,6 +66,11 @@
     }
 
     pub(crate) fn deliver(&mut self, key: &FlowKey, packet: &[u8]) {
+        if flow_log::is_on(&self.log)
+            && let Some((FlowPhase::Opening, _)) = self.dispatcher.flows.phase(key, Instant::now())
+        {
+            flow_log::delivered_half_open(&self.log, key, packet);
+        }
         if let Some(handle) = self.dispatcher.flows.get(key)
             && handle.queue.try_send(packet.to_vec()).is_err()
         {
--- a/crates/agent/src/flow_log.rs
+++ b/crates/agent/src/flow_log.rs
@@ -1,9 +1,10 @@
 //! Debug lines of the decisions about flows, so that a flow's way through the
 //! agents can be followed afterwards. Packets of open flows leave no line.
+//! Whoever writes one for each packet asks [`is_on`] first.
 
 use std::fmt;
 
-use slog::{Logger, debug};
+use slog::{Drain, Logger, debug};
 use weirhinge_flow::RefusalReason;
 use weirhinge_packet::{FlowKey, PacketView, decode_packet};
 use weirhinge_stack::SpliceEnd;
@@ -11,6 +12,19 @@
 
 use crate::dispatch::Dispatch;
 
+/// Whether the lines are written at all.
+pub(crate) fn is_on(log: &Logger) -> bool {
+    log.is_debug_enabled()
+}
+
+/// Writes that a packet was handed to a flow that is not open yet.
+pub(crate) fn delivered_half_open(log: &Logger, key: &FlowKey, packet: &[u8]) {
+    if let Ok(view) = decode_packet(packet) {
+        debug!(log, "agent: Packet for a half-open flow."; "flow" => %key,
+            "packet" => %Flags(&view));
+    }
+}
+
 /// Writes the line of one message and what was decided about it.
 pub(crate) fn decided(log: &Logger, message: &AgentMessage<'_>, dispatch: &Dispatch) {
     if matches!(dispatch, Dispatch::Deliver(_)) {
