--- a/crates/rehearsal/tests/promises.rs
+++ b/crates/rehearsal/tests/promises.rs
@@ -184,6 +184,30 @@
     tokio::join!(feeds_begin(13), feeds_begin(14), feeds_begin(5_001));
 }
 
+/// The same where the network itself loses nothing: whatever is lost, an agent that cannot be
+/// reached has swallowed. All callers are without timestamps, so that their packets have one
+/// way through the owner of their bucket.
+fn without_loss(text: &str) -> String {
+    text.replace("client_loss = 0.01", "client_loss = 0.0")
+        .replace("zone_loss = 0.001", "zone_loss = 0.0")
+        .replace("plain_caller_share = 0.4", "plain_caller_share = 1.0")
+}
+
+async fn feeds_begin_without_loss(seed: u64) {
+    let text = format!("{ADDRESSES_CHANGE_HANDS_IN_TURN}\n{FLEET}");
+    let verdict = run_seeded(&without_loss(&text), None, seed).await;
+    assert_held(&verdict);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_begin_whichever_agent_swallows_their_packets() {
+    tokio::join!(
+        feeds_begin_without_loss(13),
+        feeds_begin_without_loss(14),
+        feeds_begin_without_loss(5_001)
+    );
+}
+
 #[cfg(feature = "planted-defects")]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_missing_fence_is_noticed() {
