--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::fleet_parts::{
-    KEYS_FILE, back_end_options, make_work_folder, service_entry, target_entry,
+    ProcessArguments, back_end_options, make_work_folder, service_entry, target_entry,
 };
 use crate::history::History;
 use crate::operator::write_configuration;
@@ -23,21 +23,7 @@
 use crate::standin::link::{LinkProxy, Network, ZoneMap};
 use crate::standin::platform::Platform;
 
-/// How a fleet is started.
-#[derive(Clone, Debug)]
-pub struct FleetOptions {
-    /// Seed of everything random in the stand-ins.
-    pub seed: u64,
-    /// Targets that agents compare for a new flow.
-    pub candidates: u8,
-    /// Folder for the processes' logs, if wanted.
-    pub logs: Option<PathBuf>,
-    /// Longest that an agent's planned stop waits for its flows; none if it
-    /// waits for the last one, as it must where nothing is planted.
-    pub stop_deadline_seconds: Option<u64>,
-    /// Name of a defect planted in every agent; needs a build that has them.
-    pub plant: Option<String>,
-}
+pub use crate::fleet_parts::FleetOptions;
 
 /// One balancer of a fleet.
 pub struct Balancer {
@@ -388,23 +374,15 @@
         zone: &str,
         platform: &Platform,
     ) -> Vec<String> {
-        let keys = self.work_folder.join(KEYS_FILE);
-        let pairs = [
-            ("--name", name.to_owned()),
-            ("--zone", zone.to_owned()),
-            ("--platform", platform.address().to_string()),
-            ("--keys-file", keys.display().to_string()),
-        ];
-        let mut arguments = vec![role.to_owned()];
-        for (flag, value) in pairs {
-            arguments.push(flag.to_owned());
-            arguments.push(value);
-        }
-        if self.options.logs.is_some() {
-            // Kept logs are read to find out what became of single flows.
-            arguments.extend(["--log-level".to_owned(), "debug".to_owned()]);
+        ProcessArguments {
+            role,
+            name,
+            zone,
+            platform: platform.address(),
+            work_folder: &self.work_folder,
+            keeps_logs: self.options.logs.is_some(),
         }
-        arguments
+        .into_arguments()
     }
 }
 
--- a/crates/rehearsal/src/fleet_parts.rs
+++ b/crates/rehearsal/src/fleet_parts.rs
@@ -1,6 +1,7 @@
-//! The parts that a fleet is made of: keys, document entries, back ends.
+//! The parts that a fleet is made of: keys, arguments, document entries, back ends.
 
-use std::path::PathBuf;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -26,6 +27,52 @@
     Ok(folder)
 }
 
+/// How a fleet is started.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Seed of everything random in the stand-ins.
+    pub seed: u64,
+    /// Targets that agents compare for a new flow.
+    pub candidates: u8,
+    /// Folder for the processes' logs, if wanted.
+    pub logs: Option<PathBuf>,
+    /// Longest that an agent's planned stop waits for its flows; none if it
+    /// waits for the last one, as it must where nothing is planted.
+    pub stop_deadline_seconds: Option<u64>,
+    /// Name of a defect planted in every agent; needs a build that has them.
+    pub plant: Option<String>,
+}
+
+/// What each process of a fleet is told on its command line.
+pub(crate) struct ProcessArguments<'a> {
+    pub(crate) role: &'a str,
+    pub(crate) name: &'a str,
+    pub(crate) zone: &'a str,
+    pub(crate) platform: SocketAddr,
+    pub(crate) work_folder: &'a Path,
+    /// Kept logs are read to find out what became of single flows.
+    pub(crate) keeps_logs: bool,
+}
+
+impl ProcessArguments<'_> {
+    pub(crate) fn into_arguments(self) -> Vec<String> {
+        let keys = self.work_folder.join(KEYS_FILE);
+        let mut arguments = vec![self.role.to_owned()];
+        let pairs = [
+            ("--name", self.name.to_owned()),
+            ("--zone", self.zone.to_owned()),
+            ("--platform", self.platform.to_string()),
+            ("--keys-file", keys.display().to_string()),
+        ];
+        let level = self.keeps_logs.then(|| ("--log-level", "debug".to_owned()));
+        for (flag, value) in pairs.into_iter().chain(level) {
+            arguments.push(flag.to_owned());
+            arguments.push(value);
+        }
+        arguments
+    }
+}
+
 pub(crate) fn service_entry(id: ServiceId, service: &ServiceScenario) -> Service {
     Service {
         id,
