--- a/crates/rehearsal/tests/promises.rs
+++ b/crates/rehearsal/tests/promises.rs
@@ -164,7 +164,7 @@
 /// with the same or the next one; each doubled the caller's time-out. The first request went
 /// to an owner that could not be reached, and was repeated only 4 s later. Agents' debug lines:
 /// "passed on to [(0, Offered" from the owner and, 250 ms later, from the deputy, and no
-/// "admitted" before the third SYN. With that mended, one feed of some 20,000 was left: its
+/// "admitted" before the third SYN. With that mended, two feeds in 25 runs were left: the
 /// request was lost by the network, 1 s later with the owner, 3 s later with the holder
 /// ("wrong_service" at agents that had their addresses). Such callers' packets go straight to
 /// the holder now.
@@ -188,8 +188,7 @@
 }
 
 /// The same where the network itself loses nothing: whatever is lost, an agent that cannot be
-/// reached has swallowed. All callers are without timestamps, so that their packets have one
-/// way through the owner of their bucket.
+/// reached has swallowed. All callers are without timestamps, as those were hit.
 fn without_loss(text: &str) -> String {
     text.replace("client_loss = 0.01", "client_loss = 0.0")
         .replace("zone_loss = 0.001", "zone_loss = 0.0")
