Let the tests of splices count from a number near the wrap

The endpoints' listening side is given its first number in all of them, so that loss, half closes and resets are tried with shifted numbers, too.

--- a/crates/stack/tests/splice.rs
+++ b/crates/stack/tests/splice.rs
@@ -47,7 +47,7 @@
         buffers: BUFFERS,
         seed,
         timestamps: Some(|| 1),
-        initial_sequence: None,
+        initial_sequence: Some(u32::MAX - 100),
         resets_early: false,
     }
 }
