Ask targets that were tried for an opening packet when the flow is searched for

Callers saw: an open feed was reset at its next packet while its target served on.

Cause: the target that an opening packet went to first was noted as one that did not take it when the client's copy went elsewhere, though it had only not answered yet. A later packet that the second target sent back was then searched for at all targets but that one, and nobody seemed to hold the flow.

Ruled out: a silent holder (nothing was sent to it), a lost flow (its target serves it).

Change: the set of targets that were tried is emptied when a later packet of a flow comes back while its entry is one of an opening. Why it holds: nobody was asked for the flow before.

--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -291,6 +291,11 @@
                 Some(Decision::Drop(DropReason::NobodyHoldsYet))
             }
             _ => {
+                if entry.stage == FlowStage::Opening && !opens {
+                    // What was tried for the opening packet was not asked for the flow: a
+                    // target whose answer did not come here in time may hold it.
+                    entry.tried.clear();
+                }
                 entry.note_returned(from);
                 entry.stage = stage;
                 None
