Read no packet for a debug line that is not written, and hash flows for numbers only where used

Found when reading the change once more: the agent decoded each packet that it passed on for a debug line, also where no such line is written, and hashed UDP flows for a sequence number that they do not have. Both were work on the way of packets; no decision changes.

--- a/crates/agent/src/flow_log.rs
+++ b/crates/agent/src/flow_log.rs
@@ -1,6 +1,6 @@
 //! Debug lines of the decisions about flows, so that a flow's way through the
-//! agents can be followed afterwards. Packets of open flows leave no line.
-//! Whoever writes one for each packet asks [`is_on`] first.
+//! agents can be followed afterwards. Packets of open flows leave no line, and
+//! no packet is read for a line that is not written.
 
 use std::fmt;
 
@@ -27,7 +27,7 @@
 
 /// Writes the line of one message and what was decided about it.
 pub(crate) fn decided(log: &Logger, message: &AgentMessage<'_>, dispatch: &Dispatch) {
-    if matches!(dispatch, Dispatch::Deliver(_)) {
+    if matches!(dispatch, Dispatch::Deliver(_)) || !is_on(log) {
         return;
     }
     match message {
--- a/crates/agent/src/flows.rs
+++ b/crates/agent/src/flows.rs
@@ -55,9 +55,6 @@
         let (Ok(seed), Ok(random)) = (random_u64(), random_u64()) else {
             return self.metrics.packets_dropped.increment("no_random_source");
         };
-        let flow_hash = self.dispatcher.view().table.hasher().hash(&key);
-        let hint = HolderHint(own.fence.target);
-        let initial_sequence = hint.initial_sequence(flow_hash, random as u32);
         let (queue, packets) = mpsc::channel(FLOW_QUEUE);
         self.next_flow += 1;
         let id = FlowId { key, number: self.next_flow };
@@ -70,6 +67,9 @@
         let events = self.events.clone();
         match key.protocol {
             Protocol::Tcp => {
+                let flow_hash = self.dispatcher.view().table.hasher().hash(&key);
+                let hint = HolderHint(own.fence.target);
+                let initial_sequence = hint.initial_sequence(flow_hash, random as u32);
                 let flow = TcpFlow {
                     id,
                     own,
