Agree on messages and fields for decisions under load

Agents tell how busy a target is in one type (requests in hand, expected time, service time); balancers can ask for room and agents can grant it; routes carry the objective and the time-out of their configuration. Nothing uses them yet: a balancer declines any grant.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,8 +23,8 @@
 
 pub use evacuation::{EvacuatedZones, ZoneChange, ZoneNews};
 pub use message::{
-    Digest, FetchRequest, FetchScope, MessageError, PeerMessage, PeerRole, ReturnReason,
-    SearchPath, TargetClaim, decode, encode,
+    Digest, FetchRequest, FetchScope, MessageError, OpeningDemand, PeerMessage, PeerRole,
+    ReturnReason, SearchPath, TargetClaim, TargetLoad, WaitingOpenings, decode, encode,
 };
 pub use model::{
     ColdStartPolicy, Configuration, RegionId, Route, RoutePart, ServiceId, TargetRecord,
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -8,7 +8,7 @@
 use crate::succession::VersionedTarget;
 
 /// First byte of every datagram between daemons.
-const PROTOCOL_VERSION: u8 = 6;
+const PROTOCOL_VERSION: u8 = 7;
 
 /// Why a datagram from a peer was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -33,6 +33,51 @@
     Agent,
 }
 
+/// How busy a target is, as the agent beside it tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct TargetLoad {
+    /// Requests that wait for an answer of the target.
+    pub waiting: u32,
+    /// Milliseconds in which the target is expected to answer one more request, waiting
+    /// time included; none if nothing was measured lately.
+    pub expected_ms: Option<u32>,
+    /// Milliseconds for which the target works on one request; none if nothing was measured
+    /// lately.
+    pub service_ms: Option<u32>,
+}
+
+impl From<u32> for TargetLoad {
+    /// The load of a target of which only the number of waiting requests is known.
+    fn from(waiting: u32) -> Self {
+        Self { waiting, ..Self::default() }
+    }
+}
+
+/// Opening packets of one class that wait at a balancer until any target has room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct WaitingOpenings {
+    /// How many wait.
+    pub count: u16,
+    /// For how many milliseconds the first of them has waited.
+    pub oldest_ms: u16,
+}
+
+/// What waits for room at a balancer, for one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct OpeningDemand {
+    /// Openings of urgent routes.
+    pub urgent: WaitingOpenings,
+    /// All others.
+    pub others: WaitingOpenings,
+}
+
+impl OpeningDemand {
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.urgent.count == 0 && self.others.count == 0
+    }
+}
+
 /// What an agent says about the target beside it.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct TargetClaim {
@@ -40,8 +85,8 @@
     pub service: String,
     /// Whether the target was seen at work lately.
     pub alive: bool,
-    /// Requests that wait for an answer of the target.
-    pub waiting: u32,
+    /// How busy the target is.
+    pub load: TargetLoad,
     /// Whether the agent is about to stop.
     pub leaving: bool,
     /// Whether the agent knows the target's record in the store.
@@ -127,6 +172,9 @@
         may_wait: bool,
         /// Whether an opening packet goes before others of the service.
         urgent: bool,
+        /// Set if the packet uses a [`PeerMessage::Grant`] of the agent: what still waits at
+        /// the balancer.
+        granted: Option<OpeningDemand>,
         /// The packet as the client wrote it.
         #[musli(bytes)]
         packet: &'a [u8],
@@ -141,17 +189,37 @@
     Returned {
         /// Why the target did not take it.
         reason: ReturnReason,
-        /// Requests that wait for an answer of the target.
-        waiting: u32,
+        /// How busy the target is.
+        load: TargetLoad,
         /// The packet as the client wrote it.
         #[musli(bytes)]
         packet: &'a [u8],
     },
     /// An opening packet waits at the agent until the target has room.
     Waits {
-        /// Requests that wait for an answer of the target.
-        waiting: u32,
+        /// How busy the target is.
+        load: TargetLoad,
+    },
+    /// A balancer asks an agent for room: opening packets wait at it until any target of the
+    /// service has room. Replaces what the balancer said before.
+    Demand {
+        /// Hash of the service's name; the agent checks it.
+        service: u64,
+        /// What waits.
+        demand: OpeningDemand,
+    },
+    /// An agent answers a [`PeerMessage::Demand`]: its target has room for one opening packet,
+    /// which is kept for a moment.
+    Grant {
+        /// Hash of the service's name.
+        service: u64,
+        /// Whether the room is for openings of urgent routes alone.
+        urgent_only: bool,
+        /// How busy the target is.
+        load: TargetLoad,
     },
+    /// A balancer has no use for an agent's grant, as nothing waits any more.
+    Declined,
     /// The target answered an opening packet, or holds a flow that the balancer
     /// searched for.
     Holds {
@@ -161,8 +229,8 @@
         service: (u32, u16),
         /// Whether the target sent more than an answer to an opening packet.
         confirmed: bool,
-        /// Requests that wait for an answer of the target.
-        waiting: u32,
+        /// How busy the target is.
+        load: TargetLoad,
     },
 }
 
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -67,6 +67,10 @@
     pub parts: Vec<RoutePart>,
     /// How urgent the route's requests are; 0 is the most urgent.
     pub priority: u32,
+    /// Milliseconds within which callers expect an answer; none if not stated.
+    pub objective_ms: Option<u64>,
+    /// Milliseconds after which callers give up; none if not stated.
+    pub timeout_ms: Option<u64>,
     /// Names of the regions that the route's requests must not leave; empty if they may go
     /// anywhere.
     pub permitted_regions: Vec<String>,
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -170,7 +170,7 @@
     ) {
         let path_length = search.as_ref().map_or(0, |(_, next)| 8 + 5 * next.len());
         let search = search.map(|(balancer, next)| SearchPath { balancer, next });
-        let message = PeerMessage::Forward { service, search, may_wait, urgent, packet: &packet };
+        let message = PeerMessage::Forward { service, search, may_wait, urgent, granted: None, packet: &packet };
         let mut buffer = Vec::new();
         encode(&message, &mut buffer).expect("encodes");
         prop_assert_eq!(decode::<PeerMessage<'_>>(&buffer).expect("decodes"), message);
--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -32,7 +32,7 @@
             }
             Ok(PeerMessage::Record(target)) => self.take_record(target),
             Ok(PeerMessage::Probe) => self.link.send(sender, &PeerMessage::ProbeAnswer),
-            Ok(PeerMessage::Forward { service, search, may_wait, urgent, packet }) => {
+            Ok(PeerMessage::Forward { service, search, may_wait, urgent, granted: _, packet }) => {
                 match self.platform.decode(packet) {
                     Ok(head) => self.deliver(&Arrival {
                         head: &head,
@@ -85,7 +85,7 @@
                 let waiting = self.core.borrow().waiting();
                 self.metrics.openings_waited.inc();
                 self.decisions.waits(&arrival.head.client_flow(), waiting, now);
-                self.link.send(arrival.balancer, &PeerMessage::Waits { waiting });
+                self.link.send(arrival.balancer, &PeerMessage::Waits { load: waiting.into() });
             }
             DeliveryDecision::WaitsAlready => {}
         }
@@ -182,6 +182,6 @@
         self.metrics.returned.increment(label);
         self.decisions.returned(&head.client_flow(), label, head.is_opening(), now);
         let waiting = self.core.borrow().waiting();
-        self.link.send(balancer, &PeerMessage::Returned { reason, waiting, packet });
+        self.link.send(balancer, &PeerMessage::Returned { reason, load: waiting.into(), packet });
     }
 }
--- a/crates/relay/src/agent/output.rs
+++ b/crates/relay/src/agent/output.rs
@@ -87,6 +87,7 @@
                     search: Some(path),
                     may_wait: false,
                     urgent: false,
+                    granted: None,
                     packet,
                 };
                 self.link.send(agent, &message);
@@ -129,7 +130,7 @@
             client: (flow.client.ip().to_bits(), flow.client.port()),
             service: (flow.service.ip().to_bits(), flow.service.port()),
             confirmed: notice.confirmed,
-            waiting,
+            load: waiting.into(),
         };
         self.link.send(notice.balancer, &message);
     }
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -195,29 +195,37 @@
                     self.choose_helpers(now);
                 }
             }
-            PeerMessage::Returned { reason, waiting, packet } => {
+            PeerMessage::Returned { reason, load, packet } => {
                 let Ok(head) = self.platform.decode(packet) else { return };
                 let decision = self.decide(now, |core, context| {
-                    core.heard(sender, waiting, now);
+                    core.heard(sender, load, now);
                     let packet = ClientPacket { head: &head, bytes: packet };
                     core.returned_packet(context, packet, sender, reason)
                 });
                 self.carry_out(decision, &head, packet, now);
             }
-            PeerMessage::Holds { client, service, confirmed, waiting } => {
+            PeerMessage::Holds { client, service, confirmed, load } => {
                 let flow = FlowKey { client: endpoint(client), service: endpoint(service) };
-                let waited = self.core.borrow_mut().holds(flow, sender, confirmed, waiting, now);
+                let waited = self.core.borrow_mut().holds(flow, sender, confirmed, load, now);
                 if let Some(waited) = waited {
                     self.metrics.opening_seconds.observe(waited as f64 / 1_000.0);
                 }
             }
-            PeerMessage::Waits { waiting } => {
-                self.core.borrow_mut().heard(sender, waiting, now);
+            PeerMessage::Waits { load } => {
+                self.core.borrow_mut().heard(sender, load, now);
             }
             PeerMessage::HandOff { packet } => self.handed_packet(packet, now),
             PeerMessage::TargetEnded => self.core.borrow_mut().target_ended(sender, now),
             PeerMessage::ProbeAnswer => self.core.borrow_mut().reached(now),
-            PeerMessage::Forward { .. } | PeerMessage::Record(_) | PeerMessage::Probe => {
+            PeerMessage::Grant { load, .. } => {
+                self.core.borrow_mut().heard(sender, load, now);
+                self.link.send(sender, &PeerMessage::Declined);
+            }
+            PeerMessage::Declined => self.link.refuse_unexpected(),
+            PeerMessage::Forward { .. }
+            | PeerMessage::Record(_)
+            | PeerMessage::Probe
+            | PeerMessage::Demand { .. } => {
                 self.link.refuse_unexpected();
             }
         }
@@ -226,7 +234,8 @@
     fn decide<T>(&self, now: Millis, decide: impl FnOnce(&mut Balancer, &Context<'_>) -> T) -> T {
         let node = self.node.borrow();
         let fresh = node.is_fresh(now);
-        let context = Context { view: node.view(), fresh, helpers: &[], now };
+        let unix_ms = self.clock.unix_ms();
+        let context = Context { view: node.view(), fresh, helpers: &[], now, unix_ms };
         decide(&mut self.core.borrow_mut(), &context)
     }
 
@@ -275,6 +284,7 @@
             search: forward.is_search().then(|| self.search_path(next)),
             may_wait: forward.may_wait(),
             urgent: forward.urgent,
+            granted: None,
             packet,
         };
         self.link.send(agent, &message);
--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -1,6 +1,6 @@
 //! The steady clock that all decisions use; the time of day may jump.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use weirhinge_fleet::Millis;
 
@@ -20,4 +20,11 @@
     pub fn now(&self) -> Millis {
         Millis::try_from(self.started.elapsed().as_millis()).unwrap_or(Millis::MAX)
     }
+
+    /// The time of day in milliseconds since 1970; only for what need not agree between
+    /// machines.
+    pub fn unix_ms(&self) -> u64 {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
 }
--- a/crates/relay/tests/fleet_scale.rs
+++ b/crates/relay/tests/fleet_scale.rs
@@ -90,7 +90,7 @@
             node.claim = (!is_balancer).then(|| TargetClaim {
                 service: "sheets".to_owned(),
                 alive: true,
-                waiting: 1,
+                load: 1.into(),
                 leaving: false,
                 recorded: true,
             });
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::{Millis, ServiceId, TargetClaim, ZoneId};
+use weirhinge_fleet::{Millis, ServiceId, TargetClaim, TargetLoad, ZoneId};
 
 use crate::view::Candidate;
 
@@ -30,8 +30,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct AgentStatus {
     heard_at: Millis,
-    /// Requests waiting at the target when the agent last spoke.
-    waiting: u32,
+    /// How busy the target was when the agent last spoke.
+    load: TargetLoad,
     /// Opening packets sent since then.
     sent_since: u32,
     /// When the oldest opening packet without an answer was sent.
@@ -116,11 +116,11 @@
         hears_nobody || reaches_nobody
     }
 
-    /// Records a sign of life with the number of requests waiting at the target.
-    pub fn heard(&mut self, agent: Ipv4Addr, waiting: u32, now: Millis) {
+    /// Records a sign of life with how busy the target is.
+    pub fn heard(&mut self, agent: Ipv4Addr, load: TargetLoad, now: Millis) {
         let status = self.statuses.entry(agent).or_default();
         status.heard_at = now;
-        status.waiting = waiting;
+        status.load = load;
         status.sent_since = 0;
         status.unanswered_since = None;
         status.ignored_search_at = None;
@@ -134,7 +134,7 @@
     pub fn claimed(&mut self, agent: Ipv4Addr, zone: ZoneId, claim: &TargetClaim, now: Millis) {
         let status = self.statuses.entry(agent).or_default();
         status.heard_at = now;
-        status.waiting = claim.waiting;
+        status.load = claim.load;
         status.sent_since = 0;
         status.leaving_at = claim.leaving.then_some(now);
         // Digests that were sent before the last word may come after it.
@@ -218,7 +218,7 @@
 
     /// Requests believed to wait at the agent's target.
     pub fn load(&self, agent: Ipv4Addr) -> u32 {
-        self.statuses.get(&agent).map_or(0, |status| status.waiting + status.sent_since)
+        self.statuses.get(&agent).map_or(0, |status| status.load.waiting + status.sent_since)
     }
 
     /// Milliseconds since the agent was last heard.
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -7,7 +7,7 @@
 
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::{Millis, ReturnReason, ServiceId, TargetClaim, Timing, ZoneId};
+use weirhinge_fleet::{Millis, ReturnReason, ServiceId, TargetClaim, TargetLoad, Timing, ZoneId};
 
 pub use decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
 
@@ -40,6 +40,9 @@
     pub helpers: &'a [Ipv4Addr],
     /// The time.
     pub now: Millis,
+    /// The time of day, in milliseconds since 1970. Machines disagree on it, and it may
+    /// jump.
+    pub unix_ms: u64,
 }
 
 /// What a balancer's machine gives it.
@@ -181,10 +184,10 @@
         flow: FlowKey,
         from: Ipv4Addr,
         confirmed: bool,
-        waiting: u32,
+        load: impl Into<TargetLoad>,
         now: Millis,
     ) -> Option<Millis> {
-        self.statuses.heard(from, waiting, now);
+        self.statuses.heard(from, load.into(), now);
         let entry = self.flows.get_mut(&flow)?;
         let was_opening = entry.stage == FlowStage::Opening;
         if matches!(entry.stage, FlowStage::Searching | FlowStage::Unheld) {
@@ -200,8 +203,8 @@
     }
 
     /// Takes in an agent's sign of life that came with an answer to a packet.
-    pub fn heard(&mut self, agent: Ipv4Addr, waiting: u32, now: Millis) {
-        self.statuses.heard(agent, waiting, now);
+    pub fn heard(&mut self, agent: Ipv4Addr, load: impl Into<TargetLoad>, now: Millis) {
+        self.statuses.heard(agent, load.into(), now);
     }
 
     /// Takes in the word of an agent, which runs in `zone`, about the target beside it.
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -23,6 +23,8 @@
     parts: Vec<(ServiceId, u32)>,
     priority: u32,
     urgent: bool,
+    objective_ms: Option<Millis>,
+    timeout_ms: Option<Millis>,
     /// Regions that its packets must not leave; none if they may go anywhere.
     permitted_regions: Option<HashSet<RegionId>>,
 }
@@ -48,6 +50,16 @@
         self.urgent
     }
 
+    /// Milliseconds within which callers expect an answer, if the route states them.
+    pub fn objective_ms(&self) -> Option<Millis> {
+        self.objective_ms
+    }
+
+    /// Milliseconds after which callers give up, if the route states them.
+    pub fn timeout_ms(&self) -> Option<Millis> {
+        self.timeout_ms
+    }
+
     /// Whether packets of the route may go to a daemon in this region; one whose region is
     /// not known counts as outside.
     pub fn allows(&self, region: Option<RegionId>) -> bool {
@@ -197,6 +209,8 @@
                 parts,
                 priority: route.priority,
                 urgent: false,
+                objective_ms: route.objective_ms,
+                timeout_ms: route.timeout_ms,
                 permitted_regions: (!route.permitted_regions.is_empty()).then(|| allowed.collect()),
             };
             view.routes.insert(route.endpoint(), choice);
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -317,6 +317,8 @@
         port,
         parts: vec![RoutePart { service: service.to_owned(), weight: 1 }],
         priority,
+        objective_ms: None,
+        timeout_ms: None,
         ..Route::default()
     };
     let mut store = Store::with_targets(3);
--- a/crates/steering/tests/home_regions.rs
+++ b/crates/steering/tests/home_regions.rs
@@ -18,6 +18,8 @@
         port: endpoint().port(),
         parts: vec![RoutePart { service: SERVICE.to_owned(), weight: 1 }],
         priority: 2,
+        objective_ms: None,
+        timeout_ms: None,
         permitted_regions: allowed.iter().map(|region| (*region).to_owned()).collect(),
     }]);
     for number in [1, 2, 51, 52] {
--- a/crates/steering/tests/support/fixture.rs
+++ b/crates/steering/tests/support/fixture.rs
@@ -22,17 +22,18 @@
     }
 
     pub fn context(&self, now: u64) -> Context<'_> {
-        Context { view: &self.view, fresh: self.fresh, helpers: &[], now }
+        Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 }
     }
 
     /// Decides about a client's packet without the time for unknown flows.
     pub fn pressed(&mut self, head: &PacketHead, helpers: &[Ipv4Addr], now: u64) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, helpers, now };
+        let context = Context { view: &self.view, fresh: self.fresh, helpers, now, unix_ms: 0 };
         self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
     }
 
     pub fn client(&mut self, head: &PacketHead, now: u64) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
+        let context =
+            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
         self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
     }
 
@@ -43,7 +44,8 @@
         reason: ReturnReason,
         now: u64,
     ) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
+        let context =
+            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
         let packet = ClientPacket { head, bytes: b"packet" };
         self.balancer.returned_packet(&context, packet, from, reason)
     }
@@ -58,17 +60,20 @@
     }
 
     pub fn search_again(&mut self, head: &PacketHead, now: u64) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
+        let context =
+            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
         self.balancer.search_again(&context, ClientPacket { head, bytes: b"packet" })
     }
 
     pub fn due_undecided(&mut self, now: u64) -> Vec<(PacketHead, Vec<u8>)> {
-        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
+        let context =
+            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
         self.balancer.due_undecided(&context)
     }
 
     pub fn decide_again(&mut self, head: &PacketHead, now: u64) -> Option<Decision> {
-        let context = Context { view: &self.view, fresh: self.fresh, helpers: &[], now };
+        let context =
+            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
         self.balancer.decide_again(&context, ClientPacket { head, bytes: b"packet" })
     }
 
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -9,8 +9,8 @@
 
 use weirhinge_fleet::{
     ColdStartPolicy, Configuration, EvacuatedZones, Position, Replica, Route, RoutePart,
-    TargetClaim, TargetRecord, TargetState, Update, VersionedConfiguration, VersionedTarget,
-    ZoneNews,
+    TargetClaim, TargetLoad, TargetRecord, TargetState, Update, VersionedConfiguration,
+    VersionedTarget, ZoneNews,
 };
 use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, Locality, PacketHead};
 
@@ -123,6 +123,8 @@
             port: endpoint().port(),
             parts: parts.collect(),
             priority: 2,
+            objective_ms: None,
+            timeout_ms: None,
             ..Route::default()
         };
         self.configure(vec![route]);
@@ -225,7 +227,7 @@
     TargetClaim {
         service: service.to_owned(),
         alive: true,
-        waiting: 0,
+        load: TargetLoad::default(),
         leaving: false,
         recorded: true,
     }
