Decide from the expected wait and the caller's rank whether an opening may wait

Cause: an opening that finds no room waits until its time is over, whoever sent it; in a crowd all callers wait, and most in vain.

Change: two pure modules, not called yet. `caller_rank` ranks callers by a hash of their address that moves with each epoch, equal on all balancers. `queue_delay` holds the rate at which waiting openings find room, counted over time in which some wait, and decides from the expected wait, the budget and the rank. Until the first admission eight may wait; an opening without a budget may not.

Ruled out: a rate over all time, since a queue that was empty for a moment would look as if no room came; one window only, since a rate of two a second is seen in 250 ms as four or none.

Three ranks are checked against another implementation of SipHash.

--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -2,6 +2,7 @@
 
 mod decision;
 mod opening;
+mod queue_delay;
 mod search;
 mod undecided;
 
@@ -10,6 +11,7 @@
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId, TargetClaim, TargetLoad, Timing, ZoneId};
 
 pub use decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
+pub use queue_delay::{AdmissionRate, may_wait};
 
 use crate::agent_status::AgentStatuses;
 use crate::flow_table::{FlowEntry, FlowStage, FlowTable};
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -11,6 +11,7 @@
 mod agent_status;
 mod arrival;
 mod balancer;
+mod caller_rank;
 mod flow_table;
 mod overload;
 mod packet;
@@ -28,9 +29,10 @@
 pub use agent_status::AgentStatuses;
 pub use arrival::Arrival;
 pub use balancer::{
-    Balancer, BalancerLimits, ClientPacket, Context, Decision, DropReason, Forward, ForwardReason,
-    ResetReason, SelectionInputs,
+    AdmissionRate, Balancer, BalancerLimits, ClientPacket, Context, Decision, DropReason, Forward,
+    ForwardReason, ResetReason, SelectionInputs, may_wait,
 };
+pub use caller_rank::{CallerRank, RANK_EPOCH_MS, caller_rank};
 pub use flow_table::{FlowEntry, FlowStage, FlowTable};
 pub use overload::{OverloadMonitor, PeerLoad};
 pub use packet::{AnswerStatus, Flags, FlowKey, MalformedPacket, PacketHead};
