Rank callers with more than their share behind the others

Cause: a caller that opens many flows at once takes the places in the queue before callers with one are there.

Change: `caller_shares` counts the openings of each caller that wait or were admitted in the last second (at most 1,024 of these), and puts a caller with more than the mean of the others behind all ranks, the further the more it has. It may then wait less than a quarter of its budget, down to nothing. A caller on its own keeps its rank. While the rate is not known, the number that may wait goes by the rank as well.

Ruled out: counting an equal share as too much already. A caller's last opening still counts when its next one comes, so that callers with one opening a second were behind the others every other second (11 of 39 served, where 30 of 41 openings a second have room).

Tests: forty callers with one opening a second and one with fifty. With room for 60 and 75 a second at most 2 percent of the forty's openings are refused, and the heavy caller gets what is left. With room for 30, all get at least half an opening a second over a hundred epochs, the heavy caller at most three. Over ten epochs one of the forty got 18 of 39: the queue has six places then, and ranks even out over more epochs than that. `cargo test -p weirhinge-steering` passes.

--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -1,5 +1,6 @@
 //! A balancer's decisions about packets.
 
+mod caller_shares;
 mod decision;
 mod opening;
 mod queue_delay;
@@ -10,6 +11,7 @@
 
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId, TargetClaim, TargetLoad, Timing, ZoneId};
 
+pub use caller_shares::CallerShares;
 pub use decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
 pub use queue_delay::{AdmissionRate, may_wait};
 
--- a/crates/steering/src/balancer/queue_delay.rs
+++ b/crates/steering/src/balancer/queue_delay.rs
@@ -20,8 +20,8 @@
 const FEW_ADMISSIONS: u64 = 4;
 /// Time without waiting openings after which the rate that was found says nothing.
 const FORGET_MS: Millis = 1_000;
-/// Openings that may wait while the rate is not known yet.
-const WAITING_AT_UNKNOWN_RATE: usize = 8;
+/// Most openings ahead of one that may wait while the rate is not known yet.
+const MOST_AHEAD_AT_UNKNOWN_RATE: u64 = 7;
 
 /// Rate at which waiting openings of one class and service find room.
 ///
@@ -146,7 +146,8 @@
 }
 
 /// Whether an opening may wait behind `ahead` others, with `budget_ms` left in which its
-/// answer would still be in time. The caller ranked last may wait a quarter of its budget.
+/// answer would still be in time. Of callers with no more than their share, the one ranked
+/// last may wait a quarter of its budget.
 pub fn may_wait(
     expected_wait: Option<Millis>,
     ahead: usize,
@@ -157,16 +158,17 @@
         return false;
     }
     match expected_wait {
-        Some(wait) => wait <= longest_wait(budget_ms, rank),
-        None => ahead < WAITING_AT_UNKNOWN_RATE,
+        Some(wait) => wait <= ranked_part(budget_ms, rank),
+        None => ahead as u64 <= ranked_part(MOST_AHEAD_AT_UNKNOWN_RATE, rank),
     }
 }
 
-/// `budget * (1 - 0.75 * rank)`, the rank being between 0 and 1.
-fn longest_wait(budget_ms: Millis, rank: CallerRank) -> Millis {
+/// `whole * (1 - 0.75 * rank)`, the rank of a caller with no more than its share being
+/// between 0 and 1.
+fn ranked_part(whole: u64, rank: CallerRank) -> u64 {
     const RANGE: u64 = 1 << 16;
-    let share = 4 * RANGE - 3 * u64::from(rank.value());
-    budget_ms.saturating_mul(share) / (4 * RANGE)
+    let share = (4 * RANGE).saturating_sub(3 * u64::from(rank.value()));
+    whole.saturating_mul(share) / (4 * RANGE)
 }
 
 fn slot(bucket: u64) -> usize {
--- a/crates/steering/src/caller_rank.rs
+++ b/crates/steering/src/caller_rank.rs
@@ -19,25 +19,44 @@
 /// epochs leads back to the same rank.
 const EPOCH_STEP: u16 = 40_503;
 
-/// A caller's place among the others: 0 is served first, 65,535 is refused first.
+/// Units of the range of ranks of callers that have no more than their share.
+const RANGE: u32 = 1 << 16;
+/// Units behind that range for callers that have more: a wait is allowed to
+/// `1 - 0.75 * rank` of its budget, which is nothing at their end.
+const OVER_SHARE: u32 = RANGE / 3;
+
+/// A caller's place among the others. Of callers that have no more than their share, 0 is
+/// served first and 65,535 is refused first; those with more come behind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CallerRank(u16);
+pub struct CallerRank(u32);
 
 impl CallerRank {
     /// Who goes before all others.
     pub const SERVED_FIRST: CallerRank = CallerRank(0);
-    /// Who is refused before all others.
-    pub const REFUSED_FIRST: CallerRank = CallerRank(u16::MAX);
+    /// Who is refused first of those that have no more than their share.
+    pub const REFUSED_FIRST: CallerRank = CallerRank(RANGE - 1);
 
     /// The rank in units of a 65,536th of the range.
-    pub fn value(self) -> u16 {
+    pub fn value(self) -> u32 {
         self.0
     }
+
+    /// The rank of a caller that has its share so many times already: behind all that have
+    /// it fewer times, and in the order of their ranks among equals.
+    pub fn with_shares(self, times: u32) -> Self {
+        if times == 0 {
+            return self;
+        }
+        let begin = OVER_SHARE - OVER_SHARE / times;
+        let width = OVER_SHARE / times - OVER_SHARE / times.saturating_add(1);
+        let place = self.0.min(RANGE - 1) / 16 * width / (RANGE / 16);
+        Self(RANGE + begin + place)
+    }
 }
 
 impl From<u16> for CallerRank {
     fn from(value: u16) -> Self {
-        Self(value)
+        Self(u32::from(value))
     }
 }
 
@@ -48,7 +67,7 @@
     let base = hash as u16;
     let epoch_shift = (hash >> 16) % RANK_EPOCH_MS;
     let epoch = unix_ms.wrapping_add(epoch_shift) / RANK_EPOCH_MS;
-    CallerRank(base.wrapping_add((epoch as u16).wrapping_mul(EPOCH_STEP)))
+    CallerRank::from(base.wrapping_add((epoch as u16).wrapping_mul(EPOCH_STEP)))
 }
 
 /// A hash that is equal in all daemons.
