Tell who is served, waits and is refused by zone, route and caller

Cause: an operator whose callers are refused could see how many, but not whether room is short for all, one caller takes it, or a part of the fleet fails.

--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -5,6 +5,7 @@
 mod line_writer;
 mod logging;
 mod metrics;
+mod route_load;
 mod story;
 mod timeline;
 
@@ -12,6 +13,7 @@
 pub use line_writer::{LineWriter, Lines};
 pub use logging::{LogFormat, LogOptions, LogOutput, Logging};
 pub use metrics::{Counter, Gauge, Histogram, Metrics, ReasonCounters};
+pub use route_load::{CallerLoad, OpeningCounts, RouteCallers, ZoneLoad};
 pub use story::{LogLine, Story, StoryLine, Subject};
 pub use timeline::{
     IdleDaemon, Interval, StartWave, StepLength, Timeline, TimelineOptions, TimelineReport,
--- a/crates/observe/src/timeline.rs
+++ b/crates/observe/src/timeline.rs
@@ -1,5 +1,6 @@
 //! What a fleet did over time: counts of its log lines in intervals, starts and what came
-//! after them, daemons that served nothing while others did, and how long steps took.
+//! after them, daemons that served nothing while others did, how long steps took, and who
+//! was served, waited and was refused.
 //!
 //! Lines are read one after the other and none is kept, so that the logs of a long day of
 //! a large fleet need little memory. What is kept is bounded: intervals, and flows whose
@@ -10,6 +11,7 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::route_load::{RouteCallers, RouteLoads, ZoneLoad};
 use crate::story::LogLine;
 
 /// Most intervals that are told; lines beyond them are counted as left out.
@@ -115,9 +117,14 @@
     pub idle: Vec<IdleDaemon>,
     /// How long steps took.
     pub steps: Vec<StepLength>,
+    /// What became of openings, by zone and route.
+    pub zones: Vec<ZoneLoad>,
+    /// How callers fared, by route.
+    pub callers: Vec<RouteCallers>,
     /// Lines that could not be read.
     pub unreadable: u64,
-    /// Lines of moments that are too many intervals away, or of too many flows at a time.
+    /// Lines of moments that are too many intervals away, or of too many flows at a time or
+    /// callers.
     pub left_out: u64,
 }
 
@@ -135,6 +142,7 @@
     spoke: BTreeMap<String, BTreeSet<i64>>,
     searches: Lengths,
     openings: Lengths,
+    route_loads: RouteLoads,
     unreadable: u64,
     left_out: u64,
 }
@@ -202,6 +210,7 @@
 
     fn take(&mut self, line: &LogLine) {
         let at_ms = line.at_ms - *self.first_at.get_or_insert(line.at_ms);
+        self.route_loads.learn_zone(line);
         let is_inside = (self.options.from_ms..self.options.to_ms).contains(&at_ms);
         if !is_inside || !line.node.starts_with(&self.options.node) {
             return;
@@ -210,6 +219,7 @@
         self.note_marks(line, at_ms);
         self.note_served(line, at_ms);
         self.note_steps(line, at_ms);
+        self.left_out += u64::from(!self.route_loads.take(line));
     }
 
     fn count(&mut self, line: &LogLine, at_ms: i64) {
@@ -235,7 +245,7 @@
             ("configuration", _) => Mark::Configuration,
             ("answered", _) => Mark::Answer,
             ("reset", Some("nobody_holds")) => Mark::Reset,
-            ("reset", Some("refused" | "no_target" | "evacuated")) => Mark::Refusal,
+            ("reset", Some("overloaded" | "refused" | "no_target" | "evacuated")) => Mark::Refusal,
             _ => return,
         };
         self.marks.entry(mark).or_default().push(at_ms);
@@ -285,6 +295,8 @@
             waves: self.waves(),
             idle: self.idle(),
             steps: steps.into_iter().flatten().collect(),
+            zones: self.route_loads.zones(),
+            callers: self.route_loads.callers(),
             unreadable: self.unreadable,
             left_out: self.left_out,
         }
--- a/crates/weirhinge/src/cli/timeline.rs
+++ b/crates/weirhinge/src/cli/timeline.rs
@@ -6,7 +6,8 @@
 use eyre::WrapErr;
 use pico_args::Arguments;
 use weirhinge_observe::{
-    IdleDaemon, Interval, StartWave, Timeline, TimelineOptions, TimelineReport,
+    CallerLoad, IdleDaemon, Interval, OpeningCounts, RouteCallers, StartWave, Timeline,
+    TimelineOptions, TimelineReport, ZoneLoad,
 };
 
 use super::CliFailure;
@@ -76,9 +77,12 @@
         let (name, count) = (step.step, step.count);
         format!("step: {name}: {count}, p50 {} ms, p99 {} ms\n", step.p50_ms, step.p99_ms)
     });
+    let zones = report.zones.iter().map(format_zone);
+    let callers = report.callers.iter().map(format_callers);
     let (unreadable, left_out) = (report.unreadable, report.left_out);
     let end = format!("{unreadable} lines could not be read, {left_out} were left out\n");
-    intervals.chain(waves).chain(idle).chain(steps).chain([end]).collect()
+    let load = zones.chain(callers);
+    intervals.chain(waves).chain(idle).chain(steps).chain(load).chain([end]).collect()
 }
 
 fn seconds(at_ms: i64) -> String {
@@ -114,3 +118,33 @@
     let (from, to) = (seconds(idle.from_ms), seconds(idle.to_ms));
     format!("idle: {} served nothing from {from} to {to} while others did\n", idle.node)
 }
+
+fn format_zone(load: &ZoneLoad) -> String {
+    format!("openings: zone {}, route {}: {}\n", load.zone, load.route, counts(&load.openings))
+}
+
+fn format_callers(route: &RouteCallers) -> String {
+    format!(
+        "callers: route {}: {}, {} refused at least once, {} never served; most openings {}; \
+         most refused {}\n",
+        route.route,
+        route.callers,
+        route.refused,
+        route.never_served,
+        format_caller(&route.heaviest),
+        format_caller(&route.most_refused),
+    )
+}
+
+fn format_caller(load: &CallerLoad) -> String {
+    format!("{} ({})", load.caller, counts(&load.openings))
+}
+
+fn counts(openings: &OpeningCounts) -> String {
+    let OpeningCounts { served, waited, refused, refused_after_wait } = openings;
+    let at_once = refused - refused_after_wait;
+    format!(
+        "{served} served, {waited} waited, {at_once} refused at once, {refused_after_wait} after \
+         a wait"
+    )
+}
--- a/crates/weirhinge/tests/cli.rs
+++ b/crates/weirhinge/tests/cli.rs
@@ -133,3 +133,30 @@
     assert_snapshot!(errors(&["explain", "--timeline", "--every", "0"]), @"weirhinge: argument --every: found 0, expected at least 1 millisecond");
     assert_snapshot!(errors(&["explain", "--node", "a", "--fast"]), @r#"weirhinge: argument "--fast": not known, see --help"#);
 }
+
+#[test]
+fn a_timeline_tells_who_was_served_waited_and_was_refused() {
+    let line = |node: &str, event: &str, fields: &str| {
+        format!(
+            "{{\"ts\":\"2026-01-01T00:00:01.000Z\",\"node\":\"{node}\",\
+             \"event\":\"{event}\",\"msg\":\"m\"{fields}}}\n"
+        )
+    };
+    let flow = |caller: &str| format!(",\"flow\":\"{caller}:1050>198.18.0.1:443\"");
+    let text = [
+        line("b-1", "start", ",\"zone\":\"east\""),
+        line("b-1", "queued", &flow("10.0.0.1")),
+        line("b-1", "reset", &(flow("10.0.0.2") + ",\"outcome\":\"overloaded\"")),
+        line("a-1", "start", ",\"zone\":\"east\",\"service\":\"sheets\""),
+        line("a-1", "answered", &(flow("10.0.0.1") + ",\"confirmed\":false")),
+    ];
+    let path = write_file("crowd.log", &text.concat());
+    let output = weirhinge(&["explain", "--timeline", &path.display().to_string()]);
+    assert_eq!(output.status.code(), Some(0));
+    let told = String::from_utf8(output.stdout).expect("text");
+    let load = told.lines().filter(|line| line.contains("route")).collect::<Vec<_>>().join("\n");
+    assert_snapshot!(load, @"
+    openings: zone east, route 198.18.0.1:443: 1 served, 1 waited, 1 refused at once, 0 after a wait
+    callers: route 198.18.0.1:443: 2, 1 refused at least once, 1 never served; most openings 10.0.0.2 (0 served, 0 waited, 1 refused at once, 0 after a wait); most refused 10.0.0.2 (0 served, 0 waited, 1 refused at once, 0 after a wait)
+    ");
+}
