--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -1,7 +1,9 @@
 //! A balancer's decisions about packets.
 
+mod caller_shares;
 mod decision;
 mod opening;
+mod queue_delay;
 mod search;
 mod undecided;
 
@@ -9,7 +11,9 @@
 
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId, TargetClaim, TargetLoad, Timing, ZoneId};
 
+pub use caller_shares::CallerShares;
 pub use decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
+pub use queue_delay::{AdmissionRate, may_wait};
 
 use crate::agent_status::AgentStatuses;
 use crate::flow_table::{FlowEntry, FlowStage, FlowTable};
