Let openings wait at the balancer for the first target with room

Cause: an opening that found two targets busy waited at one of them, however long that took, while others became idle; it was refused only after its wait.

Change, for routes that state an objective: an opening that comes back busy, or finds others of its class waiting, queues at the balancer (`opening_queue`, `late_binding`), which asks two agents for room and two further ones every 25 ms without a grant. A grant takes the first opening, urgent ones before others but for one in eight. Whether one may wait at all is decided from the rate of grants, what is left of its objective, and its caller's rank; who may not is reset at once as `overloaded`, with what was weighed in the log line. A reset is sent only if no target can have opened the flow; otherwise the packet is dropped. A budget that ends refuses, so that a queue without grants empties and targets are tried directly again. A grant does not count as an answer of the target: one that leaves granted openings unanswered gets no more.

Ruled out: a granted opening whose copy comes more than 150 ms later goes to the same target again. That target counts as silent then, as for all openings.

Conclusion: the balancer's side is whole on its own; not run with granting agents yet.

--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! The balancer daemon.
 
 mod intake;
+mod queueing;
 mod resting;
 mod watch;
 
@@ -13,11 +14,11 @@
 use slog::{Logger, info};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use weirhinge_fleet::{Millis, PeerMessage, PeerRole, SearchPath, decode};
+use weirhinge_fleet::{Millis, PeerMessage, PeerRole, SearchPath, ServiceId, decode};
 use weirhinge_observe::Metrics;
 use weirhinge_steering::{
     Balancer, BalancerLimits, ClientPacket, Context, Decision, DropReason, FlowKey, Forward,
-    ForwardReason, PacketHead,
+    ForwardReason, PacketHead, ResetReason, RoomGrant,
 };
 
 use crate::backlog::Backlog;
@@ -217,12 +218,13 @@
             PeerMessage::HandOff { packet } => self.handed_packet(packet, now),
             PeerMessage::TargetEnded => self.core.borrow_mut().target_ended(sender, now),
             PeerMessage::ProbeAnswer => self.core.borrow_mut().reached(now),
-            PeerMessage::Grant { load, .. } => {
-                self.core.borrow_mut().heard(sender, load, now);
-                self.link.send(sender, &PeerMessage::Declined);
+            PeerMessage::Grant { service, urgent_only, load } => {
+                let service = ServiceId(service);
+                let grant = RoomGrant { agent: sender, service, urgent_only, load };
+                self.take_grant(&grant, now);
             }
-            PeerMessage::Declined => self.link.refuse_unexpected(),
             PeerMessage::Forward { .. }
+            | PeerMessage::Declined
             | PeerMessage::Record(_)
             | PeerMessage::Probe
             | PeerMessage::Demand { .. } => {
@@ -253,7 +255,12 @@
             }
             Decision::Reset { sequence, reason } => {
                 self.metrics.resets.increment(reason.label());
-                self.decisions.reset(&flow, reason.label(), self.basis(now), now);
+                match reason {
+                    ResetReason::Overloaded { inputs } => {
+                        self.decisions.refused(&flow, inputs, self.basis(now), now);
+                    }
+                    _ => self.decisions.reset(&flow, reason.label(), self.basis(now), now),
+                }
                 let reset = self.platform.build_reset(&flow, sequence);
                 let client = SocketAddrV4::new(*flow.client.ip(), self.client_port);
                 // Like any datagram, a reset may be lost; the client asks again.
@@ -263,6 +270,13 @@
                 self.metrics.handed_off.inc();
                 self.link.send(helper, &PeerMessage::HandOff { packet });
             }
+            Decision::Queue { ask, service, demand, inputs } => {
+                self.packet_rests.notify_one();
+                self.metrics.openings_queued.inc();
+                self.decisions.queued(&flow, inputs, now);
+                self.ask_for_room(&ask, service, demand);
+                self.show_queue_length();
+            }
             Decision::Drop(DropReason::SearchEnded | DropReason::SearchGoesOn) => {}
             Decision::Drop(DropReason::SearchWaits { .. }) => {
                 self.packet_rests.notify_one();
@@ -284,7 +298,7 @@
             search: forward.is_search().then(|| self.search_path(next)),
             may_wait: forward.may_wait(),
             urgent: forward.urgent,
-            granted: None,
+            granted: forward.granted,
             packet,
         };
         self.link.send(agent, &message);
--- a/crates/relay/src/balancer/resting.rs
+++ b/crates/relay/src/balancer/resting.rs
@@ -1,4 +1,5 @@
-//! Packets that rest here: their way is not known yet, or their search goes on.
+//! Packets that rest here: their way is not known yet, their search goes on, or they wait
+//! for room.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,14 +16,15 @@
 const SHORTEST_REST_MS: Millis = 4;
 
 impl<P: Platform> Daemon<P> {
-    /// Goes on with searches that a silent target holds up, and with packets that came
-    /// before it was known where they could go.
+    /// Goes on with searches that a silent target holds up, with packets that came before
+    /// it was known where they could go, and with openings that wait for room.
     pub(super) async fn continue_resting(self: Rc<Self>) {
         loop {
             self.rest_until_due().await;
             let now = self.clock.now();
             self.continue_searches(now);
             self.decide_undecided(now);
+            self.continue_queue(now);
         }
     }
 
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -5,7 +5,7 @@
 
 use slog::{Logger, info};
 use weirhinge_fleet::Millis;
-use weirhinge_steering::{DropReason, FlowKey, SelectionInputs, VersionLabel};
+use weirhinge_steering::{DropReason, FlowKey, QueueInputs, SelectionInputs, VersionLabel};
 
 /// Most lines of one kind in each interval.
 const LINES_PER_INTERVAL: u32 = 300;
@@ -133,6 +133,26 @@
         }
     }
 
+    /// A flow's opening packet was refused, as no target has room in time.
+    pub fn refused(&self, flow: &FlowKey, inputs: QueueInputs, basis: Basis, now: Millis) {
+        if self.resets.allows("reset", &self.log, now) {
+            info!(self.log, "balancer: opening refused"; "event" => "reset",
+                "flow" => flow_text(flow), "outcome" => "overloaded", "ahead" => inputs.ahead,
+                "expected_wait_ms" => inputs.expected_wait_ms, "budget_ms" => inputs.budget_ms,
+                "configuration" => basis.configuration.map(|label| label.version),
+                "revision" => basis.revision, "age_ms" => basis.age_ms);
+        }
+    }
+
+    /// A flow's opening packet waits until a target has room.
+    pub fn queued(&self, flow: &FlowKey, inputs: QueueInputs, now: Millis) {
+        if self.openings.allows("queued", &self.log, now) {
+            info!(self.log, "balancer: opening waits for room"; "event" => "queued",
+                "flow" => flow_text(flow), "ahead" => inputs.ahead,
+                "expected_wait_ms" => inputs.expected_wait_ms, "budget_ms" => inputs.budget_ms);
+        }
+    }
+
     /// A flow was reset, as the target started again and sent its packet back.
     pub fn reset_lost(&self, flow: &FlowKey, now: Millis) {
         if self.resets.allows("reset", &self.log, now) {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -24,6 +24,14 @@
     pub opening_seconds: Histogram,
     /// Seconds of one decision.
     pub decision_seconds: Histogram,
+    /// Opening packets that began to wait here for room.
+    pub openings_queued: Counter,
+    /// Opening packets that wait here for room now.
+    pub queue_length: Gauge,
+    /// Seconds for which opening packets that found room waited here.
+    pub queue_seconds: Histogram,
+    /// Grants of room by agents, by what became of them.
+    pub grants: ReasonCounters,
 }
 
 impl BalancerMetrics {
@@ -45,6 +53,14 @@
                 "Seconds from forwarding an opening packet to the target's answer",
             ),
             decision_seconds: metrics.histogram("decision_seconds", "Seconds of one decision"),
+            openings_queued: metrics
+                .counter("openings_queued", "Opening packets that began to wait for room"),
+            queue_length: metrics.gauge("queue_length", "Opening packets that wait for room"),
+            queue_seconds: metrics.histogram(
+                "queue_seconds",
+                "Seconds for which opening packets that found room waited",
+            ),
+            grants: metrics.reasons("room_grants", "Grants of room by agents"),
         }
     }
 }
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -129,6 +129,16 @@
         self.reached(now);
     }
 
+    /// Records an agent's word that its target has room. Unlike an answer to a packet it
+    /// does not show that the target answers.
+    pub fn granted(&mut self, agent: Ipv4Addr, load: TargetLoad, now: Millis) {
+        let status = self.statuses.entry(agent).or_default();
+        status.heard_at = now;
+        status.load = load;
+        status.sent_since = 0;
+        self.reached(now);
+    }
+
     /// Records an agent's word about its target. Unlike an answer to a packet it
     /// does not show that the target works.
     pub fn claimed(&mut self, agent: Ipv4Addr, zone: ZoneId, claim: &TargetClaim, now: Millis) {
@@ -221,6 +231,11 @@
         self.statuses.get(&agent).map_or(0, |status| status.load.waiting + status.sent_since)
     }
 
+    /// How busy the target was when the agent last spoke.
+    pub fn target_load(&self, agent: Ipv4Addr) -> TargetLoad {
+        self.statuses.get(&agent).map_or_else(TargetLoad::default, |status| status.load)
+    }
+
     /// Milliseconds since the agent was last heard.
     pub fn age(&self, agent: Ipv4Addr, now: Millis) -> Option<Millis> {
         let status = self.statuses.get(&agent).filter(|status| status.heard_at > 0)?;
--- a/crates/steering/src/balancer/decision.rs
+++ b/crates/steering/src/balancer/decision.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::{Millis, ServiceId};
+use weirhinge_fleet::{Millis, OpeningDemand, ServiceId};
 
 /// Why a packet was forwarded where it was.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     OpeningMoved,
     /// The previous target sent the opening packet back.
     OpeningReturned,
+    /// The opening packet waited, and this target granted room.
+    OpeningGranted,
     /// All targets compared are busy; the opening packet waits at this one.
     OpeningWaits,
     /// The flow's target is known.
@@ -31,6 +33,7 @@
             ForwardReason::OpeningRepeated => "opening_repeated",
             ForwardReason::OpeningMoved => "opening_moved",
             ForwardReason::OpeningReturned => "opening_returned",
+            ForwardReason::OpeningGranted => "opening_granted",
             ForwardReason::OpeningWaits => "opening_waits",
             ForwardReason::Held => "held",
             ForwardReason::Search => "search",
@@ -38,6 +41,17 @@
     }
 }
 
+/// What was weighed when it was decided whether an opening packet may wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueInputs {
+    /// How many openings of its class waited before it.
+    pub ahead: usize,
+    /// How long it was expected to wait; none while too little was known.
+    pub expected_wait_ms: Option<Millis>,
+    /// For how long it could have waited.
+    pub budget_ms: Millis,
+}
+
 /// Why a flow was reset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResetReason {
@@ -51,6 +65,11 @@
     Refused,
     /// Every target sent the flow's packet back, repeatedly.
     NobodyHolds,
+    /// No target has room in time for its opening packet, which no target has got.
+    Overloaded {
+        /// What was weighed.
+        inputs: QueueInputs,
+    },
 }
 
 impl ResetReason {
@@ -62,6 +81,7 @@
             ResetReason::Evacuated => "evacuated",
             ResetReason::Refused => "refused",
             ResetReason::NobodyHolds => "nobody_holds",
+            ResetReason::Overloaded { .. } => "overloaded",
         }
     }
 }
@@ -86,6 +106,13 @@
     },
     /// The kept copy of a packet is no longer needed.
     SearchEnded,
+    /// The flow's opening packet waits here already.
+    OpeningQueued,
+    /// Another target has got a copy of the opening packet since.
+    OpeningElsewhere,
+    /// No target has room in time for the opening packet, but one that has got a copy of it
+    /// may have opened the flow.
+    OpeningRefused,
 }
 
 impl DropReason {
@@ -99,6 +126,9 @@
             DropReason::SearchGoesOn => "search_goes_on",
             DropReason::SearchWaits { .. } => "search_waits",
             DropReason::SearchEnded => "search_ended",
+            DropReason::OpeningQueued => "opening_queued",
+            DropReason::OpeningElsewhere => "opening_elsewhere",
+            DropReason::OpeningRefused => "opening_refused",
         }
     }
 }
@@ -132,9 +162,25 @@
     pub further_rows: Vec<Vec<Ipv4Addr>>,
     /// What was weighed, if a target was chosen by load.
     pub inputs: Option<SelectionInputs>,
+    /// Set if the packet uses the agent's grant of room: what still waits here.
+    pub granted: Option<OpeningDemand>,
 }
 
 impl Forward {
+    /// A packet's way to one agent.
+    pub(super) fn to(agent: Ipv4Addr, service: ServiceId, reason: ForwardReason) -> Self {
+        Self {
+            agent,
+            service,
+            urgent: false,
+            reason,
+            next: Vec::new(),
+            further_rows: Vec::new(),
+            inputs: None,
+            granted: None,
+        }
+    }
+
     /// Whether the target is only guessed to hold the flow.
     pub fn is_search(&self) -> bool {
         self.reason == ForwardReason::Search
@@ -163,6 +209,17 @@
         /// The balancer.
         helper: Ipv4Addr,
     },
+    /// Let the opening packet wait here until a target has room.
+    Queue {
+        /// Agents to be asked for room.
+        ask: Vec<Ipv4Addr>,
+        /// The service that room is asked for.
+        service: ServiceId,
+        /// What waits for it.
+        demand: OpeningDemand,
+        /// What was weighed.
+        inputs: QueueInputs,
+    },
     /// Do nothing.
     Drop(DropReason),
 }
@@ -170,15 +227,7 @@
 impl Decision {
     /// Forwards a packet to an agent that was not chosen by load.
     pub(super) fn forward(agent: Ipv4Addr, service: ServiceId, reason: ForwardReason) -> Self {
-        Decision::Forward(Forward {
-            agent,
-            service,
-            urgent: false,
-            reason,
-            next: Vec::new(),
-            further_rows: Vec::new(),
-            inputs: None,
-        })
+        Decision::Forward(Forward::to(agent, service, reason))
     }
 
     /// Sends a searching packet along each of these rows of agents: to the first of a
@@ -190,14 +239,8 @@
         let Some((agent, next)) = first_row.split_first() else {
             return Decision::Drop(DropReason::NobodyHoldsYet);
         };
-        Decision::Forward(Forward {
-            agent: *agent,
-            service,
-            urgent: false,
-            reason: ForwardReason::Search,
-            next: next.to_vec(),
-            further_rows: further_rows.to_vec(),
-            inputs: None,
-        })
+        let (next, further_rows) = (next.to_vec(), further_rows.to_vec());
+        let forward = Forward::to(*agent, service, ForwardReason::Search);
+        Decision::Forward(Forward { next, further_rows, ..forward })
     }
 }
--- /dev/null
+++ b/crates/steering/src/balancer/late_binding.rs
@@ -0,0 +1,221 @@
+//! What a balancer keeps of the openings that wait at it: their order, the rate at which they
+//! find room, whom they are of, and which agents were asked for room.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::{Millis, OpeningDemand, ServiceId};
+
+use super::caller_shares::CallerShares;
+use super::opening_queue::{OpeningQueue, QueueClass, QueuedOpening, Turn};
+use super::queue_delay::AdmissionRate;
+use crate::caller_rank::{CallerRank, caller_rank};
+use crate::packet::FlowKey;
+
+/// Agents asked for room at a time.
+const ASKED_AT_ONCE: usize = 2;
+/// How often one agent is asked at most. Its grants are answered with what still waits.
+const ASK_AGAIN_MS: Millis = 100;
+/// How long after the last question or grant further agents are asked: several times a
+/// journey there and back.
+const ASK_FURTHER_MS: Millis = 25;
+/// One grant in so many goes to an opening that is not urgent while both wait.
+const OTHERS_ONE_IN: u32 = 8;
+/// How long a service's typical time of a request counts before it is looked up again.
+const SERVICE_TIME_LIFETIME_MS: Millis = 100;
+/// How long a service is remembered after the last opening waited for it.
+const SERVICE_LIFETIME_MS: Millis = 10_000;
+
+/// What is followed of one service.
+#[derive(Clone, Debug, Default)]
+struct ServiceState {
+    urgent_rate: AdmissionRate,
+    others_rate: AdmissionRate,
+    /// Urgent openings that found room since one of the others did.
+    urgent_in_row: u32,
+    /// When an opening last found room or agents were asked.
+    moved_at: Millis,
+    /// The time of one request, and when it was looked up.
+    service_ms: Option<(Millis, Millis)>,
+}
+
+impl ServiceState {
+    fn rate(&mut self, urgent: bool) -> &mut AdmissionRate {
+        if urgent { &mut self.urgent_rate } else { &mut self.others_rate }
+    }
+}
+
+/// The openings that wait, and what decides about them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LateBinding {
+    queue: OpeningQueue,
+    shares: CallerShares,
+    services: HashMap<ServiceId, ServiceState>,
+    /// When each agent was last asked for room.
+    asked_at: HashMap<Ipv4Addr, Millis>,
+}
+
+impl LateBinding {
+    /// Lets an opening wait. Returns whether there was a place.
+    pub(super) fn push(&mut self, opening: QueuedOpening, turn: Turn, now: Millis) -> bool {
+        let (class, caller) = (opening.class, *opening.head.source.ip());
+        if !self.queue.push(opening, turn) {
+            return false;
+        }
+        self.shares.waits(caller);
+        self.service(class.service).rate(class.urgent).waiting_began(now);
+        true
+    }
+
+    /// Takes out an opening that found room.
+    pub(super) fn admit(&mut self, flow: &FlowKey, now: Millis) -> Option<QueuedOpening> {
+        let opening = self.queue.remove(flow)?;
+        let class = opening.class;
+        self.shares.admitted(*flow.client.ip(), now);
+        let state = self.service(class.service);
+        state.rate(class.urgent).admitted(now);
+        state.moved_at = now;
+        state.urgent_in_row = if class.urgent { state.urgent_in_row + 1 } else { 0 };
+        self.note_left(class, now);
+        Some(opening)
+    }
+
+    /// Takes out an opening that waits for room no longer.
+    pub(super) fn give_up(&mut self, flow: &FlowKey, now: Millis) -> Option<QueuedOpening> {
+        let opening = self.queue.remove(flow)?;
+        self.shares.gave_up(*flow.client.ip());
+        self.note_left(opening.class, now);
+        Some(opening)
+    }
+
+    /// Takes out an opening whose budget has ended.
+    pub(super) fn take_overdue(&mut self, now: Millis) -> Option<QueuedOpening> {
+        let opening = self.queue.take_overdue(now)?;
+        self.shares.gave_up(*opening.head.source.ip());
+        self.note_left(opening.class, now);
+        Some(opening)
+    }
+
+    fn note_left(&mut self, class: QueueClass, now: Millis) {
+        if self.queue.waiting(class) == 0 {
+            self.service(class.service).rate(class.urgent).waiting_ended(now);
+        }
+    }
+
+    fn service(&mut self, service: ServiceId) -> &mut ServiceState {
+        self.services.entry(service).or_default()
+    }
+
+    /// Whether a flow's opening waits.
+    pub(super) fn contains(&self, flow: &FlowKey) -> bool {
+        self.queue.contains(flow)
+    }
+
+    /// How many openings of a class wait.
+    pub(super) fn waiting(&self, class: QueueClass) -> usize {
+        self.queue.waiting(class)
+    }
+
+    /// How many openings wait.
+    pub(super) fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// What waits for a service.
+    pub(super) fn demand(&self, service: ServiceId, now: Millis) -> OpeningDemand {
+        self.queue.demand(service, now)
+    }
+
+    /// How long an opening with so many before it waits; none while too little is known.
+    pub(super) fn expected_wait(
+        &mut self,
+        class: QueueClass,
+        ahead: usize,
+        now: Millis,
+    ) -> Option<Millis> {
+        self.service(class.service).rate(class.urgent).expected_wait(ahead, now)
+    }
+
+    /// The rank of a caller for one more opening.
+    pub(super) fn rank(&mut self, caller: Ipv4Addr, unix_ms: u64, now: Millis) -> CallerRank {
+        self.shares.rank(caller, caller_rank(caller, unix_ms), now)
+    }
+
+    /// The flows that wait for a service, in the order in which they are served.
+    pub(super) fn flows_in_turn(
+        &self,
+        service: ServiceId,
+        urgent_only: bool,
+    ) -> impl Iterator<Item = FlowKey> {
+        let in_row = self.services.get(&service).map_or(0, |state| state.urgent_in_row);
+        let urgent_first = urgent_only || in_row + 1 < OTHERS_ONE_IN;
+        let classes = [urgent_first, !urgent_first].map(|urgent| QueueClass { service, urgent });
+        let taking = if urgent_only { 1 } else { classes.len() };
+        classes.into_iter().take(taking).flat_map(|class| self.queue.flows_of(class))
+    }
+
+    /// The flow that is served first of a service.
+    pub(super) fn first_flow(&self, service: ServiceId) -> Option<FlowKey> {
+        let classes = [true, false].map(|urgent| QueueClass { service, urgent });
+        classes.into_iter().find_map(|class| self.queue.flows_of(class).next())
+    }
+
+    /// Of these agents the first ones that were not asked for room lately. They count as
+    /// asked from now on.
+    pub(super) fn choose_asked(
+        &mut self,
+        service: ServiceId,
+        agents: impl Iterator<Item = Ipv4Addr>,
+        now: Millis,
+    ) -> Vec<Ipv4Addr> {
+        self.service(service).moved_at = now;
+        let is_due = |agent: &Ipv4Addr| {
+            let asked_at = self.asked_at.get(agent);
+            asked_at.is_none_or(|at| now.saturating_sub(*at) >= ASK_AGAIN_MS)
+        };
+        let asked: Vec<Ipv4Addr> = agents.filter(is_due).take(ASKED_AT_ONCE).collect();
+        self.asked_at.extend(asked.iter().map(|agent| (*agent, now)));
+        asked
+    }
+
+    /// The services for which further agents are to be asked, as nothing was granted.
+    pub(super) fn services_to_ask(&self, now: Millis) -> Vec<ServiceId> {
+        let services = self.queue.services().into_iter();
+        services.filter(|service| self.ask_at(*service) <= now).collect()
+    }
+
+    fn ask_at(&self, service: ServiceId) -> Millis {
+        self.services.get(&service).map_or(0, |state| state.moved_at + ASK_FURTHER_MS)
+    }
+
+    /// The service's time of one request, looked up by `find` now and then.
+    pub(super) fn service_ms(
+        &mut self,
+        service: ServiceId,
+        now: Millis,
+        find: impl FnOnce() -> Millis,
+    ) -> Millis {
+        let known = &mut self.service(service).service_ms;
+        let is_recent = |at: Millis| now.saturating_sub(at) < SERVICE_TIME_LIFETIME_MS;
+        match *known {
+            Some((service_ms, at)) if is_recent(at) => service_ms,
+            _ => known.insert((find(), now)).0,
+        }
+    }
+
+    /// When something is to be done next; none while nothing waits.
+    pub(super) fn next_due(&self) -> Option<Millis> {
+        let services = self.queue.services().into_iter();
+        let next_ask = services.map(|service| self.ask_at(service)).min();
+        self.queue.next_budget_end().into_iter().chain(next_ask).min()
+    }
+
+    /// Forgets what is too old.
+    pub(super) fn expire(&mut self, now: Millis) {
+        self.asked_at.retain(|_, at| now.saturating_sub(*at) < ASK_AGAIN_MS);
+        let waiting = self.queue.services();
+        self.services.retain(|service, state| {
+            waiting.contains(service) || now.saturating_sub(state.moved_at) < SERVICE_LIFETIME_MS
+        });
+    }
+}
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -2,8 +2,12 @@
 
 mod caller_shares;
 mod decision;
+mod granting;
+mod late_binding;
 mod opening;
+mod opening_queue;
 mod queue_delay;
+mod queueing;
 mod search;
 mod undecided;
 
@@ -12,7 +16,10 @@
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId, TargetClaim, TargetLoad, Timing, ZoneId};
 
 pub use caller_shares::CallerShares;
-pub use decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
+pub use decision::{
+    Decision, DropReason, Forward, ForwardReason, QueueInputs, ResetReason, SelectionInputs,
+};
+pub use granting::{GrantAnswer, RoomGrant, RoomRequest, SettledOpening};
 pub use queue_delay::{AdmissionRate, may_wait};
 
 use crate::agent_status::AgentStatuses;
@@ -23,6 +30,7 @@
 use crate::search_outcomes::SearchOutcomes;
 use crate::selection::rendezvous_first;
 use crate::view::FleetView;
+use late_binding::LateBinding;
 use undecided::UndecidedPackets;
 
 /// Most flows that a balancer remembers.
@@ -79,6 +87,8 @@
     search_outcomes: SearchOutcomes,
     /// Packets that came before a configuration or a target was known.
     undecided: UndecidedPackets,
+    /// Opening packets that wait until a target has room.
+    late_binding: LateBinding,
     /// When the store's word last became fresh.
     regained_at: Millis,
     timing: Timing,
@@ -109,6 +119,7 @@
             search_budget: SearchBudget::new(None),
             search_outcomes: SearchOutcomes::default(),
             undecided: UndecidedPackets::default(),
+            late_binding: LateBinding::default(),
             regained_at: 0,
             timing: Timing::default(),
         }
@@ -143,7 +154,7 @@
             return Decision::HandOff { helper };
         }
         if packet.head.is_opening() {
-            return self.opening_packet(context, packet.head);
+            return self.opening_packet(context, packet);
         }
         let decision = self.later_packet(context, packet.head);
         self.keep_for_search(&decision, packet, context);
@@ -168,11 +179,17 @@
         }
         let opens = packet.head.is_opening();
         let flow = packet.head.client_flow();
+        if self.is_queued(&flow) {
+            if opens {
+                return Decision::Drop(DropReason::OpeningQueued);
+            }
+            self.leave_queue(&flow, context.now);
+        }
         if let Some(known) = self.note_return(context, &flow, from, opens) {
             return known;
         }
         if opens {
-            let decision = self.returned_opening(context, packet.head, reason);
+            let decision = self.returned_opening(context, packet, from, reason);
             self.keep_undecided(&decision, packet, context.now);
             return decision;
         }
@@ -192,6 +209,7 @@
         now: Millis,
     ) -> Option<Millis> {
         self.statuses.heard(from, load.into(), now);
+        self.leave_queue(&flow, now);
         let entry = self.flows.get_mut(&flow)?;
         let was_opening = entry.stage == FlowStage::Opening;
         if matches!(entry.stage, FlowStage::Searching | FlowStage::Unheld) {
@@ -241,26 +259,34 @@
         let idle_ms = view.idle_timeout_ms().unwrap_or(DEFAULT_IDLE_MS);
         self.flows.expire(now, idle_ms.max(SHORTEST_IDLE_MS));
         self.statuses.expire(now);
+        self.late_binding.expire(now);
     }
 
     /// The balancer that takes a packet over: the same for all packets of a flow.
     /// Flows that are known here cost little and stay.
     fn helper(&mut self, context: &Context<'_>, head: &PacketHead) -> Option<Ipv4Addr> {
         let flow = head.client_flow();
-        let is_known = context.helpers.is_empty() || self.flows.get_mut(&flow).is_some();
+        let is_known = context.helpers.is_empty()
+            || self.flows.get_mut(&flow).is_some()
+            || self.is_queued(&flow);
         let may_leave = context.view.allows_own_region(head.destination);
         if is_known || !may_leave { None } else { rendezvous_first(flow.hash(), context.helpers) }
     }
 
     fn later_packet(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
         let flow = head.client_flow();
+        if self.is_queued(&flow) {
+            // Its client goes on: a copy of its opening packet was answered elsewhere.
+            self.leave_queue(&flow, context.now);
+            self.flows.remove(&flow);
+        }
         let Some(entry) = self.flows.get_mut(&flow) else {
             return self.search(context, head);
         };
         entry.used_at = context.now;
         let agent = entry.agent;
         let reason = match entry.stage {
-            FlowStage::Unheld => return self.search(context, head),
+            FlowStage::Unheld | FlowStage::Queued => return self.search(context, head),
             FlowStage::Searching if search::is_stalled(entry, context.now) => {
                 return self.search_past_silence(context, head);
             }
@@ -284,6 +310,8 @@
         let Some(entry) = self.flows.get_mut(flow) else {
             let mut entry = FlowEntry::new(from, stage, context.now);
             entry.tried.insert(from);
+            // What became of other copies of an opening packet is not known.
+            entry.may_be_open = true;
             self.flows.insert(*flow, entry);
             return None;
         };
@@ -303,6 +331,7 @@
                     // target whose answer did not come here in time may hold it.
                     entry.tried.clear();
                 }
+                entry.may_be_open |= entry.stage == FlowStage::Held;
                 entry.note_returned(from);
                 entry.stage = stage;
                 None
@@ -330,6 +359,7 @@
                 entry.agent = agent;
                 entry.stage = stage;
                 entry.tried_at = now;
+                entry.granted = false;
             }
             None => self.flows.insert(flow, FlowEntry::new(agent, stage, now)),
         }
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -6,7 +6,9 @@
 use weirhinge_fleet::{Millis, RegionId, ReturnReason, ServiceId};
 
 use super::decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
-use super::{Balancer, Context, service_of};
+use super::opening_queue::Turn;
+use super::queueing::QueuePlace;
+use super::{Balancer, ClientPacket, Context, service_of};
 use crate::flow_table::{FlowEntry, FlowStage};
 use crate::packet::{FlowKey, OPENING_SPAN_MS, PacketHead};
 use crate::selection::{cheapest, load_permille, rendezvous_order};
@@ -21,8 +23,8 @@
 const MOST_FAILING_RETURNS: u32 = 2;
 
 /// Targets that may take a new flow, each tier in the flow's order.
-struct Eligible {
-    answering: Vec<Candidate>,
+pub(super) struct Eligible {
+    pub(super) answering: Vec<Candidate>,
     /// Ready targets whose agent does not answer, is about to stop, or said that its
     /// target fails.
     silent: Vec<Candidate>,
@@ -34,7 +36,7 @@
     }
 
     /// The targets that a flow did not try yet.
-    fn without(mut self, tried: &BTreeSet<Ipv4Addr>) -> Self {
+    pub(super) fn without(mut self, tried: &BTreeSet<Ipv4Addr>) -> Self {
         let is_untried = |candidate: &Candidate| !tried.contains(&candidate.agent);
         self.answering.retain(is_untried);
         self.silent.retain(is_untried);
@@ -43,20 +45,28 @@
 }
 
 impl Balancer {
-    pub(super) fn opening_packet(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
+    pub(super) fn opening_packet(
+        &mut self,
+        context: &Context<'_>,
+        packet: ClientPacket<'_>,
+    ) -> Decision {
         let now = context.now;
-        let flow = head.client_flow();
+        let flow = packet.head.client_flow();
+        if self.is_queued(&flow) {
+            return Decision::Drop(DropReason::OpeningQueued);
+        }
+        let granted_by = self.granted_lately(&flow, now);
         let is_copy = |entry: &FlowEntry| {
             matches!(entry.stage, FlowStage::Opening | FlowStage::Held)
                 && now.saturating_sub(entry.tried_at) < OPENING_SPAN_MS
         };
         let Some(entry) = self.flows.get_mut(&flow).filter(|entry| is_copy(entry)) else {
             self.flows.remove(&flow);
-            return self.choose_target(context, head, ForwardReason::Opened);
+            return self.choose_target(context, packet, ForwardReason::Opened);
         };
         entry.used_at = now;
         let agent = entry.agent;
-        if entry.stage == FlowStage::Held {
+        if entry.stage == FlowStage::Held || granted_by.is_some() {
             let service = service_of(context.view, &flow, agent);
             return Decision::forward(agent, service, ForwardReason::OpeningRepeated);
         }
@@ -65,7 +75,8 @@
             return Decision::forward(agent, service, ForwardReason::OpeningWaits);
         }
         entry.tried.insert(agent);
-        self.choose_target(context, head, ForwardReason::OpeningMoved)
+        entry.may_be_open = true;
+        self.choose_target(context, packet, ForwardReason::OpeningMoved)
     }
 
     /// An opening packet that a busy target sent back waits at the least loaded one, and
@@ -74,13 +85,17 @@
     pub(super) fn returned_opening(
         &mut self,
         context: &Context<'_>,
-        head: &PacketHead,
+        packet: ClientPacket<'_>,
+        from: Ipv4Addr,
         returned: ReturnReason,
     ) -> Decision {
-        let flow = head.client_flow();
+        if let Some(decision) = self.returned_to_queue(context, packet, from, returned) {
+            return decision;
+        }
+        let flow = packet.head.client_flow();
         let goes_on = match returned {
             ReturnReason::Busy => false,
-            ReturnReason::Failing => self.passes_failing(context, head),
+            ReturnReason::Failing => self.passes_failing(context, packet.head),
             ReturnReason::Bounced | ReturnReason::OtherService => true,
             ReturnReason::Leaving | ReturnReason::Evacuated => {
                 self.forget_wait(&flow);
@@ -88,7 +103,7 @@
             }
         };
         let Some(entry) = self.flows.get_mut(&flow).filter(|_| !goes_on) else {
-            return self.choose_target(context, head, ForwardReason::OpeningReturned);
+            return self.choose_target(context, packet, ForwardReason::OpeningReturned);
         };
         if entry.has_waited {
             // It waited for nearly as long as the client does, or had to make room for
@@ -98,7 +113,7 @@
         }
         entry.has_waited = true;
         entry.tried.clear();
-        self.choose_target(context, head, ForwardReason::OpeningWaits)
+        self.choose_target(context, packet, ForwardReason::OpeningWaits)
     }
 
     /// An opening packet may have waited at a target that now takes no new flows: it did
@@ -126,13 +141,13 @@
     }
 
     /// Chooses a target for an opening packet among those not tried yet.
-    fn choose_target(
+    pub(super) fn choose_target(
         &mut self,
         context: &Context<'_>,
-        head: &PacketHead,
+        packet: ClientPacket<'_>,
         reason: ForwardReason,
     ) -> Decision {
-        let now = context.now;
+        let (now, head) = (context.now, packet.head);
         let flow = head.client_flow();
         let Some(route) = context.view.route(head.destination) else {
             return Self::without_route(context.view, head);
@@ -143,6 +158,12 @@
         let eligible = self.eligible(context, route, service, flow.hash());
         let any_eligible = !eligible.is_empty();
         let untried = eligible.without(self.flows.tried(&flow));
+        let is_forced = reason == ForwardReason::OpeningWaits || untried.answering.is_empty();
+        if !is_forced && self.must_queue(route, service) {
+            let targets = &untried.answering;
+            let place = QueuePlace { route, service, turn: Turn::Last, targets };
+            return self.queue_opening(context, packet, &place);
+        }
         // A target that does not answer looks idle: it is never compared by load.
         let tier = if untried.answering.is_empty() { &untried.silent } else { &untried.answering };
         let compared = if reason == ForwardReason::OpeningWaits { tier.len() } else { COMPARED };
@@ -155,11 +176,14 @@
             load_age_ms: self.statuses.age(chosen.agent, now),
         };
         self.statuses.sent_opening(chosen.agent, now);
+        let is_new = self.flows.get_mut(&flow).is_none();
         self.go_to(flow, chosen.agent, FlowStage::Opening, now);
-        let urgent = route.is_urgent();
-        let agent = chosen.agent;
-        let (next, further_rows, inputs) = (Vec::new(), Vec::new(), Some(inputs));
-        Decision::Forward(Forward { agent, service, urgent, reason, next, further_rows, inputs })
+        if is_new {
+            self.note_first_packet(head, now);
+        }
+        let forward = Forward::to(chosen.agent, service, reason);
+        let (urgent, inputs) = (route.is_urgent(), Some(inputs));
+        Decision::Forward(Forward { urgent, inputs, ..forward })
     }
 
     /// The outcome for an opening packet that no untried target can get.
@@ -201,7 +225,7 @@
 
     /// Targets that may take a new flow: ready ones, or where none of them answers
     /// also those that lost their record but may well live.
-    fn eligible(
+    pub(super) fn eligible(
         &self,
         context: &Context<'_>,
         route: &RouteChoice,
@@ -217,9 +241,7 @@
         };
         let ready = candidates.iter().filter(is_ready);
         let ready = rendezvous_order(flow_hash, ready);
-        let is_silent = |candidate: &Candidate| {
-            self.statuses.is_suspect(candidate, now) || self.statuses.is_failing(candidate, now)
-        };
+        let is_silent = |candidate: &Candidate| self.is_silent(candidate, now);
         let (silent, mut answering): (Vec<_>, Vec<_>) = ready.into_iter().partition(is_silent);
         if answering.is_empty() {
             let mut unrecorded = self.unrecorded(context, candidates, service);
@@ -230,6 +252,11 @@
         Eligible { answering, silent }
     }
 
+    /// Whether a target does not answer, is about to stop, or fails.
+    pub(super) fn is_silent(&self, candidate: &Candidate, now: Millis) -> bool {
+        self.statuses.is_suspect(candidate, now) || self.statuses.is_failing(candidate, now)
+    }
+
     /// Targets without a record that may take flows where no other does.
     fn unrecorded(
         &self,
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -145,7 +145,7 @@
             Decision::Forward(forward) => forward.is_search(),
             Decision::Drop(DropReason::NobodyHoldsYet | DropReason::SearchWaits { .. }) => true,
             Decision::Drop(_) => false,
-            Decision::Reset { .. } | Decision::HandOff { .. } => false,
+            Decision::Reset { .. } | Decision::HandOff { .. } | Decision::Queue { .. } => false,
         };
         if goes_on {
             let wait_ms = match decision {
--- a/crates/steering/src/balancer/undecided.rs
+++ b/crates/steering/src/balancer/undecided.rs
@@ -101,10 +101,11 @@
     }
 
     /// When the first packet that rests here is looked at again: one whose way is not
-    /// known or whose search goes on.
+    /// known, whose search goes on, or that waits for room.
     pub fn next_due(&self) -> Option<Millis> {
         let undecided = self.undecided.next_look();
-        self.searches.next_due().into_iter().chain(undecided).min()
+        let queued = self.late_binding.next_due();
+        self.searches.next_due().into_iter().chain(undecided).chain(queued).min()
     }
 }
 
--- a/crates/steering/src/flow_table.rs
+++ b/crates/steering/src/flow_table.rs
@@ -12,6 +12,8 @@
 pub enum FlowStage {
     /// An opening packet went to the target; no answer was reported yet.
     Opening,
+    /// The opening packet waits here until a target has room.
+    Queued,
     /// The flow is not known here; its packets look for the target that holds it.
     Searching,
     /// A search ended at no target; the next packet begins another.
@@ -50,6 +52,15 @@
     pub has_waited: bool,
     /// How many agents sent the opening packet back because their targets fail.
     pub failing_returns: u32,
+    /// When the client sent the flow's first packet.
+    pub first_at: Millis,
+    /// When the opening packet began to wait here.
+    pub queued_at: Option<Millis>,
+    /// Whether the opening packet was sent for an agent's grant of room.
+    pub granted: bool,
+    /// Whether a target that got a copy of the opening packet may still answer it, though
+    /// the packet goes to another one or waits.
+    pub may_be_open: bool,
 }
 
 impl FlowEntry {
@@ -68,6 +79,10 @@
             unanswered: Vec::new(),
             has_waited: false,
             failing_returns: 0,
+            first_at: now,
+            queued_at: None,
+            granted: false,
+            may_be_open: false,
         }
     }
 
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -30,7 +30,8 @@
 pub use arrival::Arrival;
 pub use balancer::{
     AdmissionRate, Balancer, BalancerLimits, CallerShares, ClientPacket, Context, Decision,
-    DropReason, Forward, ForwardReason, ResetReason, SelectionInputs, may_wait,
+    DropReason, Forward, ForwardReason, GrantAnswer, QueueInputs, ResetReason, RoomGrant,
+    RoomRequest, SelectionInputs, SettledOpening, may_wait,
 };
 pub use caller_rank::{CallerRank, RANK_EPOCH_MS, caller_rank};
 pub use flow_table::{FlowEntry, FlowStage, FlowTable};
--- a/crates/steering/tests/narrow_link.rs
+++ b/crates/steering/tests/narrow_link.rs
@@ -86,6 +86,7 @@
                 self.reset_at.entry(head.client_flow()).or_insert(self.now);
             }
             Decision::Drop(_) | Decision::HandOff { .. } => {}
+            Decision::Queue { .. } => panic!("the route has no objective"),
         }
     }
 
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod beside;
 mod fixture;
+pub mod queue;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
