Choose targets by the time in which they are expected to answer

Cause: targets were compared by requests in hand for each slot; how long one takes for a request was known to its agent and told to nobody, so that slow targets were filled like fast ones. Change: the agent measures service time and utilisation and tells both expected and service time with each message that carried its load; balancers compare by them. Where nobody told times, by load as before.

--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -82,10 +82,10 @@
                 if let Some(opening) = displaced {
                     self.return_opening(&opening, ReturnReason::Busy, now);
                 }
-                let waiting = self.core.borrow().waiting();
+                let load = self.core.borrow().load(now);
                 self.metrics.openings_waited.inc();
-                self.decisions.waits(&arrival.head.client_flow(), waiting, now);
-                self.link.send(arrival.balancer, &PeerMessage::Waits { load: waiting.into() });
+                self.decisions.waits(&arrival.head.client_flow(), load.waiting, now);
+                self.link.send(arrival.balancer, &PeerMessage::Waits { load });
             }
             DeliveryDecision::WaitsAlready => {}
         }
@@ -181,7 +181,7 @@
         };
         self.metrics.returned.increment(label);
         self.decisions.returned(&head.client_flow(), label, head.is_opening(), now);
-        let waiting = self.core.borrow().waiting();
-        self.link.send(balancer, &PeerMessage::Returned { reason, load: waiting.into(), packet });
+        let load = self.core.borrow().load(now);
+        self.link.send(balancer, &PeerMessage::Returned { reason, load, packet });
     }
 }
--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -221,7 +221,7 @@
         self.node.borrow_mut().claim = Some(TargetClaim {
             service: self.service.clone(),
             alive: !self.target_gone.get(),
-            load: core.waiting().into(),
+            load: core.load(self.clock.now()),
             leaving: self.leaving.get(),
             recorded: core.is_sized(),
         });
--- a/crates/relay/src/agent/output.rs
+++ b/crates/relay/src/agent/output.rs
@@ -123,14 +123,14 @@
     }
 
     pub(super) fn send_notice(&self, notice: &HoldsNotice, now: Millis) {
-        let waiting = self.core.borrow().waiting();
-        self.decisions.answered(&notice.flow, notice.confirmed, waiting, now);
+        let load = self.core.borrow().load(now);
+        self.decisions.answered(&notice.flow, notice.confirmed, load.waiting, now);
         let flow = notice.flow;
         let message = PeerMessage::Holds {
             client: (flow.client.ip().to_bits(), flow.client.port()),
             service: (flow.service.ip().to_bits(), flow.service.port()),
             confirmed: notice.confirmed,
-            load: waiting.into(),
+            load,
         };
         self.link.send(notice.balancer, &message);
     }
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -100,6 +100,7 @@
             "outcome" => forwarded.reason,
             "eligible" => inputs.map(|inputs| inputs.eligible),
             "load_permille" => inputs.map(|inputs| inputs.load_permille),
+            "expected_ms" => inputs.and_then(|inputs| inputs.expected_ms),
             "load_age_ms" => inputs.and_then(|inputs| inputs.load_age_ms),
             "configuration" => basis.configuration.map(|label| label.version),
             "revision" => basis.revision, "age_ms" => basis.age_ms);
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -8,6 +8,7 @@
 mod flow;
 mod restart_checks;
 mod round_trip;
+mod service_time;
 mod tracking;
 
 use std::collections::{HashMap, VecDeque};
@@ -30,6 +31,7 @@
 use flow::Flow;
 use restart_checks::RestartChecks;
 use round_trip::RoundTrip;
+use service_time::ServiceTime;
 
 /// Most flows that an agent follows; the target itself holds fewer.
 const FLOW_CAPACITY: usize = 8_192;
@@ -68,6 +70,7 @@
     /// When the target last wrote anything.
     wrote_at: Option<Millis>,
     admission: Admission,
+    service_time: ServiceTime,
     breaker: CircuitBreaker,
     cold_start: ColdStart,
     /// The latest change of the breaker, not told yet.
@@ -93,6 +96,7 @@
             searches: VecDeque::new(),
             wrote_at: None,
             admission: Admission::default(),
+            service_time: ServiceTime::default(),
             breaker: CircuitBreaker::default(),
             cold_start: ColdStart::default(),
             breaker_change: None,
@@ -162,6 +166,7 @@
     /// Notes how many requests the target works on at once.
     pub fn set_slots(&mut self, slots: u32) {
         self.admission.set_slots(slots);
+        self.service_time.set_slots(slots);
     }
 
     /// Decides about a client's packet that a balancer sent.
@@ -181,9 +186,7 @@
             if is_new && !arrival.may_wait && !self.breaker.admits(now) {
                 return DeliveryDecision::Return(ReturnReason::Failing);
             }
-            let has_room =
-                !self.admission.is_busy(self.load(), arrival.urgent) && self.cold_start.admits(now);
-            if is_new && !has_room {
+            if is_new && !self.has_room(arrival, now) {
                 return self.busy_opening(arrival, now);
             }
             // This may be a copy that found room before the packet that waits: its flow
@@ -209,7 +212,7 @@
         if let Some(opening) = self.openings.take_over(now) {
             return Some(WaitOutcome::Return(opening, ReturnReason::Busy));
         }
-        let load = self.load();
+        let load = self.requests_in_hand();
         let admission = &self.admission;
         if !self.cold_start.admits(now) {
             return None;
@@ -265,9 +268,12 @@
         DeliveryDecision::Wait { displaced }
     }
 
-    /// Requests in hand and those that admitted flows are about to bring.
-    fn load(&self) -> u32 {
-        self.waiting + self.expected
+    /// Whether a new flow is taken now. A target that hangs takes only one that found no
+    /// better target and may wait.
+    fn has_room(&self, arrival: &Arrival<'_>, now: Millis) -> bool {
+        let is_busy = self.admission.is_busy(self.requests_in_hand(), arrival.urgent);
+        let hangs = !arrival.may_wait && self.service_time.hangs(now);
+        !is_busy && !hangs && self.cold_start.admits(now)
     }
 
     /// Takes in how the target answered a request, from the packet in which its answer
@@ -277,6 +283,11 @@
         if !waits {
             return;
         }
+        if status != AnswerStatus::Good {
+            // Most refusals and failures take less time than the work itself.
+            self.service_time.advance(now);
+            self.service_time.withdrawn(flow);
+        }
         let change = match status {
             AnswerStatus::Good => self.breaker.succeeded(now),
             AnswerStatus::Failed => self.breaker.failed(now),
@@ -293,6 +304,7 @@
     /// Decides about a packet that the target sent.
     pub fn output(&mut self, head: &PacketHead, now: Millis) -> OutputDecision {
         self.wrote_at = Some(now);
+        self.service_time.advance(now);
         if head.flags.bounced {
             return self.not_taken(&head.client_flow(), head.echo);
         }
@@ -305,6 +317,11 @@
         let answered = if head.length > 0 || ends { entry.waiting_since.take() } else { None };
         if let Some(since) = answered {
             self.admission.answered(now.saturating_sub(since), self.waiting);
+            if head.length > 0 {
+                self.service_time.answered(&flow);
+            } else {
+                self.service_time.withdrawn(&flow);
+            }
             self.waiting -= 1;
             if head.flags.rst {
                 self.breaker_change = self.breaker.failed(now).or(self.breaker_change);
@@ -326,14 +343,16 @@
     /// Stops following flows that rested long.
     pub fn expire(&mut self, now: Millis) {
         self.drop_expectations(now);
-        let waiting = &mut self.waiting;
-        self.flows.retain(|_, flow| {
+        self.service_time.advance(now);
+        let (waiting, service_time) = (&mut self.waiting, &mut self.service_time);
+        self.flows.retain(|key, flow| {
             let keep = now.saturating_sub(flow.used_at) < FLOW_IDLE_MS;
             let waits = flow
                 .waiting_since
                 .take_if(|since| !keep || now.saturating_sub(*since) >= LONGEST_REQUEST_MS);
             if waits.is_some() {
                 *waiting -= 1;
+                service_time.withdrawn(key);
             }
             keep
         });
--- a/crates/steering/src/agent/tracking.rs
+++ b/crates/steering/src/agent/tracking.rs
@@ -3,7 +3,7 @@
 
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::Millis;
+use weirhinge_fleet::{Millis, TargetLoad};
 
 use super::flow::Flow;
 use super::restart_checks::LatestPacket;
@@ -11,6 +11,16 @@
 use crate::packet::{FlowKey, PacketHead};
 
 impl Agent {
+    /// How busy the target is, for balancers.
+    pub fn load(&self, now: Millis) -> TargetLoad {
+        self.service_time.load(self.waiting, self.expected, now)
+    }
+
+    /// Requests in hand and those that admitted flows are about to bring.
+    pub(super) fn requests_in_hand(&self) -> u32 {
+        self.waiting + self.expected
+    }
+
     pub(super) fn drop_expectations(&mut self, now: Millis) {
         while let Some((until, flow)) = self.expectations.front().copied() {
             if until > now {
@@ -52,6 +62,7 @@
         if is_new && self.flows.len() >= FLOW_CAPACITY {
             return;
         }
+        self.service_time.advance(now);
         let is_expected = is_new && head.is_opening();
         if is_expected {
             self.cold_start.admitted(now);
@@ -80,6 +91,7 @@
         if entry.takes_new_data(head) && entry.waiting_since.is_none() {
             entry.waiting_since = Some(now);
             self.waiting += 1;
+            self.service_time.delivered(flow);
         }
         if is_expected {
             self.expected += 1;
@@ -99,6 +111,7 @@
         self.fulfil(flow);
         if self.flows.remove(flow).is_some_and(|flow| flow.waiting_since.is_some()) {
             self.waiting -= 1;
+            self.service_time.withdrawn(flow);
         }
     }
 }
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -24,6 +24,8 @@
 const LEAVING_MS: Millis = 8_000;
 /// How long an agent's word about its target counts.
 const CLAIM_LIFETIME_MS: Millis = 2_500;
+/// How long an agent's word about its target's times counts; a few digests may be lost.
+const TIMES_LIFETIME_MS: Millis = 2_500;
 /// How long after the last sign of life an agent is forgotten.
 const STATUS_LIFETIME_MS: Millis = 60_000;
 
@@ -58,6 +60,17 @@
     said_at: Millis,
 }
 
+/// What an agent told of its target's times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ToldTimes {
+    /// Milliseconds for which the target works on one request.
+    pub service_ms: u32,
+    /// Milliseconds for which one more request was to wait before.
+    pub wait_ms: u32,
+    /// Milliseconds since then.
+    pub age_ms: Millis,
+}
+
 /// Silence of all agents after which this balancer takes itself for cut off.
 /// Each agent speaks at least every half second.
 const ISOLATED_AFTER_MS: Millis = 700;
@@ -221,6 +234,21 @@
         self.statuses.get(&agent).map_or(0, |status| status.load.waiting + status.sent_since)
     }
 
+    /// Opening packets sent to the agent since it last spoke.
+    pub fn sent_since(&self, agent: Ipv4Addr) -> u32 {
+        self.statuses.get(&agent).map_or(0, |status| status.sent_since)
+    }
+
+    /// What the agent last told of its target's times, if that was lately.
+    pub fn times(&self, agent: Ipv4Addr, now: Millis) -> Option<ToldTimes> {
+        let status = self.statuses.get(&agent)?;
+        let age_ms = now.saturating_sub(status.heard_at);
+        let (expected_ms, service_ms) = status.load.expected_ms.zip(status.load.service_ms)?;
+        let wait_ms = expected_ms.saturating_sub(service_ms);
+        let times = ToldTimes { service_ms, wait_ms, age_ms };
+        (age_ms < TIMES_LIFETIME_MS).then_some(times)
+    }
+
     /// Milliseconds since the agent was last heard.
     pub fn age(&self, agent: Ipv4Addr, now: Millis) -> Option<Millis> {
         let status = self.statuses.get(&agent).filter(|status| status.heard_at > 0)?;
--- a/crates/steering/src/balancer/decision.rs
+++ b/crates/steering/src/balancer/decision.rs
@@ -110,6 +110,8 @@
     pub eligible: usize,
     /// Believed load of the chosen target, in thousandths of its slots.
     pub load_permille: u64,
+    /// Milliseconds in which the chosen target is expected to answer, if its agent told.
+    pub expected_ms: Option<u64>,
     /// Milliseconds since the chosen agent last spoke; none if never.
     pub load_age_ms: Option<Millis>,
 }
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -7,6 +7,7 @@
 
 use super::decision::{Decision, DropReason, Forward, ForwardReason, ResetReason, SelectionInputs};
 use super::{Balancer, Context, service_of};
+use crate::expected_time::expected_ms;
 use crate::flow_table::{FlowEntry, FlowStage};
 use crate::packet::{FlowKey, OPENING_SPAN_MS, PacketHead};
 use crate::selection::{cheapest, load_permille, rendezvous_order};
@@ -152,6 +153,7 @@
         let inputs = SelectionInputs {
             eligible: tier.len(),
             load_permille: load_permille(&chosen, &self.statuses, now),
+            expected_ms: expected_ms(&chosen, &self.statuses, now),
             load_age_ms: self.statuses.age(chosen.agent, now),
         };
         self.statuses.sent_opening(chosen.agent, now);
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -11,6 +11,7 @@
 mod agent_status;
 mod arrival;
 mod balancer;
+mod expected_time;
 mod flow_table;
 mod overload;
 mod packet;
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -5,10 +5,11 @@
 use weirhinge_fleet::Millis;
 
 use crate::agent_status::AgentStatuses;
+use crate::expected_time::TypicalTimes;
 use crate::view::{Candidate, Distance};
 
 /// Load of a target that is slow from its start, in percent of its load when warm.
-const COLD_LOAD_PERCENT: u64 = 160;
+pub(crate) const COLD_LOAD_PERCENT: u64 = 160;
 
 /// Load, in thousandths of its slots, that a far target is charged with: about the
 /// load at which near ones send openings back.
@@ -46,7 +47,9 @@
 }
 
 /// The cheapest of the first `compared` candidates of the region, the first one of the
-/// own zone and the first far one, in the flow's order. One of another zone is chosen
+/// own zone and the first far one, in the flow's order. They are compared by the time in
+/// which each is expected to answer, where agents told times, otherwise by load. One of
+/// another zone is chosen
 /// where that of the own zone is busier by a margin, a far one only where the others are
 /// busy: every packet of the flow would cross zones or regions.
 pub fn cheapest(
@@ -60,13 +63,18 @@
     let far = order.iter().filter(|candidate| candidate.distance == Distance::Far);
     let any_near = order.iter().any(|candidate| candidate.distance != Distance::Far);
     let far = far.take(if any_near { FAR_COMPARED } else { compared });
+    let typical = TypicalTimes::of(order, statuses, now);
     let cost = |candidate: &&Candidate| {
         let charge = match candidate.distance {
             Distance::Zone => 0,
             Distance::Region => OTHER_ZONE_PERMILLE,
             Distance::Far => FAR_PERMILLE,
         };
-        (load_permille(candidate, statuses, now) + charge, candidate.distance)
+        let cost = match typical {
+            Some(typical) => typical.cost(candidate, charge, statuses, now),
+            None => load_permille(candidate, statuses, now) + charge,
+        };
+        (cost, candidate.distance)
     };
     near.chain(own).chain(far).min_by_key(cost).copied()
 }
