Let what agents told of their targets' times fade within ten seconds

Forgotten after 2.5 s, each balancer tried each slow target again that often. Change: the service time told drifts to the typical one within ten seconds.

--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -24,8 +24,6 @@
 const LEAVING_MS: Millis = 8_000;
 /// How long an agent's word about its target counts.
 const CLAIM_LIFETIME_MS: Millis = 2_500;
-/// How long an agent's word about its target's times counts; a few digests may be lost.
-const TIMES_LIFETIME_MS: Millis = 2_500;
 /// How long after the last sign of life an agent is forgotten.
 const STATUS_LIFETIME_MS: Millis = 60_000;
 
@@ -239,14 +237,13 @@
         self.statuses.get(&agent).map_or(0, |status| status.sent_since)
     }
 
-    /// What the agent last told of its target's times, if that was lately.
+    /// What the agent last told of its target's times, if it told any.
     pub fn times(&self, agent: Ipv4Addr, now: Millis) -> Option<ToldTimes> {
         let status = self.statuses.get(&agent)?;
         let age_ms = now.saturating_sub(status.heard_at);
         let (expected_ms, service_ms) = status.load.expected_ms.zip(status.load.service_ms)?;
         let wait_ms = expected_ms.saturating_sub(service_ms);
-        let times = ToldTimes { service_ms, wait_ms, age_ms };
-        (age_ms < TIMES_LIFETIME_MS).then_some(times)
+        Some(ToldTimes { service_ms, wait_ms, age_ms })
     }
 
     /// Milliseconds since the agent was last heard.
--- a/crates/steering/src/expected_time.rs
+++ b/crates/steering/src/expected_time.rs
@@ -10,8 +10,11 @@
 /// of the service.
 const TYPICAL_OF: usize = 8;
 /// Age at which an agent's word about a wait is worth no more than that of any other: the
-/// queue that it told of is gone. The next word comes within half of that.
+/// queue that it told of is gone.
 const WAIT_LIFETIME_MS: f64 = 1_000.0;
+/// The same for a service time: as for a wait, a target that was slow is tried again. In a
+/// large fleet a balancer hears of most agents with the answers to its own openings alone.
+const SERVICE_LIFETIME_MS: f64 = 10_000.0;
 /// Differences in cost below this part of a typical service time are taken for none: what
 /// is measured is that rough, and the first target of the flow's order is found soonest.
 const STEPS_PER_SERVICE: f64 = 4.0;
@@ -56,9 +59,12 @@
             let percent = if is_cold { COLD_LOAD_PERCENT as f64 } else { 100.0 };
             return (self.service_ms * percent / 100.0, self.wait_ms);
         };
-        let freshness = (1.0 - times.age_ms as f64 / WAIT_LIFETIME_MS).max(0.0);
-        let wait_ms = self.wait_ms + (f64::from(times.wait_ms) - self.wait_ms) * freshness;
-        (f64::from(times.service_ms), wait_ms)
+        let age_ms = times.age_ms as f64;
+        let aged = |told: u32, typical: f64, lifetime_ms: f64| {
+            typical + (f64::from(told) - typical) * (1.0 - age_ms / lifetime_ms).max(0.0)
+        };
+        let service_ms = aged(times.service_ms, self.service_ms, SERVICE_LIFETIME_MS);
+        (service_ms, aged(times.wait_ms, self.wait_ms, WAIT_LIFETIME_MS))
     }
 }
 
