--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -9,6 +9,7 @@
 use super::opening_queue::Turn;
 use super::queueing::QueuePlace;
 use super::{Balancer, ClientPacket, Context, service_of};
+use crate::expected_time::expected_ms;
 use crate::flow_table::{FlowEntry, FlowStage};
 use crate::packet::{FlowKey, OPENING_SPAN_MS, PacketHead};
 use crate::selection::{cheapest, load_permille, rendezvous_order};
@@ -173,6 +174,7 @@
         let inputs = SelectionInputs {
             eligible: tier.len(),
             load_permille: load_permille(&chosen, &self.statuses, now),
+            expected_ms: expected_ms(&chosen, &self.statuses, now),
             load_age_ms: self.statuses.age(chosen.agent, now),
         };
         self.statuses.sent_opening(chosen.agent, now);
