Give room of a target to the balancers that wait for it

Cause: an opening that finds no room waits at one agent, whichever target gets room first. Late binding lets it wait at its balancer; the agent has to know who waits and whom to give room to.

Change: an agent keeps what each balancer said that waits there, for 300 ms, and grants room to the one whose first opening has waited longest: urgent ones first, one grant in eight for others. A grant keeps room for 20 ms, which counts as load and as a new flow of a cold target. An opening that comes without a grant is sent back while one of its class waits at a balancer that asked. Openings that wait at the agent itself take turns with grants. Without any demand nothing changes.

Ruled out: taking a balancer that has unanswered grants as one without an age, as then one in another zone would get one grant a trip; the openings behind its first are taken to have come evenly spread. Leaving others to room that urgent ones never reach: at a target kept above the others' room by urgent openings they would get none, so their share is granted from the urgent room too.

--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -32,7 +32,7 @@
             }
             Ok(PeerMessage::Record(target)) => self.take_record(target),
             Ok(PeerMessage::Probe) => self.link.send(sender, &PeerMessage::ProbeAnswer),
-            Ok(PeerMessage::Forward { service, search, may_wait, urgent, granted: _, packet }) => {
+            Ok(PeerMessage::Forward { service, search, may_wait, urgent, granted, packet }) => {
                 match self.platform.decode(packet) {
                     Ok(head) => self.deliver(&Arrival {
                         head: &head,
@@ -44,10 +44,15 @@
                         search: search.as_ref().map(|path| path.next.as_slice()),
                         may_wait,
                         urgent,
+                        granted,
                     }),
                     Err(malformed) => self.metrics.dropped.increment(malformed.label()),
                 }
             }
+            Ok(PeerMessage::Demand { service, demand }) => {
+                self.take_demand(sender, ServiceId(service), demand);
+            }
+            Ok(PeerMessage::Declined) => self.take_declined(sender),
             Ok(_) => self.link.refuse_unexpected(),
             Err(error) => self.link.refuse(error),
         }
@@ -91,21 +96,33 @@
         }
     }
 
-    /// Lets opening packets that wait go on as far as there is room.
+    /// Lets opening packets that wait go on as far as there is room, and gives room to
+    /// balancers at which some wait.
     pub(super) fn settle_openings(&self) {
         let now = self.clock.now();
         loop {
-            let outcome = self.core.borrow_mut().next_outcome(now);
-            match outcome {
-                None => return,
-                Some(WaitOutcome::Deliver(opening, echo)) => {
-                    self.hand_labelled(&opening.head, &opening.packet, echo, now);
-                }
-                Some(WaitOutcome::Return(opening, reason)) => {
-                    self.return_opening(&opening, reason, now);
-                }
+            let settled = self.settle_outcome(now);
+            let granted = self.grant_room(now);
+            if !settled && !granted {
+                break;
+            }
+        }
+        self.report_lapsed(now);
+    }
+
+    /// Carries out the next outcome of an opening packet that waits here, if there is one.
+    fn settle_outcome(&self, now: Millis) -> bool {
+        let outcome = self.core.borrow_mut().next_outcome(now);
+        match outcome {
+            None => return false,
+            Some(WaitOutcome::Deliver(opening, echo)) => {
+                self.hand_labelled(&opening.head, &opening.packet, echo, now);
+            }
+            Some(WaitOutcome::Return(opening, reason)) => {
+                self.return_opening(&opening, reason, now);
             }
         }
+        true
     }
 
     fn return_opening(&self, opening: &WaitedOpening, reason: ReturnReason, now: Millis) {
--- /dev/null
+++ b/crates/relay/src/agent/grants.rs
@@ -0,0 +1,52 @@
+//! Room given to balancers at which opening packets wait.
+
+use std::net::Ipv4Addr;
+
+use weirhinge_fleet::{Millis, OpeningDemand, PeerMessage, ServiceId};
+use weirhinge_steering::Grant;
+
+use super::Daemon;
+use crate::platform::Platform;
+
+impl<P: Platform> Daemon<P> {
+    /// A balancer asks for room.
+    pub(super) fn take_demand(&self, sender: Ipv4Addr, service: ServiceId, demand: OpeningDemand) {
+        let now = self.clock.now();
+        if !self.core.borrow_mut().demand(sender, service, demand, now) {
+            return self.link.refuse_unexpected();
+        }
+        self.settle_openings();
+    }
+
+    /// A balancer has no use for a grant; the room goes to another.
+    pub(super) fn take_declined(&self, sender: Ipv4Addr) {
+        let now = self.clock.now();
+        let was_kept = self.core.borrow_mut().declined(sender, now);
+        self.metrics.grants_declined.inc();
+        self.decisions.declined(sender, was_kept, now);
+        self.settle_openings();
+    }
+
+    /// Sends the next grant, if there is one.
+    pub(super) fn grant_room(&self, now: Millis) -> bool {
+        let grant = self.core.borrow_mut().next_grant(now);
+        let Some(Grant { balancer, urgent_only }) = grant else { return false };
+        let waiting = self.core.borrow().waiting();
+        self.metrics.grants_sent.inc();
+        self.decisions.granted(balancer, urgent_only, waiting, now);
+        let service = ServiceId::of(&self.service).0;
+        self.link
+            .send(balancer, &PeerMessage::Grant { service, urgent_only, load: waiting.into() });
+        true
+    }
+
+    /// Logs and counts grants that were not answered in time.
+    pub(super) fn report_lapsed(&self, now: Millis) {
+        loop {
+            let lapsed = self.core.borrow_mut().next_lapsed();
+            let Some(balancer) = lapsed else { return };
+            self.metrics.grants_lapsed.inc();
+            self.decisions.lapsed(balancer, now);
+        }
+    }
+}
--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent daemon, beside one target.
 
 mod delivery;
+mod grants;
 mod output;
 
 use std::cell::{Cell, RefCell};
@@ -29,6 +30,8 @@
 
 /// How often waiting opening packets are looked at.
 const OPENINGS_POLL: Duration = Duration::from_millis(60);
+/// The same while balancers ask for room, so that room kept in vain is soon given to others.
+const GRANTS_POLL: Duration = Duration::from_millis(20);
 /// How often digests go out and old state is dropped.
 const TICK: Duration = Duration::from_millis(500);
 /// How often digests go out soon after the start.
@@ -158,7 +161,8 @@
     /// Ends waits that no output of the target ends.
     async fn watch_openings(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(OPENINGS_POLL).await;
+            let is_asked = self.core.borrow().asking() > 0;
+            tokio::time::sleep(if is_asked { GRANTS_POLL } else { OPENINGS_POLL }).await;
             self.settle_openings();
             self.report_found();
             self.check_flows();
@@ -218,6 +222,7 @@
         let core = self.core.borrow();
         self.metrics.waiting.set(i64::from(core.waiting()));
         self.metrics.flows.set(core.flow_count() as i64);
+        self.metrics.balancers_asking.set(core.asking() as i64);
         self.node.borrow_mut().claim = Some(TargetClaim {
             service: self.service.clone(),
             alive: !self.target_gone.get(),
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -73,6 +73,7 @@
     resets: Budget,
     drops: Budget,
     returns: Budget,
+    grants: Budget,
 }
 
 impl DecisionLog {
@@ -86,6 +87,7 @@
             resets: Budget::default(),
             drops: Budget::default(),
             returns: Budget::default(),
+            grants: Budget::default(),
         }
     }
 
@@ -175,6 +177,31 @@
         }
     }
 
+    /// Room was granted to a balancer.
+    pub fn granted(&self, balancer: Ipv4Addr, urgent_only: bool, waiting: u32, now: Millis) {
+        if self.grants.allows("granted", &self.log, now) {
+            info!(self.log, "agent: room granted"; "event" => "granted",
+                "balancer" => balancer.to_string(), "urgent_only" => urgent_only,
+                "waiting" => waiting);
+        }
+    }
+
+    /// A balancer had no use for a grant.
+    pub fn declined(&self, balancer: Ipv4Addr, was_kept: bool, now: Millis) {
+        if self.grants.allows("declined", &self.log, now) {
+            info!(self.log, "agent: grant declined"; "event" => "grant_declined",
+                "balancer" => balancer.to_string(), "in_time" => was_kept);
+        }
+    }
+
+    /// A balancer did not answer a grant in time.
+    pub fn lapsed(&self, balancer: Ipv4Addr, now: Millis) {
+        if self.grants.allows("lapsed", &self.log, now) {
+            info!(self.log, "agent: grant lapsed"; "event" => "grant_lapsed",
+                "balancer" => balancer.to_string());
+        }
+    }
+
     /// The target answered an opening packet, or was found to hold a flow.
     pub fn answered(&self, flow: &FlowKey, confirmed: bool, waiting: u32, now: Millis) {
         if self.openings.allows("answered", &self.log, now) {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -58,6 +58,14 @@
     pub returned: ReasonCounters,
     /// Opening packets that waited for room.
     pub openings_waited: Counter,
+    /// Grants of room sent to balancers.
+    pub grants_sent: Counter,
+    /// Grants that balancers had no use for.
+    pub grants_declined: Counter,
+    /// Grants that were not answered in time.
+    pub grants_lapsed: Counter,
+    /// Balancers that ask for room.
+    pub balancers_asking: Gauge,
     /// Packets of the target sent to clients.
     pub to_clients: Counter,
     /// Packets dropped, by reason.
@@ -82,6 +90,12 @@
             returned: metrics.reasons("packets_returned", "Packets sent back to balancers"),
             openings_waited: metrics
                 .counter("openings_waited", "Opening packets that waited for room"),
+            grants_sent: metrics.counter("grants_sent", "Grants of room sent to balancers"),
+            grants_declined: metrics
+                .counter("grants_declined", "Grants that balancers had no use for"),
+            grants_lapsed: metrics
+                .counter("grants_lapsed", "Grants that were not answered in time"),
+            balancers_asking: metrics.gauge("balancers_asking", "Balancers that ask for room"),
             to_clients: metrics.counter("packets_to_clients", "Packets sent to clients"),
             dropped: metrics.reasons("packets_dropped", "Packets dropped"),
             flows_reset: metrics.counter("flows_reset", "Flows that a restarted target lost"),
--- a/crates/steering/src/agent/breaker.rs
+++ b/crates/steering/src/agent/breaker.rs
@@ -80,6 +80,20 @@
         }
     }
 
+    /// Whether [`Self::admits`] would let a new flow go to the target.
+    pub(super) fn would_admit(&self, now: Millis) -> bool {
+        match self.state {
+            State::Closed(_) => true,
+            State::Open(until) => now >= until,
+            State::HalfOpen { next_trial_at, .. } => now >= next_trial_at,
+        }
+    }
+
+    /// Whether the target is ejected and not tested yet.
+    pub(super) fn is_ejected(&self, now: Millis) -> bool {
+        matches!(self.state, State::Open(until) if now < until)
+    }
+
     /// Whether the target is ejected, or tested after it was.
     pub(super) fn is_open(&self) -> bool {
         !matches!(self.state, State::Closed(_))
--- a/crates/steering/src/agent/cold_start.rs
+++ b/crates/steering/src/agent/cold_start.rs
@@ -46,12 +46,13 @@
         self.cold_until = cold_until;
     }
 
-    /// Whether one more new flow is within the limit.
-    pub(super) fn admits(&self, now: Millis) -> bool {
+    /// Whether one more new flow is within the limit, beside those that room is kept for.
+    pub(super) fn admits(&self, kept: u32, now: Millis) -> bool {
         let Some(rate) = self.rate.filter(|_| now < self.cold_until) else { return true };
         let limit = if now < WINDOW_MS { rate.first_second } else { rate.per_second };
         let is_recent = |at: &&Millis| now.saturating_sub(**at) < WINDOW_MS;
-        self.admitted.iter().rev().take_while(is_recent).count() < limit as usize
+        let recent = self.admitted.iter().rev().take_while(is_recent).count();
+        recent + (kept as usize) < limit as usize
     }
 
     /// Counts a new flow. Also before the target is cold: the window reaches back.
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -5,7 +5,10 @@
 mod cold_start;
 mod decision;
 mod deliveries;
+mod demand;
 mod flow;
+mod granting;
+mod grants;
 mod restart_checks;
 mod round_trip;
 mod tracking;
@@ -19,6 +22,7 @@
 pub use decision::{
     DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, RestartCheck, WaitOutcome,
 };
+pub use grants::Grant;
 
 use crate::arrival::Arrival;
 use crate::packet::{AnswerStatus, FlowKey, OPENING_SPAN_MS, PacketHead};
@@ -28,6 +32,7 @@
 use cold_start::ColdStart;
 use deliveries::Deliveries;
 use flow::Flow;
+use grants::Grants;
 use restart_checks::RestartChecks;
 use round_trip::RoundTrip;
 
@@ -63,6 +68,7 @@
     expectations: VecDeque<(Millis, FlowKey)>,
     round_trip: RoundTrip,
     openings: WaitingRoom,
+    grants: Grants,
     /// Searches that the target did not answer yet, in the order of delivery.
     searches: VecDeque<(Millis, FlowKey)>,
     /// When the target last wrote anything.
@@ -90,6 +96,7 @@
             expectations: VecDeque::new(),
             round_trip: RoundTrip::default(),
             openings: WaitingRoom::default(),
+            grants: Grants::default(),
             searches: VecDeque::new(),
             wrote_at: None,
             admission: Admission::default(),
@@ -128,11 +135,13 @@
     /// flows are to be checked by [`Self::next_check`].
     pub fn target_restarted(&mut self) {
         let was_ejected = self.breaker.is_open();
+        self.grants.forget_outstanding();
         self.restart_checks.add(std::mem::take(&mut self.flows));
         let fresh = Self::new(self.service);
         *self = Self {
             deliveries: std::mem::take(&mut self.deliveries),
             openings: std::mem::take(&mut self.openings),
+            grants: std::mem::take(&mut self.grants),
             cold_start: std::mem::take(&mut self.cold_start),
             restart_checks: std::mem::take(&mut self.restart_checks),
             breaker_change: was_ejected.then_some(BreakerChange::Closed),
@@ -170,6 +179,7 @@
             if arrival.service != self.service {
                 return DeliveryDecision::Return(ReturnReason::OtherService);
             }
+            let grant = self.use_grant(arrival, now);
             if self.leaving {
                 return DeliveryDecision::Return(ReturnReason::Leaving);
             }
@@ -177,13 +187,10 @@
                 return DeliveryDecision::Return(ReturnReason::Evacuated);
             }
             let is_new = !self.flows.contains_key(&arrival.head.client_flow());
-            // One that may wait found no better target.
-            if is_new && !arrival.may_wait && !self.breaker.admits(now) {
+            if is_new && self.is_turned_away(arrival, grant, now) {
                 return DeliveryDecision::Return(ReturnReason::Failing);
             }
-            let has_room =
-                !self.admission.is_busy(self.load(), arrival.urgent) && self.cold_start.admits(now);
-            if is_new && !has_room {
+            if is_new && !self.has_room(arrival, grant, now) {
                 return self.busy_opening(arrival, now);
             }
             // This may be a copy that found room before the packet that waits: its flow
@@ -201,6 +208,7 @@
     /// The next waiting opening packet that has an outcome.
     pub fn next_outcome(&mut self, now: Millis) -> Option<WaitOutcome> {
         self.drop_expectations(now);
+        self.grants.expire(now);
         if let Some(reason) = self.takes_nothing()
             && let Some(opening) = self.openings.take_any()
         {
@@ -209,12 +217,13 @@
         if let Some(opening) = self.openings.take_over(now) {
             return Some(WaitOutcome::Return(opening, ReturnReason::Busy));
         }
-        let load = self.load();
-        let admission = &self.admission;
-        if !self.cold_start.admits(now) {
+        if !self.cold_start_admits(now) || self.yields_to_grant(now) {
             return None;
         }
+        let load = self.load();
+        let admission = &self.admission;
         let opening = self.openings.take_first(|urgent| !admission.is_busy(load, urgent))?;
+        self.grants.own_turn = false;
         self.follow(&opening.head, &opening.packet, opening.balancer, false, now);
         let echo = self.deliveries.remember(opening.balancer, None);
         Some(WaitOutcome::Deliver(opening, echo))
@@ -258,16 +267,17 @@
         if self.openings.has(&arrival.head.client_flow()) {
             return DeliveryDecision::WaitsAlready;
         }
-        if !arrival.may_wait {
+        if !arrival.may_wait || arrival.granted.is_some() {
             return DeliveryDecision::Return(ReturnReason::Busy);
         }
         let displaced = self.openings.add(arrival, now).map(Box::new);
         DeliveryDecision::Wait { displaced }
     }
 
-    /// Requests in hand and those that admitted flows are about to bring.
+    /// Requests in hand, those that admitted flows are about to bring, and room kept for
+    /// balancers.
     fn load(&self) -> u32 {
-        self.waiting + self.expected
+        self.waiting + self.expected + self.grants.kept()
     }
 
     /// Takes in how the target answered a request, from the packet in which its answer
--- a/crates/steering/src/arrival.rs
+++ b/crates/steering/src/arrival.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::ServiceId;
+use weirhinge_fleet::{OpeningDemand, ServiceId};
 
 use crate::packet::PacketHead;
 
@@ -24,4 +24,6 @@
     pub may_wait: bool,
     /// Whether an opening packet goes before others.
     pub urgent: bool,
+    /// Set if an opening packet answers a grant of the agent: what still waits at the balancer.
+    pub granted: Option<OpeningDemand>,
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -22,8 +22,8 @@
 mod waiting_room;
 
 pub use agent::{
-    Agent, BreakerChange, ColdStartRate, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop,
-    RestartCheck, WaitOutcome,
+    Agent, BreakerChange, ColdStartRate, DeliveryDecision, Grant, HoldsNotice, OutputDecision,
+    OutputDrop, RestartCheck, WaitOutcome,
 };
 pub use agent_status::AgentStatuses;
 pub use arrival::Arrival;
--- a/crates/steering/src/waiting_room.rs
+++ b/crates/steering/src/waiting_room.rs
@@ -88,11 +88,20 @@
     /// Takes out the packet that goes first, if there is room for it; `has_room`
     /// tells that for an urgent one and for any other.
     pub fn take_first(&mut self, has_room: impl Fn(bool) -> bool) -> Option<WaitedOpening> {
-        let urgent = self.openings.iter().rposition(|opening| opening.urgent);
-        let place = urgent.or_else(|| self.openings.len().checked_sub(1))?;
-        if !has_room(urgent.is_some()) {
+        let place = self.first()?;
+        if !has_room(self.openings[place].urgent) {
             return None;
         }
         self.openings.remove(place)
     }
+
+    /// Whether the packet that goes first is urgent; none if no packet waits.
+    pub fn first_is_urgent(&self) -> Option<bool> {
+        self.first().map(|place| self.openings[place].urgent)
+    }
+
+    fn first(&self) -> Option<usize> {
+        let urgent = self.openings.iter().rposition(|opening| opening.urgent);
+        urgent.or_else(|| self.openings.len().checked_sub(1))
+    }
 }
--- a/crates/steering/tests/cold_start.rs
+++ b/crates/steering/tests/cold_start.rs
@@ -28,6 +28,7 @@
         search: None,
         may_wait,
         urgent: false,
+        granted: None,
     };
     beside.delivery(&arrival, now)
 }
--- a/crates/steering/tests/evacuation.rs
+++ b/crates/steering/tests/evacuation.rs
@@ -119,6 +119,7 @@
         search: None,
         may_wait: true,
         urgent: false,
+        granted: None,
     }
 }
 
--- a/crates/steering/tests/support/beside.rs
+++ b/crates/steering/tests/support/beside.rs
@@ -20,6 +20,7 @@
         search: None,
         may_wait: false,
         urgent: false,
+        granted: None,
     }
 }
 
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unused_imports)]
 
+pub mod asking;
 pub mod beside;
 mod fixture;
 
