--- a/crates/steering/src/agent/tracking.rs
+++ b/crates/steering/src/agent/tracking.rs
@@ -13,12 +13,13 @@
 impl Agent {
     /// How busy the target is, for balancers.
     pub fn load(&self, now: Millis) -> TargetLoad {
-        self.service_time.load(self.waiting, self.expected, now)
+        self.service_time.load(self.waiting, self.expected + self.grants.kept(), now)
     }
 
-    /// Requests in hand and those that admitted flows are about to bring.
+    /// Requests in hand, those that admitted flows are about to bring, and room kept for
+    /// balancers.
     pub(super) fn requests_in_hand(&self) -> u32 {
-        self.waiting + self.expected
+        self.waiting + self.expected + self.grants.kept()
     }
 
     pub(super) fn drop_expectations(&mut self, now: Millis) {
