Ask further agents for room also while some grant it

Cause: what an agent was told ends after 300 ms there. While one agent granted room often enough and no opening came, the others were not asked again, though they became idle.

Change: further agents are asked 25 ms after the last question, whatever was granted. While openings come, each asks two agents as it is, so that nothing is sent in addition.

--- a/crates/steering/src/balancer/granting.rs
+++ b/crates/steering/src/balancer/granting.rs
@@ -166,8 +166,8 @@
         refused
     }
 
-    /// Further agents to be asked for room, for services whose openings were granted none:
-    /// questions and grants may be lost, and those asked may be full.
+    /// Further agents to be asked for room, for services whose openings still wait: questions
+    /// and grants may be lost, and those asked may be full.
     pub fn due_room_requests(&mut self, context: &Context<'_>) -> Vec<RoomRequest> {
         let now = context.now;
         let services = self.late_binding.services_to_ask(now).into_iter();
--- a/crates/steering/src/balancer/late_binding.rs
+++ b/crates/steering/src/balancer/late_binding.rs
@@ -16,8 +16,8 @@
 const ASKED_AT_ONCE: usize = 2;
 /// How often one agent is asked at most. Its grants are answered with what still waits.
 const ASK_AGAIN_MS: Millis = 100;
-/// How long after the last question or grant further agents are asked: several times a
-/// journey there and back.
+/// How long after the last question further agents are asked: several times a journey there
+/// and back.
 const ASK_FURTHER_MS: Millis = 25;
 /// One grant in so many goes to an opening that is not urgent while both wait.
 const OTHERS_ONE_IN: u32 = 8;
@@ -33,8 +33,8 @@
     others_rate: AdmissionRate,
     /// Urgent openings that found room since one of the others did.
     urgent_in_row: u32,
-    /// When an opening last found room or agents were asked.
-    moved_at: Millis,
+    /// When agents were last asked for room.
+    asked_at: Millis,
     /// The time of one request, and when it was looked up.
     service_ms: Option<(Millis, Millis)>,
 }
@@ -74,7 +74,6 @@
         self.shares.admitted(*flow.client.ip(), now);
         let state = self.service(class.service);
         state.rate(class.urgent).admitted(now);
-        state.moved_at = now;
         state.urgent_in_row = if class.urgent { state.urgent_in_row + 1 } else { 0 };
         self.note_left(class, now);
         Some(opening)
@@ -168,7 +167,7 @@
         agents: impl Iterator<Item = Ipv4Addr>,
         now: Millis,
     ) -> Vec<Ipv4Addr> {
-        self.service(service).moved_at = now;
+        self.service(service).asked_at = now;
         let is_due = |agent: &Ipv4Addr| {
             let asked_at = self.asked_at.get(agent);
             asked_at.is_none_or(|at| now.saturating_sub(*at) >= ASK_AGAIN_MS)
@@ -178,14 +177,14 @@
         asked
     }
 
-    /// The services for which further agents are to be asked, as nothing was granted.
+    /// The services for which further agents are to be asked.
     pub(super) fn services_to_ask(&self, now: Millis) -> Vec<ServiceId> {
         let services = self.queue.services().into_iter();
         services.filter(|service| self.ask_at(*service) <= now).collect()
     }
 
     fn ask_at(&self, service: ServiceId) -> Millis {
-        self.services.get(&service).map_or(0, |state| state.moved_at + ASK_FURTHER_MS)
+        self.services.get(&service).map_or(0, |state| state.asked_at + ASK_FURTHER_MS)
     }
 
     /// The service's time of one request, looked up by `find` now and then.
@@ -215,7 +214,7 @@
         self.asked_at.retain(|_, at| now.saturating_sub(*at) < ASK_AGAIN_MS);
         let waiting = self.queue.services();
         self.services.retain(|service, state| {
-            waiting.contains(service) || now.saturating_sub(state.moved_at) < SERVICE_LIFETIME_MS
+            waiting.contains(service) || now.saturating_sub(state.asked_at) < SERVICE_LIFETIME_MS
         });
     }
 }
--- a/crates/steering/tests/opening_queue.rs
+++ b/crates/steering/tests/opening_queue.rs
@@ -194,7 +194,7 @@
 }
 
 #[test]
-fn further_agents_are_asked_while_none_grants() {
+fn further_agents_are_asked_while_openings_wait() {
     let mut fixture = Fixture::new(&store(6));
     let Decision::Queue { ask, .. } = fixture.open_at_busy(first_ranked(1)[0], LATER) else {
         panic!("the opening waits");
@@ -214,6 +214,21 @@
     assert_eq!(fixture.due_room_requests(LATER + 100)[0].agents.len(), 2, "the first ones again");
 }
 
+/// What agents were told ends by itself: those that had no room then must hear of it again
+/// though others grant some.
+#[test]
+fn further_agents_are_asked_though_one_grants() {
+    let mut fixture = Fixture::new(&store(6));
+    for flow in first_ranked(6) {
+        fixture.queue(flow, LATER);
+    }
+    for now in [LATER + 10, LATER + 20, LATER + 95] {
+        let (served, _) = fixture.serve(1, now).expect("openings wait");
+        fixture.balancer.holds(served, agent(1), false, 0, now);
+    }
+    assert_eq!(fixture.due_room_requests(LATER + 100)[0].agents.len(), 2);
+}
+
 #[test]
 fn a_grant_of_a_target_that_takes_no_flows_is_declined() {
     let mut state = store(4);
