--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -94,6 +94,9 @@
             }
             DeliveryDecision::WaitsAlready => {}
         }
+        if arrival.granted.is_some() {
+            self.settle_openings();
+        }
     }
 
     /// Lets opening packets that wait go on as far as there is room, and gives room to
