Search for unknown flows at targets of services that left the route too

Cause: a balancer that did not know a flow asked only the targets of the services that the route names now. A flow opened at a service that has since left the route had no one who was asked, and was reset as nobody_holds; such a target that stayed silent counted as gone (may_be_gone) for the same reason.

Change: once no answering target of the route's services is left, a search goes on with those of all other known services, within the permitted regions. Agents say in TargetClaim::without_former_flows by which version of the configuration their target holds no flow of a route that does not name its service; none before they have run for the idle time-out, for 3 s after their service left a route, and while they follow such a flow or one may rest unfollowed (target started again, table full). Balancers leave such a target out, unless its service left a route after that version as far as they followed all versions, or the word is 60 s old. Nothing known of an agent means that it is asked. An agent follows resting flows for the idle time-out where that is longer than 60 s. Openings still go to the route's services alone and are checked by the agent. TargetClaim is encoded with a further field: daemons of before do not decode the new digests of agents; the protocol's version is left as it is here.

Conclusion: a flow stays where it was opened until it ends. Open: flows that a balancer which is cut off for more than 3 s opens by an older configuration are not found by balancers that have an earlier word of that agent until they hear from it again.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -46,6 +46,9 @@
     pub leaving: bool,
     /// Whether the agent knows the target's record in the store.
     pub recorded: bool,
+    /// The version of the configuration by which the target holds no flow of a route that
+    /// does not name its service; none if it may hold one.
+    pub without_former_flows: Option<u64>,
 }
 
 /// A daemon's summary of what it knows, sent often.
--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -215,7 +215,9 @@
     }
 
     fn renew_claim(&self) {
-        let core = self.core.borrow();
+        let now = self.clock.now();
+        let mut core = self.core.borrow_mut();
+        core.learn_routes(self.node.borrow().view(), now);
         self.metrics.waiting.set(i64::from(core.waiting()));
         self.metrics.flows.set(core.flow_count() as i64);
         self.node.borrow_mut().claim = Some(TargetClaim {
@@ -224,6 +226,7 @@
             waiting: core.waiting(),
             leaving: self.leaving.get(),
             recorded: core.is_sized(),
+            without_former_flows: core.without_former_flows(now),
         });
     }
 
--- a/crates/relay/tests/fleet_node.rs
+++ b/crates/relay/tests/fleet_node.rs
@@ -73,7 +73,14 @@
 
 fn claim(recorded: bool) -> TargetClaim {
     let service = "sheets".to_owned();
-    TargetClaim { service, alive: true, waiting: 0, leaving: false, recorded }
+    TargetClaim {
+        service,
+        alive: true,
+        waiting: 0,
+        leaving: false,
+        recorded,
+        without_former_flows: None,
+    }
 }
 
 /// At a start of 300 machines 114 to 164 daemons once connected to one balancer at the
--- a/crates/relay/tests/fleet_scale.rs
+++ b/crates/relay/tests/fleet_scale.rs
@@ -93,6 +93,7 @@
                 waiting: 1,
                 leaving: false,
                 recorded: true,
+                without_former_flows: Some(1),
             });
             simulation.by_address.insert(address_of(place), place);
             simulation.daemons.push(Hollow {
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod decision;
 mod deliveries;
 mod flow;
+mod former_flows;
 mod restart_checks;
 mod round_trip;
 mod tracking;
@@ -28,6 +29,7 @@
 use cold_start::ColdStart;
 use deliveries::Deliveries;
 use flow::Flow;
+use former_flows::FormerFlows;
 use restart_checks::RestartChecks;
 use round_trip::RoundTrip;
 
@@ -76,6 +78,7 @@
     /// Whether the zone of the target is evacuated.
     evacuated: bool,
     restart_checks: RestartChecks,
+    former: FormerFlows,
 }
 
 impl Agent {
@@ -99,6 +102,7 @@
             leaving: false,
             evacuated: false,
             restart_checks: RestartChecks::default(),
+            former: FormerFlows::default(),
         }
     }
 
@@ -128,6 +132,8 @@
     /// flows are to be checked by [`Self::next_check`].
     pub fn target_restarted(&mut self) {
         let was_ejected = self.breaker.is_open();
+        // Some may be flows that the target opened since.
+        self.former.unfollow_all(&self.flows);
         self.restart_checks.add(std::mem::take(&mut self.flows));
         let fresh = Self::new(self.service);
         *self = Self {
@@ -135,6 +141,7 @@
             openings: std::mem::take(&mut self.openings),
             cold_start: std::mem::take(&mut self.cold_start),
             restart_checks: std::mem::take(&mut self.restart_checks),
+            former: std::mem::take(&mut self.former),
             breaker_change: was_ejected.then_some(BreakerChange::Closed),
             leaving: self.leaving,
             evacuated: self.evacuated,
@@ -327,8 +334,9 @@
     pub fn expire(&mut self, now: Millis) {
         self.drop_expectations(now);
         let waiting = &mut self.waiting;
+        let idle_ms = self.former.idle_ms();
         self.flows.retain(|_, flow| {
-            let keep = now.saturating_sub(flow.used_at) < FLOW_IDLE_MS;
+            let keep = now.saturating_sub(flow.used_at) < idle_ms;
             let waits = flow
                 .waiting_since
                 .take_if(|since| !keep || now.saturating_sub(*since) >= LONGEST_REQUEST_MS);
--- a/crates/steering/src/agent/tracking.rs
+++ b/crates/steering/src/agent/tracking.rs
@@ -50,6 +50,9 @@
         let flow = head.client_flow();
         let is_new = !self.flows.contains_key(&flow);
         if is_new && self.flows.len() >= FLOW_CAPACITY {
+            if !searched {
+                self.former.unfollow(&flow, now);
+            }
             return;
         }
         let is_expected = is_new && head.is_opening();
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -1,6 +1,6 @@
 //! What a balancer knows of each agent from the agent itself.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::Ipv4Addr;
 
 use weirhinge_fleet::{Millis, ServiceId, TargetClaim, ZoneId};
@@ -46,6 +46,7 @@
     /// When it last said that its target fails.
     failing_at: Option<Millis>,
     claim: Option<Claim>,
+    without_former_flows: Option<WithoutFormerFlows>,
     /// When its last word came, that its target has ended.
     ended_at: Option<Millis>,
 }
@@ -58,6 +59,14 @@
     said_at: Millis,
 }
 
+/// An agent's word that its target holds no flow of a route that does not name its service.
+#[derive(Clone, Copy, Debug)]
+struct WithoutFormerFlows {
+    /// The version of the configuration that the routes were those of.
+    configuration: u64,
+    said_at: Millis,
+}
+
 /// Silence of all agents after which this balancer takes itself for cut off.
 /// Each agent speaks at least every half second.
 const ISOLATED_AFTER_MS: Millis = 700;
@@ -143,9 +152,22 @@
         self.claims_seen += u64::from(usable && status.claim.is_none());
         let service = ServiceId::of(&claim.service);
         status.claim = usable.then_some(Claim { service, zone, said_at: now });
+        status.without_former_flows = claim
+            .without_former_flows
+            .map(|configuration| WithoutFormerFlows { configuration, said_at: now });
         self.any_heard_at = Some(now);
     }
 
+    /// Whether an agent said lately, of this configuration or a later one, that its target
+    /// holds no flow of a route that does not name its service.
+    pub fn holds_no_former_flow(&self, agent: Ipv4Addr, configuration: u64, now: Millis) -> bool {
+        let status = self.statuses.get(&agent);
+        status.and_then(|status| status.without_former_flows).is_some_and(|word| {
+            word.configuration >= configuration
+                && now.saturating_sub(word.said_at) < STATUS_LIFETIME_MS
+        })
+    }
+
     /// Number of times that an agent's claim was new.
     pub fn claims_seen(&self) -> u64 {
         self.claims_seen
@@ -240,6 +262,22 @@
         agents
     }
 
+    /// Agents that lately said that a target of a service other than these works beside
+    /// them, each with the service.
+    pub fn claimants_outside(
+        &self,
+        services: &HashSet<ServiceId>,
+        now: Millis,
+    ) -> Vec<(ServiceId, Ipv4Addr)> {
+        let claims = self.statuses.iter();
+        let claims = claims.filter_map(|(agent, status)| status.claim.map(|claim| (agent, claim)));
+        let outside = claims.filter(|(_, claim)| {
+            !services.contains(&claim.service)
+                && now.saturating_sub(claim.said_at) < CLAIM_LIFETIME_MS
+        });
+        outside.map(|(agent, claim)| (claim.service, *agent)).collect()
+    }
+
     /// The zone that an agent with a target said it runs in.
     pub fn claimed_zone(&self, agent: Ipv4Addr) -> Option<ZoneId> {
         self.statuses.get(&agent)?.claim.map(|claim| claim.zone)
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -3,6 +3,7 @@
 mod decision;
 mod opening;
 mod search;
+mod search_order;
 mod undecided;
 
 use std::net::Ipv4Addr;
@@ -15,6 +16,7 @@
 use crate::flow_table::{FlowEntry, FlowStage, FlowTable};
 use crate::packet::{FlowKey, PacketHead};
 use crate::pending_packets::PendingPackets;
+use crate::route_history::RouteHistory;
 use crate::search_budget::SearchBudget;
 use crate::search_outcomes::SearchOutcomes;
 use crate::selection::rendezvous_first;
@@ -70,6 +72,7 @@
     searches: PendingPackets,
     search_budget: SearchBudget,
     search_outcomes: SearchOutcomes,
+    route_history: RouteHistory,
     /// Packets that came before a configuration or a target was known.
     undecided: UndecidedPackets,
     /// When the store's word last became fresh.
@@ -101,6 +104,7 @@
             searches: PendingPackets::default(),
             search_budget: SearchBudget::new(None),
             search_outcomes: SearchOutcomes::default(),
+            route_history: RouteHistory::default(),
             undecided: UndecidedPackets::default(),
             regained_at: 0,
             timing: Timing::default(),
@@ -234,6 +238,7 @@
         let idle_ms = view.idle_timeout_ms().unwrap_or(DEFAULT_IDLE_MS);
         self.flows.expire(now, idle_ms.max(SHORTEST_IDLE_MS));
         self.statuses.expire(now);
+        self.route_history.note(view);
     }
 
     /// The balancer that takes a packet over: the same for all packets of a flow.
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -1,16 +1,14 @@
 //! The search for the target that holds a flow which this balancer does not know.
 
-use std::collections::HashSet;
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::{Millis, ServiceId};
+use weirhinge_fleet::Millis;
 
 use super::decision::{Decision, DropReason, ResetReason};
+use super::search_order::SearchPlace;
 use super::{Balancer, ClientPacket, Context, service_of};
 use crate::flow_table::{FlowEntry, FlowStage};
 use crate::packet::{FlowKey, PacketHead};
-use crate::selection::rendezvous_order;
-use crate::view::{Candidate, Distance, RouteChoice, Standing};
 
 /// A search that got no answer from a target for this long tries the next one.
 const SEARCH_STEP_MS: Millis = 120;
@@ -35,20 +33,6 @@
 /// How long after the store's word became fresh an agent has had the time to say
 /// what stands beside it.
 const CLAIMS_KNOWN_MS: Millis = 250;
-/// A target that left the store and whose agent was silent for this long does not
-/// hold up the giving up of a flow.
-const SILENT_LEAVER_MS: Millis = 2_500;
-
-/// One target that may hold a flow.
-struct SearchPlace {
-    service: ServiceId,
-    agent: Ipv4Addr,
-    /// Its agent does not answer; it is asked last.
-    is_silent: bool,
-    /// It is in another region; it is asked after those in this one.
-    is_far: bool,
-}
-
 impl Balancer {
     /// Sends a packet of an unknown flow to the next targets that may hold it.
     pub(super) fn search(&mut self, context: &Context<'_>, head: &PacketHead) -> Decision {
@@ -60,10 +44,8 @@
         if is_under_way {
             return Decision::Drop(DropReason::SearchGoesOn);
         }
-        let tried = self.flows.tried(&flow);
-        let order = self.search_order(context, route, flow.hash());
-        let untried = order.into_iter().filter(|place| !tried.contains(&place.agent));
-        let untried: Vec<SearchPlace> = untried.collect();
+        self.route_history.note(context.view);
+        let untried = self.untried_places(context, route, &flow);
         let Some(first) = untried.first() else {
             return self.search_failed(context, &flow, head);
         };
@@ -118,7 +100,10 @@
         for agent in &silent {
             self.statuses.ignored_search(*agent, context.now);
         }
-        let may_hold = |agent: &&Ipv4Addr| !self.may_be_gone(context, &flow, **agent);
+        let route = context.view.route(flow.service);
+        let may_hold = |agent: &&Ipv4Addr| {
+            route.is_some_and(|route| !self.may_be_gone(context, route, **agent))
+        };
         let unanswered: Vec<Ipv4Addr> = silent.iter().filter(may_hold).copied().collect();
         if let Some(entry) = self.flows.get_mut(&flow) {
             entry.tried.extend(silent);
@@ -169,7 +154,7 @@
     }
 
     /// Whether no target can hold a flow that this balancer does not know of.
-    fn knows_all_targets(&self, context: &Context<'_>) -> bool {
+    pub(super) fn knows_all_targets(&self, context: &Context<'_>) -> bool {
         context.fresh && context.now >= self.regained_at + CLAIMS_KNOWN_MS
     }
 
@@ -191,77 +176,6 @@
         decision
     }
 
-    /// All targets that may hold a flow in the flow's order, those that do not
-    /// answer last.
-    fn search_order(
-        &self,
-        context: &Context<'_>,
-        route: &RouteChoice,
-        flow_hash: u64,
-    ) -> Vec<SearchPlace> {
-        let mut order: Vec<SearchPlace> = Vec::new();
-        let mut listed: HashSet<Ipv4Addr> = HashSet::new();
-        for service in route.services() {
-            let candidates = context.view.candidates(service).iter();
-            let candidates = candidates.filter(|candidate| route.allows(candidate.region));
-            for candidate in rendezvous_order(flow_hash, candidates) {
-                listed.insert(candidate.agent);
-                if self.is_gone_for_good(context, &candidate) {
-                    continue;
-                }
-                order.push(self.search_place(service, &candidate, context.now));
-            }
-            let certain = self.knows_all_targets(context);
-            for agent in self.statuses.claimants(service, context.now) {
-                let is_mute = certain && self.statuses.is_mute(agent, context.now);
-                let zone = self.statuses.claimed_zone(agent);
-                let region = zone.and_then(|zone| context.view.region_of(zone));
-                if !is_mute && route.allows(region) && listed.insert(agent) {
-                    order.push(SearchPlace { service, agent, is_silent: false, is_far: false });
-                }
-            }
-        }
-        // A stable sort: the flow's order stays within each part.
-        order.sort_by_key(|place| (place.is_silent, place.is_far));
-        order
-    }
-
-    fn search_place(&self, service: ServiceId, candidate: &Candidate, now: Millis) -> SearchPlace {
-        let agent = candidate.agent;
-        let is_silent = self.has_left(candidate, now)
-            || self.statuses.is_suspect(candidate, now)
-            || self.statuses.is_mute(agent, now);
-        SearchPlace { service, agent, is_silent, is_far: candidate.distance == Distance::Far }
-    }
-
-    /// Whether a target left the store and its agent is silent too.
-    fn has_left(&self, candidate: &Candidate, now: Millis) -> bool {
-        let age = self.statuses.age(candidate.agent, now);
-        let is_silent = age.is_none_or(|age| age >= SILENT_LEAVER_MS);
-        candidate.standing != Standing::Ready && is_silent
-    }
-
-    /// Whether a target has ended: its agent said so, or it left the store and answered
-    /// none of several searching packets either, though its agent may live. A living one
-    /// has renewed its record by then.
-    fn is_gone_for_good(&self, context: &Context<'_>, candidate: &Candidate) -> bool {
-        let is_settled = context.fresh && !self.is_unsettled(context.now);
-        let agent = candidate.agent;
-        let is_mute = self.statuses.is_persistently_mute(agent, context.now);
-        self.statuses.has_ended(candidate) || (!candidate.recorded && is_settled && is_mute)
-    }
-
-    /// Whether a target that does not answer is most likely gone.
-    fn may_be_gone(&self, context: &Context<'_>, flow: &FlowKey, agent: Ipv4Addr) -> bool {
-        let (view, now) = (context.view, context.now);
-        let services = view.route(flow.service).into_iter().flat_map(|route| route.services());
-        let mut candidates = services.flat_map(|service| view.candidates(service));
-        let Some(candidate) = candidates.find(|candidate| candidate.agent == agent) else {
-            return true;
-        };
-        self.has_left(candidate, now) || self.is_gone_for_good(context, candidate)
-    }
-
     /// No target that is known holds the flow.
     fn search_failed(
         &mut self,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -15,6 +15,7 @@
 mod overload;
 mod packet;
 mod pending_packets;
+mod route_history;
 mod search_budget;
 mod search_outcomes;
 mod selection;
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -23,7 +23,7 @@
 
 /// Mixes a flow's hash with a target into a rank (the finaliser of SplitMix64):
 /// rendezvous hashing, so that a change of targets moves only its own share.
-fn rank(flow_hash: u64, agent: Ipv4Addr) -> u64 {
+pub(crate) fn rank(flow_hash: u64, agent: Ipv4Addr) -> u64 {
     let mut value = flow_hash ^ u64::from(agent.to_bits()).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -228,6 +228,31 @@
         self.services.get(&service).map_or(&[], Vec::as_slice)
     }
 
+    /// The known targets of all services but these, each with its service.
+    pub fn targets_outside<'a>(
+        &'a self,
+        services: &'a HashSet<ServiceId>,
+    ) -> impl Iterator<Item = (ServiceId, &'a Candidate)> {
+        let others = self.services.iter().filter(|(service, _)| !services.contains(service));
+        others.flat_map(|(service, candidates)| {
+            candidates.iter().map(|candidate| (*service, candidate))
+        })
+    }
+
+    /// The known target beside an agent, with its service.
+    pub fn target_beside(&self, agent: Ipv4Addr) -> Option<(ServiceId, &Candidate)> {
+        self.services.iter().find_map(|(service, candidates)| {
+            let place = candidates.binary_search_by_key(&agent, |candidate| candidate.agent);
+            place.ok().map(|place| (*service, &candidates[place]))
+        })
+    }
+
+    /// Each route's address and port with each service that it names.
+    pub fn route_services(&self) -> impl Iterator<Item = (SocketAddrV4, ServiceId)> {
+        let routes = self.routes.iter();
+        routes.flat_map(|(endpoint, route)| route.services().map(|service| (*endpoint, service)))
+    }
+
     /// The region of a zone, if known.
     pub fn region_of(&self, zone: ZoneId) -> Option<RegionId> {
         self.regions.get(&zone).copied()
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -101,6 +101,8 @@
     lives: u64,
     /// Part of all configurations written from now on.
     pub cold_starts: Vec<ColdStartPolicy>,
+    /// Part of them as well; 15 s if not set.
+    pub idle_timeout_ms: Option<u64>,
 }
 
 impl Store {
@@ -133,7 +135,7 @@
         let configuration = Configuration {
             version: self.revision,
             routes,
-            idle_timeout_ms: 15_000,
+            idle_timeout_ms: self.idle_timeout_ms.unwrap_or(15_000),
             cold_starts: self.cold_starts.clone(),
         };
         let configuration =
@@ -153,6 +155,19 @@
         store
     }
 
+    /// Ready targets of a service in zone `a`, all in one change.
+    pub fn many_targets(&mut self, service: &str, numbers: std::ops::Range<u32>) {
+        self.revision += 1;
+        let targets = numbers.map(|number| VersionedTarget {
+            id: format!("many-{number}"),
+            position: self.position(),
+            present: true,
+            record: Some(record(many_agent(number), service, "a", TargetState::Ready)),
+        });
+        let targets = targets.collect();
+        self.replica.apply(Update { targets, ..self.change() }, 0);
+    }
+
     pub fn target(&mut self, number: u8, service: &str, state: Option<TargetState>, now: u64) {
         let zone = if number < 50 { "a" } else { "b" };
         let record = state.map(|state| record(agent(number), service, zone, state));
@@ -228,5 +243,6 @@
         waiting: 0,
         leaving: false,
         recorded: true,
+        without_former_flows: None,
     }
 }
