Merge flows at former services; refuse by rank only while a queue grows

Cause: refusals went on more than a second after a crowd of four times the room, where openings for 0.8 of the room still came: the rank of a caller shortened its wait also while the queue got less by itself. Ruled out: a bound on the wait, which refused openings that could be in time (what_cannot_be_in_time_is_told_at_once failed). Change: arrivals at a class that waits are counted beside its admissions; while fewer come than find room, any opening may wait for its whole budget. Before: refusals_end_within_a_second_of_a_great_crowd_that_leaves_little_room fails (one refusal at 1.12 s).

--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -219,7 +219,9 @@
     }
 
     fn renew_claim(&self) {
-        let core = self.core.borrow();
+        let now = self.clock.now();
+        let mut core = self.core.borrow_mut();
+        core.learn_routes(self.node.borrow().view(), now);
         self.metrics.waiting.set(i64::from(core.waiting()));
         self.metrics.flows.set(core.flow_count() as i64);
         self.metrics.balancers_asking.set(core.asking() as i64);
@@ -229,6 +231,7 @@
             load: core.load(self.clock.now()),
             leaving: self.leaving.get(),
             recorded: core.is_sized(),
+            without_former_flows: core.without_former_flows(now),
         });
     }
 
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -7,6 +7,7 @@
 mod deliveries;
 mod demand;
 mod flow;
+mod former_flows;
 mod granting;
 mod grants;
 mod restart_checks;
@@ -33,6 +34,7 @@
 use cold_start::ColdStart;
 use deliveries::Deliveries;
 use flow::Flow;
+use former_flows::FormerFlows;
 use grants::Grants;
 use restart_checks::RestartChecks;
 use round_trip::RoundTrip;
@@ -85,6 +87,7 @@
     /// Whether the zone of the target is evacuated.
     evacuated: bool,
     restart_checks: RestartChecks,
+    former: FormerFlows,
 }
 
 impl Agent {
@@ -110,6 +113,7 @@
             leaving: false,
             evacuated: false,
             restart_checks: RestartChecks::default(),
+            former: FormerFlows::default(),
         }
     }
 
@@ -140,6 +144,8 @@
     pub fn target_restarted(&mut self) {
         let was_ejected = self.breaker.is_open();
         self.grants.forget_outstanding();
+        // Some may be flows that the target opened since.
+        self.former.unfollow_all(&self.flows);
         self.restart_checks.add(std::mem::take(&mut self.flows));
         let fresh = Self::new(self.service);
         *self = Self {
@@ -148,6 +154,7 @@
             grants: std::mem::take(&mut self.grants),
             cold_start: std::mem::take(&mut self.cold_start),
             restart_checks: std::mem::take(&mut self.restart_checks),
+            former: std::mem::take(&mut self.former),
             breaker_change: was_ejected.then_some(BreakerChange::Closed),
             leaving: self.leaving,
             evacuated: self.evacuated,
@@ -348,8 +355,9 @@
         self.drop_expectations(now);
         self.service_time.advance(now);
         let (waiting, service_time) = (&mut self.waiting, &mut self.service_time);
+        let idle_ms = self.former.idle_ms();
         self.flows.retain(|key, flow| {
-            let keep = now.saturating_sub(flow.used_at) < FLOW_IDLE_MS;
+            let keep = now.saturating_sub(flow.used_at) < idle_ms;
             let waits = flow
                 .waiting_since
                 .take_if(|since| !keep || now.saturating_sub(*since) >= LONGEST_REQUEST_MS);
--- a/crates/steering/src/balancer/late_binding.rs
+++ b/crates/steering/src/balancer/late_binding.rs
@@ -26,6 +26,15 @@
 /// How long a service is remembered after the last opening waited for it.
 const SERVICE_LIFETIME_MS: Millis = 10_000;
 
+/// Whether what waits of a class gets less by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Trend {
+    /// Fewer openings come than find room.
+    Draining,
+    /// As many come, or more, or it is not known.
+    Growing,
+}
+
 /// What is followed of one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceState {
@@ -135,6 +144,13 @@
         self.service(class.service).rate(class.urgent).expected_wait(ahead, now)
     }
 
+    /// Counts an opening that comes to wait. Returns how its class develops.
+    pub(super) fn note_arrival(&mut self, class: QueueClass, now: Millis) -> Trend {
+        let rate = self.service(class.service).rate(class.urgent);
+        rate.arrived(now);
+        if rate.is_draining(now) { Trend::Draining } else { Trend::Growing }
+    }
+
     /// The rank of a caller for one more opening.
     pub(super) fn rank(&mut self, caller: Ipv4Addr, unix_ms: u64, now: Millis) -> CallerRank {
         self.shares.rank(caller, caller_rank(caller, unix_ms), now)
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -9,6 +9,7 @@
 mod queue_delay;
 mod queueing;
 mod search;
+mod search_order;
 mod undecided;
 
 use std::net::Ipv4Addr;
@@ -26,6 +27,7 @@
 use crate::flow_table::{FlowEntry, FlowStage, FlowTable};
 use crate::packet::{FlowKey, PacketHead};
 use crate::pending_packets::PendingPackets;
+use crate::route_history::RouteHistory;
 use crate::search_budget::SearchBudget;
 use crate::search_outcomes::SearchOutcomes;
 use crate::selection::rendezvous_first;
@@ -85,6 +87,7 @@
     searches: PendingPackets,
     search_budget: SearchBudget,
     search_outcomes: SearchOutcomes,
+    route_history: RouteHistory,
     /// Packets that came before a configuration or a target was known.
     undecided: UndecidedPackets,
     /// Opening packets that wait until a target has room.
@@ -118,6 +121,7 @@
             searches: PendingPackets::default(),
             search_budget: SearchBudget::new(None),
             search_outcomes: SearchOutcomes::default(),
+            route_history: RouteHistory::default(),
             undecided: UndecidedPackets::default(),
             late_binding: LateBinding::default(),
             regained_at: 0,
@@ -260,6 +264,7 @@
         self.flows.expire(now, idle_ms.max(SHORTEST_IDLE_MS));
         self.statuses.expire(now);
         self.late_binding.expire(now);
+        self.route_history.note(view);
     }
 
     /// The balancer that takes a packet over: the same for all packets of a flow.
--- a/crates/steering/src/balancer/queue_delay.rs
+++ b/crates/steering/src/balancer/queue_delay.rs
@@ -30,7 +30,9 @@
 pub struct AdmissionRate {
     /// Admissions by bucket of waiting time; bucket `n` is at `n % LONG_WINDOW`.
     counts: [u32; LONG_WINDOW as usize],
-    /// The bucket of the last admission.
+    /// Openings that came while others waited, by the same buckets.
+    arrivals: [u32; LONG_WINDOW as usize],
+    /// The bucket of the last admission or arrival.
     newest_bucket: u64,
     /// Waiting time at the last admission, if there was one.
     last_admission: Option<Millis>,
@@ -75,18 +77,36 @@
         self.last_admission = Some(waited);
     }
 
+    /// Counts an opening that comes while others wait, whether it may wait or not.
+    pub fn arrived(&mut self, now: Millis) {
+        if self.resumed_at.is_none() {
+            return;
+        }
+        self.advance(self.waiting_time(now) / BUCKET_MS);
+        let arrivals = &mut self.arrivals[slot(self.newest_bucket)];
+        *arrivals = arrivals.saturating_add(1);
+    }
+
+    /// Whether fewer come than find room: what waits gets less by itself.
+    pub fn is_draining(&self, now: Millis) -> bool {
+        let waited = self.waiting_time(now);
+        let admissions = self.count(&self.counts, SHORT_WINDOW, waited).events;
+        let arrivals = self.count(&self.arrivals, SHORT_WINDOW, waited).events;
+        admissions >= FEW_ADMISSIONS && arrivals < admissions
+    }
+
     /// How long an opening waits with so many before it; none while no admission is known.
     pub fn expected_wait(&self, ahead: usize, now: Millis) -> Option<Millis> {
         let last_admission = self.last_admission?;
         let waited = self.waiting_time(now);
         let since_last = waited.saturating_sub(last_admission);
         let ahead = ahead as u64;
-        let recent = self.count(SHORT_WINDOW, waited);
+        let recent = self.count(&self.counts, SHORT_WINDOW, waited);
         let recent_wait = recent.wait(ahead, since_last);
-        if recent.admissions >= FEW_ADMISSIONS {
+        if recent.events >= FEW_ADMISSIONS {
             return Some(recent_wait);
         }
-        let long_wait = self.count(LONG_WINDOW, waited).wait(ahead, since_last);
+        let long_wait = self.count(&self.counts, LONG_WINDOW, waited).wait(ahead, since_last);
         Some(recent_wait.max(long_wait))
     }
 
@@ -100,18 +120,19 @@
         let passed = bucket.saturating_sub(self.newest_bucket).min(LONG_WINDOW);
         for back in 0..passed {
             self.counts[slot(bucket - back)] = 0;
+            self.arrivals[slot(bucket - back)] = 0;
         }
         self.newest_bucket = self.newest_bucket.max(bucket);
     }
 
-    /// The admissions of the last `buckets` buckets, the current one included.
-    fn count(&self, buckets: u64, waited: Millis) -> Count {
+    /// The events of the last `buckets` buckets, the current one included.
+    fn count(&self, events: &[u32], buckets: u64, waited: Millis) -> Count {
         let first = (waited / BUCKET_MS + 1).saturating_sub(buckets);
         let oldest_kept = (self.newest_bucket + 1).saturating_sub(LONG_WINDOW);
         let kept = first.max(oldest_kept)..=self.newest_bucket;
-        let admissions = kept.map(|bucket| u64::from(self.counts[slot(bucket)])).sum();
+        let events = kept.map(|bucket| u64::from(events[slot(bucket)])).sum();
         let span_ms = (waited - first * BUCKET_MS).max(BUCKET_MS);
-        Count { admissions, span_ms }
+        Count { events, span_ms }
     }
 }
 
@@ -119,6 +140,7 @@
     fn default() -> Self {
         Self {
             counts: [0; LONG_WINDOW as usize],
+            arrivals: [0; LONG_WINDOW as usize],
             newest_bucket: 0,
             last_admission: None,
             waited_ms: 0,
@@ -128,9 +150,9 @@
     }
 }
 
-/// Admissions in a span of time.
+/// Admissions or arrivals in a span of time.
 struct Count {
-    admissions: u64,
+    events: u64,
     span_ms: Millis,
 }
 
@@ -138,7 +160,7 @@
     /// How long `ahead` admissions take at this rate. Without any admission, the time since
     /// the last one is the shortest that one can take.
     fn wait(&self, ahead: u64, since_last: Millis) -> Millis {
-        match self.admissions {
+        match self.events {
             0 => ahead.saturating_mul(since_last),
             admissions => ahead.saturating_mul(self.span_ms) / admissions,
         }
--- a/crates/steering/src/balancer/queueing.rs
+++ b/crates/steering/src/balancer/queueing.rs
@@ -9,10 +9,12 @@
 use weirhinge_fleet::{Millis, ReturnReason, ServiceId};
 
 use super::decision::{Decision, DropReason, QueueInputs, ResetReason};
+use super::late_binding::Trend;
 use super::opening::Eligible;
 use super::opening_queue::{QueueClass, QueuedOpening, Turn};
 use super::queue_delay::may_wait;
 use super::{Balancer, ClientPacket, Context};
+use crate::caller_rank::CallerRank;
 use crate::flow_table::FlowStage;
 use crate::packet::{FlowKey, PacketHead};
 use crate::selection::load_permille;
@@ -92,7 +94,11 @@
         let budget_ms = budget_end.saturating_sub(now);
         let expected_wait_ms = self.late_binding.expected_wait(class, ahead, now);
         let inputs = QueueInputs { ahead, expected_wait_ms, budget_ms };
-        let rank = self.late_binding.rank(*flow.client.ip(), context.unix_ms, now);
+        let rank = match self.late_binding.note_arrival(class, now) {
+            // Nobody has to be refused for others to be in time.
+            Trend::Draining => CallerRank::SERVED_FIRST,
+            Trend::Growing => self.late_binding.rank(*flow.client.ip(), context.unix_ms, now),
+        };
         let may_wait = match place.turn {
             Turn::First => budget_ms > 0,
             Turn::Last => may_wait(expected_wait_ms, ahead, budget_ms, rank),
