--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -65,8 +65,6 @@
     pub service_ms: u32,
     /// Milliseconds for which one more request was to wait before.
     pub wait_ms: u32,
-    /// Requests that waited for an answer of the target.
-    pub waiting: u32,
     /// Milliseconds since then.
     pub age_ms: Millis,
 }
@@ -245,7 +243,7 @@
         let age_ms = now.saturating_sub(status.heard_at);
         let (expected_ms, service_ms) = status.load.expected_ms.zip(status.load.service_ms)?;
         let wait_ms = expected_ms.saturating_sub(service_ms);
-        Some(ToldTimes { service_ms, wait_ms, waiting: status.load.waiting, age_ms })
+        Some(ToldTimes { service_ms, wait_ms, age_ms })
     }
 
     /// Milliseconds since the agent was last heard.
--- a/crates/steering/src/expected_time.rs
+++ b/crates/steering/src/expected_time.rs
@@ -2,14 +2,14 @@
 
 use weirhinge_fleet::Millis;
 
-use crate::agent_status::{AgentStatuses, ToldTimes};
+use crate::agent_status::AgentStatuses;
 use crate::selection::COLD_LOAD_PERCENT;
 use crate::view::Candidate;
 
 /// Targets from whose times the typical ones are taken: the first of a flow's order are any
 /// of the service, and enough that a slow third of them is hardly ever taken for typical.
 const TYPICAL_OF: usize = 16;
-/// Age at which an agent's word about a wait and about requests in hand is worth no more than that of any other: the
+/// Age at which an agent's word about a wait is worth no more than that of any other: the
 /// queue that it told of is gone.
 const WAIT_LIFETIME_MS: f64 = 1_000.0;
 /// The same for a service time: as for a wait, a target that was slow is tried again. In a
@@ -24,25 +24,15 @@
 pub struct TypicalTimes {
     service_ms: f64,
     wait_ms: f64,
-    /// Requests in hand for each slot.
-    in_hand: f64,
 }
 
 impl TypicalTimes {
     /// Those of the first targets in a flow's order; none if no agent told times.
     pub fn of(order: &[Candidate], statuses: &AgentStatuses, now: Millis) -> Option<Self> {
         let first = order.iter().take(TYPICAL_OF);
-        let told =
-            first.filter_map(|candidate| Some((candidate, statuses.times(candidate.agent, now)?)));
-        let told: Vec<(&Candidate, ToldTimes)> = told.collect();
-        let median_of = |value: fn(&Candidate, &ToldTimes) -> f64| {
-            median(told.iter().map(|(candidate, times)| value(candidate, times)).collect())
-        };
-        Some(Self {
-            service_ms: median_of(|_, times| f64::from(times.service_ms))?.max(1.0),
-            wait_ms: median_of(|_, times| f64::from(times.wait_ms))?,
-            in_hand: median_of(in_hand)?,
-        })
+        let told = first.filter_map(|candidate| statuses.times(candidate.agent, now));
+        let (services, waits) = told.map(|times| (times.service_ms, times.wait_ms)).unzip();
+        Some(Self { service_ms: median(services)?.max(1.0), wait_ms: median(waits)? })
     }
 
     /// What one more request costs at a target, in steps. Each request in hand counts its
@@ -55,37 +45,29 @@
         statuses: &AgentStatuses,
         now: Millis,
     ) -> u64 {
-        let target = self.believed(candidate, statuses, now);
-        let sent_since = f64::from(statuses.sent_since(candidate.agent));
-        let in_hand = target.in_hand + sent_since / f64::from(candidate.slots);
+        let (service_ms, wait_ms) = self.times_of(candidate, statuses, now);
+        let in_hand = f64::from(statuses.load(candidate.agent)) / f64::from(candidate.slots);
         let charge_ms = self.service_ms * charge_permille as f64 / 1_000.0;
-        let cost_ms = target.service_ms * (1.0 + in_hand) + target.wait_ms + charge_ms;
+        let cost_ms = service_ms * (1.0 + in_hand) + wait_ms + charge_ms;
         // A cast of a float saturates at the bounds of the integer.
         (cost_ms * STEPS_PER_SERVICE / self.service_ms).round() as u64
     }
 
-    /// What is believed of a target: what its agent told, as far as that is not too old.
-    fn believed(&self, candidate: &Candidate, statuses: &AgentStatuses, now: Millis) -> Self {
-        let Some(told) = statuses.times(candidate.agent, now) else {
+    fn times_of(&self, candidate: &Candidate, statuses: &AgentStatuses, now: Millis) -> (f64, f64) {
+        let Some(times) = statuses.times(candidate.agent, now) else {
             let is_cold = now < candidate.cold_until;
             let percent = if is_cold { COLD_LOAD_PERCENT as f64 } else { 100.0 };
-            return Self { service_ms: self.service_ms * percent / 100.0, ..*self };
+            return (self.service_ms * percent / 100.0, self.wait_ms);
         };
-        let aged = |told_value: f64, typical: f64, lifetime_ms: f64| {
-            typical + (told_value - typical) * (1.0 - told.age_ms as f64 / lifetime_ms).max(0.0)
+        let age_ms = times.age_ms as f64;
+        let aged = |told: u32, typical: f64, lifetime_ms: f64| {
+            typical + (f64::from(told) - typical) * (1.0 - age_ms / lifetime_ms).max(0.0)
         };
-        Self {
-            service_ms: aged(f64::from(told.service_ms), self.service_ms, SERVICE_LIFETIME_MS),
-            wait_ms: aged(f64::from(told.wait_ms), self.wait_ms, WAIT_LIFETIME_MS),
-            in_hand: aged(in_hand(candidate, &told), self.in_hand, WAIT_LIFETIME_MS),
-        }
+        let service_ms = aged(times.service_ms, self.service_ms, SERVICE_LIFETIME_MS);
+        (service_ms, aged(times.wait_ms, self.wait_ms, WAIT_LIFETIME_MS))
     }
 }
 
-fn in_hand(candidate: &Candidate, told: &ToldTimes) -> f64 {
-    f64::from(told.waiting) / f64::from(candidate.slots)
-}
-
 /// Milliseconds in which a target is expected to answer one more request, as its agent told,
 /// with what was sent since.
 pub fn expected_ms(candidate: &Candidate, statuses: &AgentStatuses, now: Millis) -> Option<u64> {
@@ -96,7 +78,7 @@
     Some(service_ms + u64::from(times.wait_ms) + sent_ms)
 }
 
-fn median(mut values: Vec<f64>) -> Option<f64> {
-    values.sort_unstable_by(f64::total_cmp);
-    values.get(values.len().saturating_sub(1) / 2).copied()
+fn median(mut values: Vec<u32>) -> Option<f64> {
+    values.sort_unstable();
+    values.get(values.len().saturating_sub(1) / 2).copied().map(f64::from)
 }
--- a/crates/steering/tests/expected_wait.rs
+++ b/crates/steering/tests/expected_wait.rs
@@ -268,16 +268,6 @@
     assert!((100..=170).contains(&old[0]), "{old:?}");
 }
 
-#[test]
-fn a_word_about_requests_in_hand_is_worth_less_as_it_ages() {
-    let words = [(1, told(0, 30, 0)), (2, told(4, 30, 0)), (3, told(4, 30, 0))];
-    let fixture = || Fixture::new(&Store::with_targets(3));
-    let fresh = shares(&mut fixture(), &words, 10);
-    assert!(fresh[0] >= 220, "{fresh:?}");
-    let old = shares(&mut fixture(), &words, 1_000);
-    assert!((100..=170).contains(&old[0]), "{old:?}");
-}
-
 #[test]
 fn a_service_time_counts_for_longer() {
     let words = [(1, told(0, 90, 0)), (2, told(0, 30, 0)), (3, told(0, 30, 0))];
