Let a heavy caller wait for an eighth of its budget at least

Change: callers with more than their share may wait for a quarter of their budget down to an eighth, not down to nothing; their order stays.

Ruled out: room that is not granted; the agents granted all along, and nothing was refused after a wait.

--- a/crates/steering/src/caller_rank.rs
+++ b/crates/steering/src/caller_rank.rs
@@ -21,9 +21,10 @@
 
 /// Units of the range of ranks of callers that have no more than their share.
 const RANGE: u32 = 1 << 16;
-/// Units behind that range for callers that have more: a wait is allowed to
-/// `1 - 0.75 * rank` of its budget, which is nothing at their end.
-const OVER_SHARE: u32 = RANGE / 3;
+/// Units behind that range for callers that have more. A wait is allowed to `1 - 0.75 * rank`
+/// of its budget, which is an eighth at their end: a short queue holds up nobody, and is no
+/// reason to refuse a heavy caller.
+const OVER_SHARE: u32 = RANGE / 6;
 
 /// A caller's place among the others. Of callers that have no more than their share, 0 is
 /// served first and 65,535 is refused first; those with more come behind.
