Tell no client of a refusal whose copy followed the opening to its target

Cause: a copy that comes within 150 ms of the grant goes to the granting agent without a grant. The agent may send the first packet back and take the copy, as room gets free between the two. The balancer let the returned opening wait as one that no target can have opened, and reset its flow at the end of the budget. Ruled out: dropping the copy; the granted packet itself may be lost. Change: from such a copy on the flow may be open, and its client is not told. Conclusion: a refusal after a copy to the granting target is silent.

--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -68,6 +68,8 @@
         entry.used_at = now;
         let agent = entry.agent;
         if entry.stage == FlowStage::Held || granted_by.is_some() {
+            // The target may take the copy though it sends the first packet back.
+            entry.may_be_open = true;
             let service = service_of(context.view, &flow, agent);
             return Decision::forward(agent, service, ForwardReason::OpeningRepeated);
         }
