Tell no client of a refusal whose flow was searched for

Cause: a flow whose client sends data is searched for under a new entry. An opening packet of it that an agent sends back late turned that entry into one of an opening that no target can have opened; refused, it reset an open flow. Ruled out: dropping the opening; a client may use its port for another flow. Change: a flow that was searched for may be open, like one that was held. Figures: the new test failed before (Reset Overloaded), passes now. Conclusion: such a flow is not reset for lack of room.

--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -331,7 +331,7 @@
                     // target whose answer did not come here in time may hold it.
                     entry.tried.clear();
                 }
-                entry.may_be_open |= entry.stage == FlowStage::Held;
+                entry.may_be_open |= matches!(entry.stage, FlowStage::Held | FlowStage::Searching);
                 entry.note_returned(from);
                 entry.stage = stage;
                 None
--- a/crates/steering/tests/opening_queue_faults.rs
+++ b/crates/steering/tests/opening_queue_faults.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use support::queue::{BUDGET, copy, first_ranked, is_queued, store};
-use support::{Fixture, LATER, agent, forwarded, opening};
+use support::{Fixture, LATER, agent, data, forwarded, opening};
 use weirhinge_fleet::ReturnReason;
 use weirhinge_steering::{Decision, DropReason, ForwardReason};
 
@@ -24,3 +24,18 @@
     assert_eq!(refused.len(), 1);
     assert_eq!(refused[0].decision, NOT_TOLD);
 }
+
+/// A client that sends data has an open flow.
+#[test]
+fn a_flow_that_is_searched_for_is_not_reset_when_its_opening_comes_back() {
+    let mut fixture = Fixture::new(&store(1));
+    let flow = first_ranked(1)[0];
+    fixture.queue(flow, LATER);
+    let search = fixture.client(&data(flow), LATER + 10);
+    assert_eq!(forwarded(&search).reason, ForwardReason::Search);
+    let late = fixture.returned(&opening(flow), agent(1), ReturnReason::Busy, LATER + 11);
+    assert!(!matches!(late, Decision::Reset { .. }), "{late:?}");
+    for refused in fixture.due_refusals(LATER + 2 * BUDGET) {
+        assert_eq!(refused.decision, NOT_TOLD);
+    }
+}
