Take a waiting flow that the table forgot for one that may be open

Cause: a full flow table forgets any flow, also one whose opening waits. The entry made when the opening was sent for a grant said that no target had got a copy and that the flow had just begun: sent back, its budget began again, and its client could be reset though a silent target had the first packet. Ruled out: sparing waiting flows in the table; it would search for a victim on each packet. Change: such a flow may be open, and is as old as its wait. Conclusion: nothing that was forgotten is taken for the best case.

--- a/crates/steering/src/balancer/granting.rs
+++ b/crates/steering/src/balancer/granting.rs
@@ -136,9 +136,16 @@
         let (now, service, agent) = (context.now, grant.service, grant.agent);
         let opening = self.late_binding.admit(flow, now)?;
         self.statuses.sent_opening(agent, now);
+        let is_forgotten = self.flows.get_mut(flow).is_none();
         self.go_to(*flow, agent, FlowStage::Opening, now);
         if let Some(entry) = self.flows.get_mut(flow) {
             entry.granted = true;
+            if is_forgotten {
+                // A full table forgot it, and with it which targets have got a copy.
+                entry.may_be_open = true;
+                entry.first_at = opening.queued_at;
+                entry.queued_at = Some(opening.queued_at);
+            }
         }
         let urgent = context.view.route(flow.service).is_some_and(RouteChoice::is_urgent);
         let mut forward = Forward::to(agent, service, ForwardReason::OpeningGranted);
--- a/crates/steering/tests/opening_queue_faults.rs
+++ b/crates/steering/tests/opening_queue_faults.rs
@@ -5,7 +5,7 @@
 use support::queue::{BUDGET, copy, first_ranked, is_queued, store};
 use support::{Fixture, LATER, agent, data, forwarded, opening};
 use weirhinge_fleet::ReturnReason;
-use weirhinge_steering::{Decision, DropReason, ForwardReason};
+use weirhinge_steering::{Balancer, Decision, DropReason, ForwardReason};
 
 const NOT_TOLD: Decision = Decision::Drop(DropReason::OpeningRefused);
 
@@ -39,3 +39,24 @@
         assert_eq!(refused.decision, NOT_TOLD);
     }
 }
+
+/// What is not known any more must not be taken for the best case.
+#[test]
+fn a_flow_that_a_full_table_forgot_while_it_waited_is_not_reset() {
+    let mut fixture = Fixture::new(&store(4));
+    fixture.balancer = Balancer::with_capacity(1);
+    let flows = first_ranked(2);
+    let silent = forwarded(&fixture.client(&opening(flows[0]), LATER)).agent;
+    let head = copy(flows[0], 1);
+    let moved = forwarded(&fixture.client(&head, LATER + 200)).agent;
+    assert!(is_queued(&fixture.returned(&head, moved, ReturnReason::Busy, LATER + 201)));
+    fixture.client(&data(flows[1]), LATER + 202);
+    let other = (1..=4).map(agent).find(|agent| ![silent, moved].contains(agent));
+    let number = other.expect("two others").octets()[3];
+    assert_eq!(fixture.serve(number, LATER + 203), Some((flows[0], 0)));
+    let decision = fixture.returned(&head, agent(number), ReturnReason::Busy, LATER + 204);
+    assert!(is_queued(&decision), "{decision:?}");
+    let refused = fixture.due_refusals(LATER + 201 + BUDGET);
+    assert_eq!(refused.len(), 1, "its budget did not begin again");
+    assert_eq!(refused[0].decision, NOT_TOLD);
+}
