Ask agents again at once that were told that nothing waits

Cause: an agent forgets a balancer that answers a grant with nothing left or declines it. The balancer counted it as asked for 100 ms from its question on: where all agents of a service had been asked, as in a service of a few targets, the next opening was announced to none of them for up to 100 ms, and others took the room. Ruled out: a shorter time between questions, which concerns agents that still know; a decline while something waits (the target fails, or all have tried it) keeps the time. Change: an agent that was told that nothing of what it granted for waits is forgotten as asked. Conclusion: the balancer's notion of who was asked follows what agents know.

--- a/crates/steering/src/balancer/granting.rs
+++ b/crates/steering/src/balancer/granting.rs
@@ -61,6 +61,16 @@
     /// Takes an agent's grant for the opening that goes first.
     pub fn grant(&mut self, context: &Context<'_>, grant: &RoomGrant) -> GrantAnswer {
         self.statuses.granted(grant.agent, grant.load, context.now);
+        let answer = self.answer_grant(context, grant);
+        let urgent_only = grant.urgent_only && answer.granted.is_none();
+        let next = self.late_binding.flows_in_turn(grant.service, urgent_only).next();
+        if next.is_none() {
+            self.late_binding.forget_asked(grant.agent);
+        }
+        answer
+    }
+
+    fn answer_grant(&mut self, context: &Context<'_>, grant: &RoomGrant) -> GrantAnswer {
         let mut settled = self.due_refusals(context.now);
         let Some(target) = self.granting_target(context, grant) else {
             return GrantAnswer { granted: None, settled };
--- a/crates/steering/src/balancer/late_binding.rs
+++ b/crates/steering/src/balancer/late_binding.rs
@@ -177,6 +177,11 @@
         asked
     }
 
+    /// Notes that an agent was told that nothing waits here, so that it keeps no demand.
+    pub(super) fn forget_asked(&mut self, agent: Ipv4Addr) {
+        self.asked_at.remove(&agent);
+    }
+
     /// The services for which further agents are to be asked.
     pub(super) fn services_to_ask(&self, now: Millis) -> Vec<ServiceId> {
         let services = self.queue.services().into_iter();
--- a/crates/steering/tests/opening_queue_faults.rs
+++ b/crates/steering/tests/opening_queue_faults.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+
 use support::queue::{BUDGET, copy, first_ranked, is_queued, store};
 use support::{Fixture, LATER, agent, data, forwarded, opening};
 use weirhinge_fleet::ReturnReason;
@@ -60,3 +63,18 @@
     assert_eq!(refused.len(), 1, "its budget did not begin again");
     assert_eq!(refused[0].decision, NOT_TOLD);
 }
+
+/// An agent forgets a balancer at which nothing waits.
+#[test]
+fn agents_that_were_told_that_nothing_waits_are_asked_again_at_once() {
+    let mut fixture = Fixture::new(&store(2));
+    let flows = first_ranked(2);
+    fixture.queue(flows[0], LATER);
+    assert_eq!(fixture.serve(1, LATER + 5), Some((flows[0], 0)));
+    fixture.balancer.holds(flows[0], agent(1), false, 0, LATER + 6);
+    assert_eq!(fixture.serve(2, LATER + 6), None);
+    let decision = fixture.open_at_busy(flows[1], LATER + 10);
+    let Decision::Queue { ask, .. } = decision else { panic!("{decision:?}") };
+    let asked: BTreeSet<Ipv4Addr> = ask.into_iter().collect();
+    assert_eq!(asked, BTreeSet::from([agent(1), agent(2)]));
+}
