Tell with a grant what a target is expected to take

A balancer replaces what it knows of a target by what each message tells, so that each grant made it forget the target's times: just in a crowd, agents to be asked were compared and budgets computed as if no agent told any. Ruled out: keeping older times at the balancer; an agent that knows none any more says so by leaving them out. Change: a grant carries the agent's load as every other message does. Figures: the new test over real sockets failed before (no service time), passes now. Conclusion: all messages of an agent tell the same.

--- a/crates/relay/src/agent/grants.rs
+++ b/crates/relay/src/agent/grants.rs
@@ -31,12 +31,11 @@
     pub(super) fn grant_room(&self, now: Millis) -> bool {
         let grant = self.core.borrow_mut().next_grant(now);
         let Some(Grant { balancer, urgent_only }) = grant else { return false };
-        let waiting = self.core.borrow().waiting();
+        let load = self.core.borrow().load(now);
         self.metrics.grants_sent.inc();
-        self.decisions.granted(balancer, urgent_only, waiting, now);
+        self.decisions.granted(balancer, urgent_only, load.waiting, now);
         let service = ServiceId::of(&self.service).0;
-        self.link
-            .send(balancer, &PeerMessage::Grant { service, urgent_only, load: waiting.into() });
+        self.link.send(balancer, &PeerMessage::Grant { service, urgent_only, load });
         true
     }
 
--- a/crates/relay/tests/agent_grants.rs
+++ b/crates/relay/tests/agent_grants.rs
@@ -8,7 +8,8 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use weirhinge_fleet::{
-    Millis, OpeningDemand, PeerMessage, ReturnReason, ServiceId, WaitingOpenings, decode, encode,
+    Millis, OpeningDemand, PeerMessage, Position, ReturnReason, ServiceId, TargetRecord,
+    TargetState, VersionedTarget, WaitingOpenings, decode, encode,
 };
 use weirhinge_relay::{
     AgentSettings, ListPage, Platform, ProcessLog, RawSettings, RejectedItem, Signals, WatchPage,
@@ -23,21 +24,24 @@
 const ROOM: u16 = 4;
 /// Longest wait for a message on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(10);
+/// Time from which agents tell of a request that runs.
+const LONG_REQUEST: Duration = Duration::from_millis(200);
 
-/// Packets are opening packets that consist of their client's port.
+/// Packets are opening packets that consist of their client's port, or requests with one
+/// byte more.
 #[derive(Clone)]
 struct PortsOnly;
 
 impl Platform for PortsOnly {
     fn decode(&self, packet: &[u8]) -> Result<PacketHead, MalformedPacket> {
-        let port = packet.try_into().map_err(|_| MalformedPacket::WrongLength)?;
+        let (port, data) = packet.split_first_chunk().ok_or(MalformedPacket::WrongLength)?;
         Ok(PacketHead {
-            source: SocketAddrV4::new(BALANCER, u16::from_be_bytes(port)),
+            source: SocketAddrV4::new(BALANCER, u16::from_be_bytes(*port)),
             destination: CLIENTS_SERVICE,
-            flags: Flags { syn: true, ..Flags::default() },
+            flags: Flags { syn: data.is_empty(), ..Flags::default() },
             sequence: 0,
             acknowledgment: 0,
-            length: 0,
+            length: data.len() as u16,
             echo: 0,
         })
     }
@@ -103,8 +107,11 @@
     }
 
     async fn open(&self, port: u16, granted: Option<OpeningDemand>) {
+        self.forward(&port.to_be_bytes(), granted).await;
+    }
+
+    async fn forward(&self, packet: &[u8], granted: Option<OpeningDemand>) {
         let service = ServiceId::of(SERVICE).0;
-        let packet = &port.to_be_bytes();
         let (search, may_wait, urgent) = (None, false, false);
         let forward = PeerMessage::Forward { service, search, may_wait, urgent, granted, packet };
         self.send(&forward).await;
@@ -162,6 +169,22 @@
     OpeningDemand { others: WaitingOpenings { count, oldest_ms: 10 }, ..OpeningDemand::default() }
 }
 
+/// The record of a target with eight slots.
+fn recorded(agent: Ipv4Addr) -> VersionedTarget {
+    let record = TargetRecord {
+        service: SERVICE.to_owned(),
+        address: agent.to_bits(),
+        zone: "a".to_owned(),
+        slots: 8,
+        state: TargetState::Ready,
+        warm_up_ms: 0,
+        incarnation: None,
+        sequence: 1,
+    };
+    let (id, position) = ("target".to_owned(), Position::new(0, 1));
+    VersionedTarget { id, position, present: true, record: Some(record) }
+}
+
 fn free_port(agent: Ipv4Addr) -> u16 {
     let socket = std::net::TcpListener::bind((agent, 0)).expect("a free port");
     socket.local_addr().expect("bound").port()
@@ -249,3 +272,25 @@
     })
     .await;
 }
+
+/// What the agent told before must not be forgotten for a grant.
+#[tokio::test]
+async fn a_grant_tells_of_the_target_what_all_messages_do() {
+    let agent = Ipv4Addr::new(127, 0, 77, 13);
+    beside_an_agent(agent, async |peers| {
+        peers.send(&PeerMessage::Record(recorded(agent))).await;
+        let [high, low] = 1_000_u16.to_be_bytes();
+        peers.forward(&[high, low, 0], None).await;
+        tokio::time::sleep(LONG_REQUEST).await;
+        peers.ask(1).await;
+        let load = |message: PeerMessage<'_>| match message {
+            PeerMessage::Grant { load, .. } => Some(load),
+            _ => None,
+        };
+        let load = peers.hear(load).await;
+        assert_eq!(load.waiting, 1);
+        assert!(load.service_ms.is_some_and(|ms| u128::from(ms) >= LONG_REQUEST.as_millis()));
+        assert!(load.expected_ms >= load.service_ms);
+    })
+    .await;
+}
