Choose the agents to be asked for room without sorting all targets

Cause: each opening that begins to wait copied and sorted all answering targets of its service, with two look-ups each, to ask two agents. Ruled out: asking the first few in the flow's order; it changes who is asked. Change: one pass keeps the two cheapest of those that are due; the choice is the same.

--- a/crates/steering/src/balancer/late_binding.rs
+++ b/crates/steering/src/balancer/late_binding.rs
@@ -11,6 +11,7 @@
 use super::queue_delay::AdmissionRate;
 use crate::caller_rank::{CallerRank, caller_rank};
 use crate::packet::FlowKey;
+use crate::view::Candidate;
 
 /// Agents asked for room at a time.
 const ASKED_AT_ONCE: usize = 2;
@@ -159,20 +160,30 @@
         classes.into_iter().find_map(|class| self.queue.flows_of(class).next())
     }
 
-    /// Of these agents the first ones that were not asked for room lately. They count as
-    /// asked from now on.
-    pub(super) fn choose_asked(
+    /// The agents of the cheapest of these targets that were not asked for room lately; of
+    /// equal ones the first. They count as asked from now on.
+    pub(super) fn choose_asked<C: Ord>(
         &mut self,
         service: ServiceId,
-        agents: impl Iterator<Item = Ipv4Addr>,
+        targets: &[Candidate],
+        cost: impl Fn(&Candidate) -> C,
         now: Millis,
     ) -> Vec<Ipv4Addr> {
         self.service(service).asked_at = now;
-        let is_due = |agent: &Ipv4Addr| {
-            let asked_at = self.asked_at.get(agent);
+        let is_due = |target: &&Candidate| {
+            let asked_at = self.asked_at.get(&target.agent);
             asked_at.is_none_or(|at| now.saturating_sub(*at) >= ASK_AGAIN_MS)
         };
-        let asked: Vec<Ipv4Addr> = agents.filter(is_due).take(ASKED_AT_ONCE).collect();
+        let mut cheapest: Vec<(C, Ipv4Addr)> = Vec::with_capacity(ASKED_AT_ONCE + 1);
+        for target in targets.iter().filter(is_due) {
+            let cost = cost(target);
+            let place = cheapest.partition_point(|(known, _)| *known <= cost);
+            if place < ASKED_AT_ONCE {
+                cheapest.insert(place, (cost, target.agent));
+                cheapest.truncate(ASKED_AT_ONCE);
+            }
+        }
+        let asked: Vec<Ipv4Addr> = cheapest.into_iter().map(|(_, agent)| agent).collect();
         self.asked_at.extend(asked.iter().map(|agent| (*agent, now)));
         asked
     }
--- a/crates/steering/src/balancer/queueing.rs
+++ b/crates/steering/src/balancer/queueing.rs
@@ -13,6 +13,7 @@
 use super::opening_queue::{QueueClass, QueuedOpening, Turn};
 use super::queue_delay::may_wait;
 use super::{Balancer, ClientPacket, Context};
+use crate::agent_status::AgentStatuses;
 use crate::flow_table::FlowStage;
 use crate::packet::{FlowKey, PacketHead};
 use crate::selection::load_permille;
@@ -209,20 +210,11 @@
         targets: &[Candidate],
         now: Millis,
     ) -> Vec<Ipv4Addr> {
-        let mut targets = targets.to_vec();
-        targets.sort_by_cached_key(|target| {
-            (target.distance == Distance::Far, self.expected_ms(target, now))
-        });
-        let agents = targets.iter().map(|target| target.agent);
-        self.late_binding.choose_asked(service, agents, now)
-    }
-
-    /// How long a target is believed to need for one more request.
-    fn expected_ms(&self, target: &Candidate, now: Millis) -> Millis {
-        let told = self.statuses.target_load(target.agent);
-        let service_ms = told.service_ms.map_or(DEFAULT_SERVICE_MS, Millis::from);
-        let by_load = load_permille(target, &self.statuses, now) * service_ms / 1_000;
-        told.expected_ms.map_or(by_load, Millis::from)
+        let statuses = &self.statuses;
+        let cost = |target: &Candidate| {
+            (target.distance == Distance::Far, expected_ms(target, statuses, now))
+        };
+        self.late_binding.choose_asked(service, targets, cost, now)
     }
 
     /// The time of one request at the middle one of the service's targets.
@@ -238,3 +230,11 @@
         })
     }
 }
+
+/// How long a target is believed to need for one more request.
+fn expected_ms(target: &Candidate, statuses: &AgentStatuses, now: Millis) -> Millis {
+    let told = statuses.target_load(target.agent);
+    let service_ms = told.service_ms.map_or(DEFAULT_SERVICE_MS, Millis::from);
+    let by_load = load_permille(target, statuses, now) * service_ms / 1_000;
+    told.expected_ms.map_or(by_load, Millis::from)
+}
