Rank each target once for a flow's order

Cause: the sort of all targets by their rank for a flow computed both ranks anew at each comparison, for each opening packet. Ruled out: keeping orders; each flow has its own. Change: a sort with cached keys, which is as stable.

--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -37,7 +37,7 @@
     candidates: impl Iterator<Item = &'a Candidate>,
 ) -> Vec<Candidate> {
     let mut order: Vec<Candidate> = candidates.copied().collect();
-    order.sort_by_key(|candidate| std::cmp::Reverse(rank(flow_hash, candidate.agent)));
+    order.sort_by_cached_key(|candidate| std::cmp::Reverse(rank(flow_hash, candidate.agent)));
     order
 }
 
