Ask for room on behalf of each waiting opening in turn

Cause: further agents were chosen by the route of the first opening of a service alone. Routes of one service may allow other regions, and a route may be gone: agents that only later openings could go to were asked once and forgot it after 300 ms, and behind an opening whose route is gone nobody was asked, until its budget ended. Ruled out: looking for each distinct route in the queue; it walks the whole queue each time. Change: in turns the first opening and each other one says which targets are asked. Figures: both new tests failed before (agents never asked again), pass now. Conclusion: no opening is left unannounced for what stands before it.

--- a/crates/steering/src/balancer/granting.rs
+++ b/crates/steering/src/balancer/granting.rs
@@ -189,7 +189,7 @@
         let now = context.now;
         let services = self.late_binding.services_to_ask(now).into_iter();
         let requests = services.filter_map(|service| {
-            let flow = self.late_binding.first_flow(service)?;
+            let flow = self.late_binding.flow_to_ask_for(service)?;
             let route = context.view.route(flow.service);
             let eligible = route.map(|route| self.eligible(context, route, service, flow.hash()));
             let answering = eligible.map(|eligible| eligible.answering).unwrap_or_default();
--- a/crates/steering/src/balancer/late_binding.rs
+++ b/crates/steering/src/balancer/late_binding.rs
@@ -36,6 +36,8 @@
     urgent_in_row: u32,
     /// When agents were last asked for room.
     asked_at: Millis,
+    /// How often further agents were asked.
+    further_asks: usize,
     /// The time of one request, and when it was looked up.
     service_ms: Option<(Millis, Millis)>,
 }
@@ -160,6 +162,19 @@
         classes.into_iter().find_map(|class| self.queue.flows_of(class).next())
     }
 
+    /// The flow on whose behalf further agents are asked: in turns the first one and each
+    /// other, as routes of one service may allow other targets.
+    pub(super) fn flow_to_ask_for(&mut self, service: ServiceId) -> Option<FlowKey> {
+        let state = self.service(service);
+        let turn = state.further_asks;
+        state.further_asks = turn.wrapping_add(1);
+        let classes = [true, false].map(|urgent| QueueClass { service, urgent });
+        let waiting: usize = classes.iter().map(|class| self.queue.waiting(*class)).sum();
+        let is_others_turn = waiting > 1 && turn % 2 == 1;
+        let place = if is_others_turn { 1 + turn / 2 % (waiting - 1) } else { 0 };
+        classes.into_iter().flat_map(|class| self.queue.flows_of(class)).nth(place)
+    }
+
     /// The agents of the cheapest of these targets that were not asked for room lately; of
     /// equal ones the first. They count as asked from now on.
     pub(super) fn choose_asked<C: Ord>(
--- a/crates/steering/tests/opening_queue_faults.rs
+++ b/crates/steering/tests/opening_queue_faults.rs
@@ -5,11 +5,15 @@
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
-use support::queue::{BUDGET, copy, first_ranked, is_queued, store};
-use support::{Fixture, LATER, agent, data, forwarded, opening};
-use weirhinge_fleet::ReturnReason;
+use support::queue::{
+    BUDGET, copy, first_ranked, is_queued, route, store, urgent, urgent_endpoint,
+};
+use support::{Fixture, LATER, SERVICE, agent, data, endpoint, forwarded, opening};
+use weirhinge_fleet::{ReturnReason, Route, TargetState};
 use weirhinge_steering::{Balancer, Decision, DropReason, ForwardReason};
 
+/// For how long agents know what a balancer told, in milliseconds.
+const DEMAND_LIFETIME: u64 = 300;
 const NOT_TOLD: Decision = Decision::Drop(DropReason::OpeningRefused);
 
 /// The agent may take the copy after it sent the opening back.
@@ -78,3 +82,38 @@
     let asked: BTreeSet<Ipv4Addr> = ask.into_iter().collect();
     assert_eq!(asked, BTreeSet::from([agent(1), agent(2)]));
 }
+
+/// The agents asked for room after those asked at first have forgotten it.
+fn asked_later(fixture: &mut Fixture) -> BTreeSet<Ipv4Addr> {
+    let requests = (1..=24).flat_map(|step| {
+        let requests = fixture.due_room_requests(LATER + step * 25);
+        requests.into_iter().filter(move |_| step * 25 > DEMAND_LIFETIME)
+    });
+    requests.flat_map(|request| request.agents).collect()
+}
+
+#[test]
+fn agents_are_asked_also_for_openings_behind_one_that_is_bound_to_a_region() {
+    let mut store = store(2);
+    store.target(51, SERVICE, Some(TargetState::Ready), 0);
+    let permitted_regions = vec!["near".to_owned()];
+    let bound = Route { permitted_regions, ..route(urgent_endpoint(), SERVICE, 2) };
+    store.configure(vec![bound, route(endpoint(), SERVICE, 2)]);
+    let mut fixture = Fixture::new(&store);
+    let flows = first_ranked(2);
+    fixture.queue(urgent(flows[0]), LATER);
+    fixture.queue(flows[1], LATER + 1);
+    assert!(asked_later(&mut fixture).contains(&agent(51)));
+}
+
+#[test]
+fn agents_are_asked_also_for_openings_behind_one_whose_route_is_gone() {
+    let mut store = store(2);
+    let mut fixture = Fixture::new(&store);
+    let flows = first_ranked(2);
+    fixture.queue(urgent(flows[0]), LATER);
+    fixture.queue(flows[1], LATER + 1);
+    store.configure(vec![route(endpoint(), SERVICE, 2)]);
+    fixture.view = store.view();
+    assert_eq!(asked_later(&mut fixture), BTreeSet::from([agent(1), agent(2)]));
+}
