Let a flow that has the key of an earlier one use its grant

Cause: an agent follows a flow for a minute after its last packet. An opening for a grant whose client had used the same port for another flow through the same balancer was taken for a doubled message: the room stayed kept until it lapsed, what still waits was not taken in, and after two of them the balancer was forgotten. Ruled out: forgetting flows when they end; their last packets may be sent again. Change: only a flow that was opened within the time of an opening's copies makes a message a doubled one. Conclusion: a grant that is answered is used.

--- a/crates/steering/src/agent/granting.rs
+++ b/crates/steering/src/agent/granting.rs
@@ -77,8 +77,9 @@
         self.grants.expire(now);
         let Some(rest) = arrival.granted else { return GrantUse::None };
         // A doubled message must not take the room of the balancer's next opening.
-        let flow = self.flows.get(&arrival.head.client_flow());
-        if flow.is_some_and(|flow| flow.balancer == arrival.balancer) {
+        let key = arrival.head.client_flow();
+        let came_from = self.flows.get(&key).map(|flow| flow.balancer);
+        if came_from == Some(arrival.balancer) && self.is_copy(&key, now) {
             return GrantUse::None;
         }
         self.grants.used(arrival.balancer, arrival.urgent, rest, now)
--- a/crates/steering/tests/grants_unanswered.rs
+++ b/crates/steering/tests/grants_unanswered.rs
@@ -204,3 +204,18 @@
     let stale = answer_grant(&mut full, 101, 50, NOTHING, 101);
     assert_eq!(stale, BUSY, "granted in the life before");
 }
+
+/// A client may use its port for another flow while the agent still knows the earlier one.
+#[test]
+fn a_grant_is_used_by_a_flow_that_has_the_key_of_an_earlier_one() {
+    let mut beside = full_agent();
+    free(&mut beside, 0, 100);
+    ask(&mut beside, 101, others(1, 0), 100);
+    assert_eq!(grants(&mut beside, 100), [101]);
+    assert!(is_taken(&answer_grant(&mut beside, 101, 50, NOTHING, 101)));
+    let now = 10_000;
+    ask(&mut beside, 101, others(1, 0), now);
+    assert_eq!(grants(&mut beside, now), [101]);
+    assert!(is_taken(&answer_grant(&mut beside, 101, 50, NOTHING, now + 1)));
+    assert_eq!((beside.kept_room(), beside.asking()), (0, 0));
+}
