--- a/crates/steering/src/balancer/granting.rs
+++ b/crates/steering/src/balancer/granting.rs
@@ -61,6 +61,16 @@
     /// Takes an agent's grant for the opening that goes first.
     pub fn grant(&mut self, context: &Context<'_>, grant: &RoomGrant) -> GrantAnswer {
         self.statuses.granted(grant.agent, grant.load, context.now);
+        let answer = self.answer_grant(context, grant);
+        let urgent_only = grant.urgent_only && answer.granted.is_none();
+        let next = self.late_binding.flows_in_turn(grant.service, urgent_only).next();
+        if next.is_none() {
+            self.late_binding.forget_asked(grant.agent);
+        }
+        answer
+    }
+
+    fn answer_grant(&mut self, context: &Context<'_>, grant: &RoomGrant) -> GrantAnswer {
         let mut settled = self.due_refusals(context.now);
         let Some(target) = self.granting_target(context, grant) else {
             return GrantAnswer { granted: None, settled };
@@ -136,9 +146,16 @@
         let (now, service, agent) = (context.now, grant.service, grant.agent);
         let opening = self.late_binding.admit(flow, now)?;
         self.statuses.sent_opening(agent, now);
+        let is_forgotten = self.flows.get_mut(flow).is_none();
         self.go_to(*flow, agent, FlowStage::Opening, now);
         if let Some(entry) = self.flows.get_mut(flow) {
             entry.granted = true;
+            if is_forgotten {
+                // A full table forgot it, and with it which targets have got a copy.
+                entry.may_be_open = true;
+                entry.first_at = opening.queued_at;
+                entry.queued_at = Some(opening.queued_at);
+            }
         }
         let urgent = context.view.route(flow.service).is_some_and(RouteChoice::is_urgent);
         let mut forward = Forward::to(agent, service, ForwardReason::OpeningGranted);
@@ -172,7 +189,7 @@
         let now = context.now;
         let services = self.late_binding.services_to_ask(now).into_iter();
         let requests = services.filter_map(|service| {
-            let flow = self.late_binding.first_flow(service)?;
+            let flow = self.late_binding.flow_to_ask_for(service)?;
             let route = context.view.route(flow.service);
             let eligible = route.map(|route| self.eligible(context, route, service, flow.hash()));
             let answering = eligible.map(|eligible| eligible.answering).unwrap_or_default();
--- a/crates/steering/src/balancer/late_binding.rs
+++ b/crates/steering/src/balancer/late_binding.rs
@@ -11,6 +11,7 @@
 use super::queue_delay::AdmissionRate;
 use crate::caller_rank::{CallerRank, caller_rank};
 use crate::packet::FlowKey;
+use crate::view::Candidate;
 
 /// Agents asked for room at a time.
 const ASKED_AT_ONCE: usize = 2;
@@ -44,6 +45,8 @@
     urgent_in_row: u32,
     /// When agents were last asked for room.
     asked_at: Millis,
+    /// How often further agents were asked.
+    further_asks: usize,
     /// The time of one request, and when it was looked up.
     service_ms: Option<(Millis, Millis)>,
 }
@@ -175,24 +178,52 @@
         classes.into_iter().find_map(|class| self.queue.flows_of(class).next())
     }
 
-    /// Of these agents the first ones that were not asked for room lately. They count as
-    /// asked from now on.
-    pub(super) fn choose_asked(
+    /// The flow on whose behalf further agents are asked: in turns the first one and each
+    /// other, as routes of one service may allow other targets.
+    pub(super) fn flow_to_ask_for(&mut self, service: ServiceId) -> Option<FlowKey> {
+        let state = self.service(service);
+        let turn = state.further_asks;
+        state.further_asks = turn.wrapping_add(1);
+        let classes = [true, false].map(|urgent| QueueClass { service, urgent });
+        let waiting: usize = classes.iter().map(|class| self.queue.waiting(*class)).sum();
+        let is_others_turn = waiting > 1 && turn % 2 == 1;
+        let place = if is_others_turn { 1 + turn / 2 % (waiting - 1) } else { 0 };
+        classes.into_iter().flat_map(|class| self.queue.flows_of(class)).nth(place)
+    }
+
+    /// The agents of the cheapest of these targets that were not asked for room lately; of
+    /// equal ones the first. They count as asked from now on.
+    pub(super) fn choose_asked<C: Ord>(
         &mut self,
         service: ServiceId,
-        agents: impl Iterator<Item = Ipv4Addr>,
+        targets: &[Candidate],
+        cost: impl Fn(&Candidate) -> C,
         now: Millis,
     ) -> Vec<Ipv4Addr> {
         self.service(service).asked_at = now;
-        let is_due = |agent: &Ipv4Addr| {
-            let asked_at = self.asked_at.get(agent);
+        let is_due = |target: &&Candidate| {
+            let asked_at = self.asked_at.get(&target.agent);
             asked_at.is_none_or(|at| now.saturating_sub(*at) >= ASK_AGAIN_MS)
         };
-        let asked: Vec<Ipv4Addr> = agents.filter(is_due).take(ASKED_AT_ONCE).collect();
+        let mut cheapest: Vec<(C, Ipv4Addr)> = Vec::with_capacity(ASKED_AT_ONCE + 1);
+        for target in targets.iter().filter(is_due) {
+            let cost = cost(target);
+            let place = cheapest.partition_point(|(known, _)| *known <= cost);
+            if place < ASKED_AT_ONCE {
+                cheapest.insert(place, (cost, target.agent));
+                cheapest.truncate(ASKED_AT_ONCE);
+            }
+        }
+        let asked: Vec<Ipv4Addr> = cheapest.into_iter().map(|(_, agent)| agent).collect();
         self.asked_at.extend(asked.iter().map(|agent| (*agent, now)));
         asked
     }
 
+    /// Notes that an agent was told that nothing waits here, so that it keeps no demand.
+    pub(super) fn forget_asked(&mut self, agent: Ipv4Addr) {
+        self.asked_at.remove(&agent);
+    }
+
     /// The services for which further agents are to be asked.
     pub(super) fn services_to_ask(&self, now: Millis) -> Vec<ServiceId> {
         let services = self.queue.services().into_iter();
