--- a/crates/relay/src/agent/output.rs
+++ b/crates/relay/src/agent/output.rs
@@ -87,6 +87,7 @@
                     search: Some(path),
                     may_wait: false,
                     urgent: false,
+                    granted: None,
                     packet,
                 };
                 self.link.send(agent, &message);
@@ -122,14 +123,14 @@
     }
 
     pub(super) fn send_notice(&self, notice: &HoldsNotice, now: Millis) {
-        let waiting = self.core.borrow().waiting();
-        self.decisions.answered(&notice.flow, notice.confirmed, waiting, now);
+        let load = self.core.borrow().load(now);
+        self.decisions.answered(&notice.flow, notice.confirmed, load.waiting, now);
         let flow = notice.flow;
         let message = PeerMessage::Holds {
             client: (flow.client.ip().to_bits(), flow.client.port()),
             service: (flow.service.ip().to_bits(), flow.service.port()),
             confirmed: notice.confirmed,
-            waiting,
+            load,
         };
         self.link.send(notice.balancer, &message);
     }
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! The balancer daemon.
 
 mod intake;
+mod queueing;
 mod resting;
 mod watch;
 
@@ -13,11 +14,11 @@
 use slog::{Logger, info};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use weirhinge_fleet::{Millis, PeerMessage, PeerRole, SearchPath, decode};
+use weirhinge_fleet::{Millis, PeerMessage, PeerRole, SearchPath, ServiceId, decode};
 use weirhinge_observe::Metrics;
 use weirhinge_steering::{
     Balancer, BalancerLimits, ClientPacket, Context, Decision, DropReason, FlowKey, Forward,
-    ForwardReason, PacketHead,
+    ForwardReason, PacketHead, ResetReason, RoomGrant,
 };
 
 use crate::backlog::Backlog;
@@ -195,29 +196,38 @@
                     self.choose_helpers(now);
                 }
             }
-            PeerMessage::Returned { reason, waiting, packet } => {
+            PeerMessage::Returned { reason, load, packet } => {
                 let Ok(head) = self.platform.decode(packet) else { return };
                 let decision = self.decide(now, |core, context| {
-                    core.heard(sender, waiting, now);
+                    core.heard(sender, load, now);
                     let packet = ClientPacket { head: &head, bytes: packet };
                     core.returned_packet(context, packet, sender, reason)
                 });
                 self.carry_out(decision, &head, packet, now);
             }
-            PeerMessage::Holds { client, service, confirmed, waiting } => {
+            PeerMessage::Holds { client, service, confirmed, load } => {
                 let flow = FlowKey { client: endpoint(client), service: endpoint(service) };
-                let waited = self.core.borrow_mut().holds(flow, sender, confirmed, waiting, now);
+                let waited = self.core.borrow_mut().holds(flow, sender, confirmed, load, now);
                 if let Some(waited) = waited {
                     self.metrics.opening_seconds.observe(waited as f64 / 1_000.0);
                 }
             }
-            PeerMessage::Waits { waiting } => {
-                self.core.borrow_mut().heard(sender, waiting, now);
+            PeerMessage::Waits { load } => {
+                self.core.borrow_mut().heard(sender, load, now);
             }
             PeerMessage::HandOff { packet } => self.handed_packet(packet, now),
             PeerMessage::TargetEnded => self.core.borrow_mut().target_ended(sender, now),
             PeerMessage::ProbeAnswer => self.core.borrow_mut().reached(now),
-            PeerMessage::Forward { .. } | PeerMessage::Record(_) | PeerMessage::Probe => {
+            PeerMessage::Grant { service, urgent_only, load } => {
+                let service = ServiceId(service);
+                let grant = RoomGrant { agent: sender, service, urgent_only, load };
+                self.take_grant(&grant, now);
+            }
+            PeerMessage::Forward { .. }
+            | PeerMessage::Declined
+            | PeerMessage::Record(_)
+            | PeerMessage::Probe
+            | PeerMessage::Demand { .. } => {
                 self.link.refuse_unexpected();
             }
         }
@@ -226,7 +236,8 @@
     fn decide<T>(&self, now: Millis, decide: impl FnOnce(&mut Balancer, &Context<'_>) -> T) -> T {
         let node = self.node.borrow();
         let fresh = node.is_fresh(now);
-        let context = Context { view: node.view(), fresh, helpers: &[], now };
+        let unix_ms = self.clock.unix_ms();
+        let context = Context { view: node.view(), fresh, helpers: &[], now, unix_ms };
         decide(&mut self.core.borrow_mut(), &context)
     }
 
@@ -244,7 +255,12 @@
             }
             Decision::Reset { sequence, reason } => {
                 self.metrics.resets.increment(reason.label());
-                self.decisions.reset(&flow, reason.label(), self.basis(now), now);
+                match reason {
+                    ResetReason::Overloaded { inputs } => {
+                        self.decisions.refused(&flow, inputs, self.basis(now), now);
+                    }
+                    _ => self.decisions.reset(&flow, reason.label(), self.basis(now), now),
+                }
                 let reset = self.platform.build_reset(&flow, sequence);
                 let client = SocketAddrV4::new(*flow.client.ip(), self.client_port);
                 // Like any datagram, a reset may be lost; the client asks again.
@@ -254,6 +270,13 @@
                 self.metrics.handed_off.inc();
                 self.link.send(helper, &PeerMessage::HandOff { packet });
             }
+            Decision::Queue { ask, service, demand, inputs } => {
+                self.packet_rests.notify_one();
+                self.metrics.openings_queued.inc();
+                self.decisions.queued(&flow, inputs, now);
+                self.ask_for_room(&ask, service, demand);
+                self.show_queue_length();
+            }
             Decision::Drop(DropReason::SearchEnded | DropReason::SearchGoesOn) => {}
             Decision::Drop(DropReason::SearchWaits { .. }) => {
                 self.packet_rests.notify_one();
@@ -275,6 +298,7 @@
             search: forward.is_search().then(|| self.search_path(next)),
             may_wait: forward.may_wait(),
             urgent: forward.urgent,
+            granted: forward.granted,
             packet,
         };
         self.link.send(agent, &message);
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -5,7 +5,7 @@
 
 use slog::{Logger, info};
 use weirhinge_fleet::Millis;
-use weirhinge_steering::{DropReason, FlowKey, SelectionInputs, VersionLabel};
+use weirhinge_steering::{DropReason, FlowKey, QueueInputs, SelectionInputs, VersionLabel};
 
 /// Most lines of one kind in each interval.
 const LINES_PER_INTERVAL: u32 = 300;
@@ -73,6 +73,7 @@
     resets: Budget,
     drops: Budget,
     returns: Budget,
+    grants: Budget,
 }
 
 impl DecisionLog {
@@ -86,6 +87,7 @@
             resets: Budget::default(),
             drops: Budget::default(),
             returns: Budget::default(),
+            grants: Budget::default(),
         }
     }
 
@@ -100,6 +102,7 @@
             "outcome" => forwarded.reason,
             "eligible" => inputs.map(|inputs| inputs.eligible),
             "load_permille" => inputs.map(|inputs| inputs.load_permille),
+            "expected_ms" => inputs.and_then(|inputs| inputs.expected_ms),
             "load_age_ms" => inputs.and_then(|inputs| inputs.load_age_ms),
             "configuration" => basis.configuration.map(|label| label.version),
             "revision" => basis.revision, "age_ms" => basis.age_ms);
@@ -133,6 +136,26 @@
         }
     }
 
+    /// A flow's opening packet was refused, as no target has room in time.
+    pub fn refused(&self, flow: &FlowKey, inputs: QueueInputs, basis: Basis, now: Millis) {
+        if self.resets.allows("reset", &self.log, now) {
+            info!(self.log, "balancer: opening refused"; "event" => "reset",
+                "flow" => flow_text(flow), "outcome" => "overloaded", "ahead" => inputs.ahead,
+                "expected_wait_ms" => inputs.expected_wait_ms, "budget_ms" => inputs.budget_ms,
+                "configuration" => basis.configuration.map(|label| label.version),
+                "revision" => basis.revision, "age_ms" => basis.age_ms);
+        }
+    }
+
+    /// A flow's opening packet waits until a target has room.
+    pub fn queued(&self, flow: &FlowKey, inputs: QueueInputs, now: Millis) {
+        if self.openings.allows("queued", &self.log, now) {
+            info!(self.log, "balancer: opening waits for room"; "event" => "queued",
+                "flow" => flow_text(flow), "ahead" => inputs.ahead,
+                "expected_wait_ms" => inputs.expected_wait_ms, "budget_ms" => inputs.budget_ms);
+        }
+    }
+
     /// A flow was reset, as the target started again and sent its packet back.
     pub fn reset_lost(&self, flow: &FlowKey, now: Millis) {
         if self.resets.allows("reset", &self.log, now) {
@@ -175,6 +198,31 @@
         }
     }
 
+    /// Room was granted to a balancer.
+    pub fn granted(&self, balancer: Ipv4Addr, urgent_only: bool, waiting: u32, now: Millis) {
+        if self.grants.allows("granted", &self.log, now) {
+            info!(self.log, "agent: room granted"; "event" => "granted",
+                "balancer" => balancer.to_string(), "urgent_only" => urgent_only,
+                "waiting" => waiting);
+        }
+    }
+
+    /// A balancer had no use for a grant.
+    pub fn declined(&self, balancer: Ipv4Addr, was_kept: bool, now: Millis) {
+        if self.grants.allows("declined", &self.log, now) {
+            info!(self.log, "agent: grant declined"; "event" => "grant_declined",
+                "balancer" => balancer.to_string(), "in_time" => was_kept);
+        }
+    }
+
+    /// A balancer did not answer a grant in time.
+    pub fn lapsed(&self, balancer: Ipv4Addr, now: Millis) {
+        if self.grants.allows("lapsed", &self.log, now) {
+            info!(self.log, "agent: grant lapsed"; "event" => "grant_lapsed",
+                "balancer" => balancer.to_string());
+        }
+    }
+
     /// The target answered an opening packet, or was found to hold a flow.
     pub fn answered(&self, flow: &FlowKey, confirmed: bool, waiting: u32, now: Millis) {
         if self.openings.allows("answered", &self.log, now) {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -24,6 +24,14 @@
     pub opening_seconds: Histogram,
     /// Seconds of one decision.
     pub decision_seconds: Histogram,
+    /// Opening packets that began to wait here for room.
+    pub openings_queued: Counter,
+    /// Opening packets that wait here for room now.
+    pub queue_length: Gauge,
+    /// Seconds for which opening packets that found room waited here.
+    pub queue_seconds: Histogram,
+    /// Grants of room by agents, by what became of them.
+    pub grants: ReasonCounters,
 }
 
 impl BalancerMetrics {
@@ -45,6 +53,14 @@
                 "Seconds from forwarding an opening packet to the target's answer",
             ),
             decision_seconds: metrics.histogram("decision_seconds", "Seconds of one decision"),
+            openings_queued: metrics
+                .counter("openings_queued", "Opening packets that began to wait for room"),
+            queue_length: metrics.gauge("queue_length", "Opening packets that wait for room"),
+            queue_seconds: metrics.histogram(
+                "queue_seconds",
+                "Seconds for which opening packets that found room waited",
+            ),
+            grants: metrics.reasons("room_grants", "Grants of room by agents"),
         }
     }
 }
@@ -58,6 +74,14 @@
     pub returned: ReasonCounters,
     /// Opening packets that waited for room.
     pub openings_waited: Counter,
+    /// Grants of room sent to balancers.
+    pub grants_sent: Counter,
+    /// Grants that balancers had no use for.
+    pub grants_declined: Counter,
+    /// Grants that were not answered in time.
+    pub grants_lapsed: Counter,
+    /// Balancers that ask for room.
+    pub balancers_asking: Gauge,
     /// Packets of the target sent to clients.
     pub to_clients: Counter,
     /// Packets dropped, by reason.
@@ -82,6 +106,12 @@
             returned: metrics.reasons("packets_returned", "Packets sent back to balancers"),
             openings_waited: metrics
                 .counter("openings_waited", "Opening packets that waited for room"),
+            grants_sent: metrics.counter("grants_sent", "Grants of room sent to balancers"),
+            grants_declined: metrics
+                .counter("grants_declined", "Grants that balancers had no use for"),
+            grants_lapsed: metrics
+                .counter("grants_lapsed", "Grants that were not answered in time"),
+            balancers_asking: metrics.gauge("balancers_asking", "Balancers that ask for room"),
             to_clients: metrics.counter("packets_to_clients", "Packets sent to clients"),
             dropped: metrics.reasons("packets_dropped", "Packets dropped"),
             flows_reset: metrics.counter("flows_reset", "Flows that a restarted target lost"),
--- a/crates/relay/tests/fleet_scale.rs
+++ b/crates/relay/tests/fleet_scale.rs
@@ -90,9 +90,10 @@
             node.claim = (!is_balancer).then(|| TargetClaim {
                 service: "sheets".to_owned(),
                 alive: true,
-                waiting: 1,
+                load: 1.into(),
                 leaving: false,
                 recorded: true,
+                without_former_flows: Some(1),
             });
             simulation.by_address.insert(address_of(place), place);
             simulation.daemons.push(Hollow {
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -5,9 +5,15 @@
 mod cold_start;
 mod decision;
 mod deliveries;
+mod demand;
 mod flow;
+mod former_flows;
+mod granting;
+mod grants;
 mod restart_checks;
 mod round_trip;
+mod searches;
+mod service_time;
 mod tracking;
 
 use std::collections::{HashMap, VecDeque};
@@ -19,6 +25,7 @@
 pub use decision::{
     DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop, RestartCheck, WaitOutcome,
 };
+pub use grants::Grant;
 
 use crate::arrival::Arrival;
 use crate::packet::{AnswerStatus, FlowKey, OPENING_SPAN_MS, PacketHead};
@@ -28,8 +35,11 @@
 use cold_start::ColdStart;
 use deliveries::Deliveries;
 use flow::Flow;
+use former_flows::FormerFlows;
+use grants::Grants;
 use restart_checks::RestartChecks;
 use round_trip::RoundTrip;
+use service_time::ServiceTime;
 
 /// Most flows that an agent follows; the target itself holds fewer.
 const FLOW_CAPACITY: usize = 8_192;
@@ -39,15 +49,6 @@
 /// A request without an answer for this long no longer counts: its client gave up
 /// or its answer was not seen.
 const LONGEST_REQUEST_MS: Millis = 3_000;
-/// Time in which a target sends back a packet that it does not hold the flow of,
-/// with room for a busy machine.
-const BOUNCE_MS: Millis = 30;
-/// What the target wrote this long after a packet was handed to it shows that it
-/// saw the packet: it takes packets in their order.
-const SEEN_MS: Millis = 2;
-/// A target that wrote nothing for this long since a searching packet may stand
-/// still; the balancer has looked elsewhere since.
-const SEARCH_LIFETIME_MS: Millis = 120;
 /// Most searches followed at a time.
 const SEARCH_CAPACITY: usize = 1_024;
 /// The state of an agent.
@@ -63,11 +64,13 @@
     expectations: VecDeque<(Millis, FlowKey)>,
     round_trip: RoundTrip,
     openings: WaitingRoom,
+    grants: Grants,
     /// Searches that the target did not answer yet, in the order of delivery.
     searches: VecDeque<(Millis, FlowKey)>,
     /// When the target last wrote anything.
     wrote_at: Option<Millis>,
     admission: Admission,
+    service_time: ServiceTime,
     breaker: CircuitBreaker,
     cold_start: ColdStart,
     /// The latest change of the breaker, not told yet.
@@ -76,6 +79,7 @@
     /// Whether the zone of the target is evacuated.
     evacuated: bool,
     restart_checks: RestartChecks,
+    former: FormerFlows,
 }
 
 impl Agent {
@@ -90,15 +94,18 @@
             expectations: VecDeque::new(),
             round_trip: RoundTrip::default(),
             openings: WaitingRoom::default(),
+            grants: Grants::default(),
             searches: VecDeque::new(),
             wrote_at: None,
             admission: Admission::default(),
+            service_time: ServiceTime::default(),
             breaker: CircuitBreaker::default(),
             cold_start: ColdStart::default(),
             breaker_change: None,
             leaving: false,
             evacuated: false,
             restart_checks: RestartChecks::default(),
+            former: FormerFlows::default(),
         }
     }
 
@@ -128,13 +135,18 @@
     /// flows are to be checked by [`Self::next_check`].
     pub fn target_restarted(&mut self) {
         let was_ejected = self.breaker.is_open();
+        self.grants.forget_outstanding();
+        // Some may be flows that the target opened since.
+        self.former.unfollow_all(&self.flows);
         self.restart_checks.add(std::mem::take(&mut self.flows));
         let fresh = Self::new(self.service);
         *self = Self {
             deliveries: std::mem::take(&mut self.deliveries),
             openings: std::mem::take(&mut self.openings),
+            grants: std::mem::take(&mut self.grants),
             cold_start: std::mem::take(&mut self.cold_start),
             restart_checks: std::mem::take(&mut self.restart_checks),
+            former: std::mem::take(&mut self.former),
             breaker_change: was_ejected.then_some(BreakerChange::Closed),
             leaving: self.leaving,
             evacuated: self.evacuated,
@@ -162,6 +174,7 @@
     /// Notes how many requests the target works on at once.
     pub fn set_slots(&mut self, slots: u32) {
         self.admission.set_slots(slots);
+        self.service_time.set_slots(slots);
     }
 
     /// Decides about a client's packet that a balancer sent.
@@ -170,6 +183,7 @@
             if arrival.service != self.service {
                 return DeliveryDecision::Return(ReturnReason::OtherService);
             }
+            let grant = self.use_grant(arrival, now);
             if self.leaving {
                 return DeliveryDecision::Return(ReturnReason::Leaving);
             }
@@ -177,13 +191,10 @@
                 return DeliveryDecision::Return(ReturnReason::Evacuated);
             }
             let is_new = !self.flows.contains_key(&arrival.head.client_flow());
-            // One that may wait found no better target.
-            if is_new && !arrival.may_wait && !self.breaker.admits(now) {
+            if is_new && self.is_turned_away(arrival, grant, now) {
                 return DeliveryDecision::Return(ReturnReason::Failing);
             }
-            let has_room =
-                !self.admission.is_busy(self.load(), arrival.urgent) && self.cold_start.admits(now);
-            if is_new && !has_room {
+            if is_new && !self.has_room(arrival, grant, now) {
                 return self.busy_opening(arrival, now);
             }
             // This may be a copy that found room before the packet that waits: its flow
@@ -201,6 +212,7 @@
     /// The next waiting opening packet that has an outcome.
     pub fn next_outcome(&mut self, now: Millis) -> Option<WaitOutcome> {
         self.drop_expectations(now);
+        self.grants.expire(now);
         if let Some(reason) = self.takes_nothing()
             && let Some(opening) = self.openings.take_any()
         {
@@ -209,12 +221,13 @@
         if let Some(opening) = self.openings.take_over(now) {
             return Some(WaitOutcome::Return(opening, ReturnReason::Busy));
         }
-        let load = self.load();
-        let admission = &self.admission;
-        if !self.cold_start.admits(now) {
+        if !self.cold_start_admits(now) || self.yields_to_grant(now) {
             return None;
         }
+        let load = self.requests_in_hand();
+        let admission = &self.admission;
         let opening = self.openings.take_first(|urgent| !admission.is_busy(load, urgent))?;
+        self.grants.own_turn = false;
         self.follow(&opening.head, &opening.packet, opening.balancer, false, now);
         let echo = self.deliveries.remember(opening.balancer, None);
         Some(WaitOutcome::Deliver(opening, echo))
@@ -245,31 +258,17 @@
         opened_at.is_some_and(|at| now.saturating_sub(at) < OPENING_SPAN_MS)
     }
 
-    /// The answer to a search for a flow that the target holds as far as this agent
-    /// knows. The target itself may take longer to answer than a balancer waits
-    /// before it looks elsewhere; if it lost the flow, its bounce corrects this.
-    fn search_notice(&self, arrival: &Arrival<'_>) -> Option<HoldsNotice> {
-        let flow = arrival.head.client_flow();
-        let entry = self.flows.get(&flow).filter(|_| arrival.search.is_some())?;
-        entry.is_held().then_some(HoldsNotice { balancer: arrival.balancer, flow, confirmed: true })
-    }
-
     fn busy_opening(&mut self, arrival: &Arrival<'_>, now: Millis) -> DeliveryDecision {
         if self.openings.has(&arrival.head.client_flow()) {
             return DeliveryDecision::WaitsAlready;
         }
-        if !arrival.may_wait {
+        if !arrival.may_wait || arrival.granted.is_some() {
             return DeliveryDecision::Return(ReturnReason::Busy);
         }
         let displaced = self.openings.add(arrival, now).map(Box::new);
         DeliveryDecision::Wait { displaced }
     }
 
-    /// Requests in hand and those that admitted flows are about to bring.
-    fn load(&self) -> u32 {
-        self.waiting + self.expected
-    }
-
     /// Takes in how the target answered a request, from the packet in which its answer
     /// begins; to be called before [`Self::output`] for the same packet.
     pub fn answer_begins(&mut self, flow: &FlowKey, status: AnswerStatus, now: Millis) {
@@ -277,6 +276,11 @@
         if !waits {
             return;
         }
+        if status != AnswerStatus::Good {
+            // Most refusals and failures take less time than the work itself.
+            self.service_time.advance(now);
+            self.service_time.withdrawn(flow);
+        }
         let change = match status {
             AnswerStatus::Good => self.breaker.succeeded(now),
             AnswerStatus::Failed => self.breaker.failed(now),
@@ -293,6 +297,7 @@
     /// Decides about a packet that the target sent.
     pub fn output(&mut self, head: &PacketHead, now: Millis) -> OutputDecision {
         self.wrote_at = Some(now);
+        self.service_time.advance(now);
         if head.flags.bounced {
             return self.not_taken(&head.client_flow(), head.echo);
         }
@@ -305,6 +310,11 @@
         let answered = if head.length > 0 || ends { entry.waiting_since.take() } else { None };
         if let Some(since) = answered {
             self.admission.answered(now.saturating_sub(since), self.waiting);
+            if head.length > 0 {
+                self.service_time.answered(&flow);
+            } else {
+                self.service_time.withdrawn(&flow);
+            }
             self.waiting -= 1;
             if head.flags.rst {
                 self.breaker_change = self.breaker.failed(now).or(self.breaker_change);
@@ -326,14 +336,17 @@
     /// Stops following flows that rested long.
     pub fn expire(&mut self, now: Millis) {
         self.drop_expectations(now);
-        let waiting = &mut self.waiting;
-        self.flows.retain(|_, flow| {
-            let keep = now.saturating_sub(flow.used_at) < FLOW_IDLE_MS;
+        self.service_time.advance(now);
+        let (waiting, service_time) = (&mut self.waiting, &mut self.service_time);
+        let idle_ms = self.former.idle_ms();
+        self.flows.retain(|key, flow| {
+            let keep = now.saturating_sub(flow.used_at) < idle_ms;
             let waits = flow
                 .waiting_since
                 .take_if(|since| !keep || now.saturating_sub(*since) >= LONGEST_REQUEST_MS);
             if waits.is_some() {
                 *waiting -= 1;
+                service_time.withdrawn(key);
             }
             keep
         });
@@ -346,26 +359,4 @@
         let onward = self.deliveries.onward(echo);
         onward.unwrap_or(OutputDecision::Drop(OutputDrop::UnknownDelivery))
     }
-
-    /// The next search whose packet the target has seen and not sent back: it holds
-    /// the flow, though its answer may take longer than balancers wait.
-    pub fn next_found(&mut self, now: Millis) -> Option<HoldsNotice> {
-        while let Some((delivered_at, flow)) = self.searches.front().copied() {
-            if now < delivered_at + BOUNCE_MS {
-                return None;
-            }
-            let is_seen = self.wrote_at.is_some_and(|at| at >= delivered_at + SEEN_MS);
-            if !is_seen && now < delivered_at + SEARCH_LIFETIME_MS {
-                return None;
-            }
-            self.searches.pop_front();
-            let entry = self.flows.get_mut(&flow);
-            let same = entry.filter(|entry| entry.searched_since == Some(delivered_at));
-            if let Some(entry) = same.filter(|_| is_seen) {
-                entry.searched_since = None;
-                return Some(HoldsNotice { balancer: entry.balancer, flow, confirmed: true });
-            }
-        }
-        None
-    }
 }
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -1,9 +1,9 @@
 //! What a balancer knows of each agent from the agent itself.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::Ipv4Addr;
 
-use weirhinge_fleet::{Millis, ServiceId, TargetClaim, ZoneId};
+use weirhinge_fleet::{Millis, ServiceId, TargetClaim, TargetLoad, ZoneId};
 
 use crate::view::Candidate;
 
@@ -30,8 +30,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct AgentStatus {
     heard_at: Millis,
-    /// Requests waiting at the target when the agent last spoke.
-    waiting: u32,
+    /// How busy the target was when the agent last spoke.
+    load: TargetLoad,
     /// Opening packets sent since then.
     sent_since: u32,
     /// When the oldest opening packet without an answer was sent.
@@ -46,6 +46,7 @@
     /// When it last said that its target fails.
     failing_at: Option<Millis>,
     claim: Option<Claim>,
+    without_former_flows: Option<WithoutFormerFlows>,
     /// When its last word came, that its target has ended.
     ended_at: Option<Millis>,
 }
@@ -58,6 +59,25 @@
     said_at: Millis,
 }
 
+/// What an agent told of its target's times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ToldTimes {
+    /// Milliseconds for which the target works on one request.
+    pub service_ms: u32,
+    /// Milliseconds for which one more request was to wait before.
+    pub wait_ms: u32,
+    /// Milliseconds since then.
+    pub age_ms: Millis,
+}
+
+/// An agent's word that its target holds no flow of a route that does not name its service.
+#[derive(Clone, Copy, Debug)]
+struct WithoutFormerFlows {
+    /// The version of the configuration that the routes were those of.
+    configuration: u64,
+    said_at: Millis,
+}
+
 /// Silence of all agents after which this balancer takes itself for cut off.
 /// Each agent speaks at least every half second.
 const ISOLATED_AFTER_MS: Millis = 700;
@@ -116,11 +136,11 @@
         hears_nobody || reaches_nobody
     }
 
-    /// Records a sign of life with the number of requests waiting at the target.
-    pub fn heard(&mut self, agent: Ipv4Addr, waiting: u32, now: Millis) {
+    /// Records a sign of life with how busy the target is.
+    pub fn heard(&mut self, agent: Ipv4Addr, load: TargetLoad, now: Millis) {
         let status = self.statuses.entry(agent).or_default();
         status.heard_at = now;
-        status.waiting = waiting;
+        status.load = load;
         status.sent_since = 0;
         status.unanswered_since = None;
         status.ignored_search_at = None;
@@ -129,12 +149,22 @@
         self.reached(now);
     }
 
+    /// Records an agent's word that its target has room. Unlike an answer to a packet it
+    /// does not show that the target answers.
+    pub fn granted(&mut self, agent: Ipv4Addr, load: TargetLoad, now: Millis) {
+        let status = self.statuses.entry(agent).or_default();
+        status.heard_at = now;
+        status.load = load;
+        status.sent_since = 0;
+        self.reached(now);
+    }
+
     /// Records an agent's word about its target. Unlike an answer to a packet it
     /// does not show that the target works.
     pub fn claimed(&mut self, agent: Ipv4Addr, zone: ZoneId, claim: &TargetClaim, now: Millis) {
         let status = self.statuses.entry(agent).or_default();
         status.heard_at = now;
-        status.waiting = claim.waiting;
+        status.load = claim.load;
         status.sent_since = 0;
         status.leaving_at = claim.leaving.then_some(now);
         // Digests that were sent before the last word may come after it.
@@ -143,9 +173,22 @@
         self.claims_seen += u64::from(usable && status.claim.is_none());
         let service = ServiceId::of(&claim.service);
         status.claim = usable.then_some(Claim { service, zone, said_at: now });
+        status.without_former_flows = claim
+            .without_former_flows
+            .map(|configuration| WithoutFormerFlows { configuration, said_at: now });
         self.any_heard_at = Some(now);
     }
 
+    /// Whether an agent said lately, of this configuration or a later one, that its target
+    /// holds no flow of a route that does not name its service.
+    pub fn holds_no_former_flow(&self, agent: Ipv4Addr, configuration: u64, now: Millis) -> bool {
+        let status = self.statuses.get(&agent);
+        status.and_then(|status| status.without_former_flows).is_some_and(|word| {
+            word.configuration >= configuration
+                && now.saturating_sub(word.said_at) < STATUS_LIFETIME_MS
+        })
+    }
+
     /// Number of times that an agent's claim was new.
     pub fn claims_seen(&self) -> u64 {
         self.claims_seen
@@ -218,7 +261,26 @@
 
     /// Requests believed to wait at the agent's target.
     pub fn load(&self, agent: Ipv4Addr) -> u32 {
-        self.statuses.get(&agent).map_or(0, |status| status.waiting + status.sent_since)
+        self.statuses.get(&agent).map_or(0, |status| status.load.waiting + status.sent_since)
+    }
+
+    /// How busy the target was when the agent last spoke.
+    pub fn target_load(&self, agent: Ipv4Addr) -> TargetLoad {
+        self.statuses.get(&agent).map_or_else(TargetLoad::default, |status| status.load)
+    }
+
+    /// Opening packets sent to the agent since it last spoke.
+    pub fn sent_since(&self, agent: Ipv4Addr) -> u32 {
+        self.statuses.get(&agent).map_or(0, |status| status.sent_since)
+    }
+
+    /// What the agent last told of its target's times, if it told any.
+    pub fn times(&self, agent: Ipv4Addr, now: Millis) -> Option<ToldTimes> {
+        let status = self.statuses.get(&agent)?;
+        let age_ms = now.saturating_sub(status.heard_at);
+        let (expected_ms, service_ms) = status.load.expected_ms.zip(status.load.service_ms)?;
+        let wait_ms = expected_ms.saturating_sub(service_ms);
+        Some(ToldTimes { service_ms, wait_ms, age_ms })
     }
 
     /// Milliseconds since the agent was last heard.
@@ -240,6 +302,22 @@
         agents
     }
 
+    /// Agents that lately said that a target of a service other than these works beside
+    /// them, each with the service.
+    pub fn claimants_outside(
+        &self,
+        services: &HashSet<ServiceId>,
+        now: Millis,
+    ) -> Vec<(ServiceId, Ipv4Addr)> {
+        let claims = self.statuses.iter();
+        let claims = claims.filter_map(|(agent, status)| status.claim.map(|claim| (agent, claim)));
+        let outside = claims.filter(|(_, claim)| {
+            !services.contains(&claim.service)
+                && now.saturating_sub(claim.said_at) < CLAIM_LIFETIME_MS
+        });
+        outside.map(|(agent, claim)| (claim.service, *agent)).collect()
+    }
+
     /// The zone that an agent with a target said it runs in.
     pub fn claimed_zone(&self, agent: Ipv4Addr) -> Option<ZoneId> {
         self.statuses.get(&agent)?.claim.map(|claim| claim.zone)
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -11,10 +11,13 @@
 mod agent_status;
 mod arrival;
 mod balancer;
+mod caller_rank;
+mod expected_time;
 mod flow_table;
 mod overload;
 mod packet;
 mod pending_packets;
+mod route_history;
 mod search_budget;
 mod search_outcomes;
 mod selection;
@@ -22,15 +25,17 @@
 mod waiting_room;
 
 pub use agent::{
-    Agent, BreakerChange, ColdStartRate, DeliveryDecision, HoldsNotice, OutputDecision, OutputDrop,
-    RestartCheck, WaitOutcome,
+    Agent, BreakerChange, ColdStartRate, DeliveryDecision, Grant, HoldsNotice, OutputDecision,
+    OutputDrop, RestartCheck, WaitOutcome,
 };
 pub use agent_status::AgentStatuses;
 pub use arrival::Arrival;
 pub use balancer::{
-    Balancer, BalancerLimits, ClientPacket, Context, Decision, DropReason, Forward, ForwardReason,
-    ResetReason, SelectionInputs,
+    AdmissionRate, Balancer, BalancerLimits, CallerShares, ClientPacket, Context, Decision,
+    DropReason, Forward, ForwardReason, GrantAnswer, QueueInputs, ResetReason, RoomGrant,
+    RoomRequest, SelectionInputs, SettledOpening, may_wait,
 };
+pub use caller_rank::{CallerRank, RANK_EPOCH_MS, caller_rank};
 pub use flow_table::{FlowEntry, FlowStage, FlowTable};
 pub use overload::{OverloadMonitor, PeerLoad};
 pub use packet::{AnswerStatus, Flags, FlowKey, MalformedPacket, PacketHead};
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -23,6 +23,8 @@
     parts: Vec<(ServiceId, u32)>,
     priority: u32,
     urgent: bool,
+    objective_ms: Option<Millis>,
+    timeout_ms: Option<Millis>,
     /// Regions that its packets must not leave; none if they may go anywhere.
     permitted_regions: Option<HashSet<RegionId>>,
 }
@@ -48,6 +50,16 @@
         self.urgent
     }
 
+    /// Milliseconds within which callers expect an answer, if the route states them.
+    pub fn objective_ms(&self) -> Option<Millis> {
+        self.objective_ms
+    }
+
+    /// Milliseconds after which callers give up, if the route states them.
+    pub fn timeout_ms(&self) -> Option<Millis> {
+        self.timeout_ms
+    }
+
     /// Whether packets of the route may go to a daemon in this region; one whose region is
     /// not known counts as outside.
     pub fn allows(&self, region: Option<RegionId>) -> bool {
@@ -197,6 +209,8 @@
                 parts,
                 priority: route.priority,
                 urgent: false,
+                objective_ms: route.objective_ms,
+                timeout_ms: route.timeout_ms,
                 permitted_regions: (!route.permitted_regions.is_empty()).then(|| allowed.collect()),
             };
             view.routes.insert(route.endpoint(), choice);
@@ -228,6 +242,31 @@
         self.services.get(&service).map_or(&[], Vec::as_slice)
     }
 
+    /// The known targets of all services but these, each with its service.
+    pub fn targets_outside<'a>(
+        &'a self,
+        services: &'a HashSet<ServiceId>,
+    ) -> impl Iterator<Item = (ServiceId, &'a Candidate)> {
+        let others = self.services.iter().filter(|(service, _)| !services.contains(service));
+        others.flat_map(|(service, candidates)| {
+            candidates.iter().map(|candidate| (*service, candidate))
+        })
+    }
+
+    /// The known target beside an agent, with its service.
+    pub fn target_beside(&self, agent: Ipv4Addr) -> Option<(ServiceId, &Candidate)> {
+        self.services.iter().find_map(|(service, candidates)| {
+            let place = candidates.binary_search_by_key(&agent, |candidate| candidate.agent);
+            place.ok().map(|place| (*service, &candidates[place]))
+        })
+    }
+
+    /// Each route's address and port with each service that it names.
+    pub fn route_services(&self) -> impl Iterator<Item = (SocketAddrV4, ServiceId)> {
+        let routes = self.routes.iter();
+        routes.flat_map(|(endpoint, route)| route.services().map(|service| (*endpoint, service)))
+    }
+
     /// The region of a zone, if known.
     pub fn region_of(&self, zone: ZoneId) -> Option<RegionId> {
         self.regions.get(&zone).copied()
--- /dev/null
+++ b/crates/steering/tests/opening_queue_faults.rs
@@ -0,0 +1,119 @@
+//! Openings that wait at a balancer when packets are late, copied or forgotten.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+
+use support::queue::{
+    BUDGET, copy, first_ranked, is_queued, route, store, urgent, urgent_endpoint,
+};
+use support::{Fixture, LATER, SERVICE, agent, data, endpoint, forwarded, opening};
+use weirhinge_fleet::{ReturnReason, Route, TargetState};
+use weirhinge_steering::{Balancer, Decision, DropReason, ForwardReason};
+
+/// For how long agents know what a balancer told, in milliseconds.
+const DEMAND_LIFETIME: u64 = 300;
+const NOT_TOLD: Decision = Decision::Drop(DropReason::OpeningRefused);
+
+/// The agent may take the copy after it sent the opening back.
+#[test]
+fn an_opening_whose_copy_followed_it_to_a_granting_target_is_not_reset() {
+    let mut fixture = Fixture::new(&store(2));
+    let flow = first_ranked(1)[0];
+    fixture.queue(flow, LATER);
+    assert_eq!(fixture.serve(1, LATER + 150), Some((flow, 0)));
+    let repeated = fixture.client(&copy(flow, 1), LATER + 200);
+    assert_eq!(forwarded(&repeated).reason, ForwardReason::OpeningRepeated);
+    let decision = fixture.returned(&opening(flow), agent(1), ReturnReason::Busy, LATER + 201);
+    assert!(is_queued(&decision), "{decision:?}");
+    let refused = fixture.due_refusals(LATER + BUDGET);
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].decision, NOT_TOLD);
+}
+
+/// A client that sends data has an open flow.
+#[test]
+fn a_flow_that_is_searched_for_is_not_reset_when_its_opening_comes_back() {
+    let mut fixture = Fixture::new(&store(1));
+    let flow = first_ranked(1)[0];
+    fixture.queue(flow, LATER);
+    let search = fixture.client(&data(flow), LATER + 10);
+    assert_eq!(forwarded(&search).reason, ForwardReason::Search);
+    let late = fixture.returned(&opening(flow), agent(1), ReturnReason::Busy, LATER + 11);
+    assert!(!matches!(late, Decision::Reset { .. }), "{late:?}");
+    for refused in fixture.due_refusals(LATER + 2 * BUDGET) {
+        assert_eq!(refused.decision, NOT_TOLD);
+    }
+}
+
+/// What is not known any more must not be taken for the best case.
+#[test]
+fn a_flow_that_a_full_table_forgot_while_it_waited_is_not_reset() {
+    let mut fixture = Fixture::new(&store(4));
+    fixture.balancer = Balancer::with_capacity(1);
+    let flows = first_ranked(2);
+    let silent = forwarded(&fixture.client(&opening(flows[0]), LATER)).agent;
+    let head = copy(flows[0], 1);
+    let moved = forwarded(&fixture.client(&head, LATER + 200)).agent;
+    assert!(is_queued(&fixture.returned(&head, moved, ReturnReason::Busy, LATER + 201)));
+    fixture.client(&data(flows[1]), LATER + 202);
+    let other = (1..=4).map(agent).find(|agent| ![silent, moved].contains(agent));
+    let number = other.expect("two others").octets()[3];
+    assert_eq!(fixture.serve(number, LATER + 203), Some((flows[0], 0)));
+    let decision = fixture.returned(&head, agent(number), ReturnReason::Busy, LATER + 204);
+    assert!(is_queued(&decision), "{decision:?}");
+    let refused = fixture.due_refusals(LATER + 201 + BUDGET);
+    assert_eq!(refused.len(), 1, "its budget did not begin again");
+    assert_eq!(refused[0].decision, NOT_TOLD);
+}
+
+/// An agent forgets a balancer at which nothing waits.
+#[test]
+fn agents_that_were_told_that_nothing_waits_are_asked_again_at_once() {
+    let mut fixture = Fixture::new(&store(2));
+    let flows = first_ranked(2);
+    fixture.queue(flows[0], LATER);
+    assert_eq!(fixture.serve(1, LATER + 5), Some((flows[0], 0)));
+    fixture.balancer.holds(flows[0], agent(1), false, 0, LATER + 6);
+    assert_eq!(fixture.serve(2, LATER + 6), None);
+    let decision = fixture.open_at_busy(flows[1], LATER + 10);
+    let Decision::Queue { ask, .. } = decision else { panic!("{decision:?}") };
+    let asked: BTreeSet<Ipv4Addr> = ask.into_iter().collect();
+    assert_eq!(asked, BTreeSet::from([agent(1), agent(2)]));
+}
+
+/// The agents asked for room after those asked at first have forgotten it.
+fn asked_later(fixture: &mut Fixture) -> BTreeSet<Ipv4Addr> {
+    let requests = (1..=24).flat_map(|step| {
+        let requests = fixture.due_room_requests(LATER + step * 25);
+        requests.into_iter().filter(move |_| step * 25 > DEMAND_LIFETIME)
+    });
+    requests.flat_map(|request| request.agents).collect()
+}
+
+#[test]
+fn agents_are_asked_also_for_openings_behind_one_that_is_bound_to_a_region() {
+    let mut store = store(2);
+    store.target(51, SERVICE, Some(TargetState::Ready), 0);
+    let permitted_regions = vec!["near".to_owned()];
+    let bound = Route { permitted_regions, ..route(urgent_endpoint(), SERVICE, 2) };
+    store.configure(vec![bound, route(endpoint(), SERVICE, 2)]);
+    let mut fixture = Fixture::new(&store);
+    let flows = first_ranked(2);
+    fixture.queue(urgent(flows[0]), LATER);
+    fixture.queue(flows[1], LATER + 1);
+    assert!(asked_later(&mut fixture).contains(&agent(51)));
+}
+
+#[test]
+fn agents_are_asked_also_for_openings_behind_one_whose_route_is_gone() {
+    let mut store = store(2);
+    let mut fixture = Fixture::new(&store);
+    let flows = first_ranked(2);
+    fixture.queue(urgent(flows[0]), LATER);
+    fixture.queue(flows[1], LATER + 1);
+    store.configure(vec![route(endpoint(), SERVICE, 2)]);
+    fixture.view = store.view();
+    assert_eq!(asked_later(&mut fixture), BTreeSet::from([agent(1), agent(2)]));
+}
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -2,15 +2,17 @@
 
 #![allow(dead_code, unused_imports)]
 
+pub mod asking;
 pub mod beside;
 mod fixture;
+pub mod queue;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use weirhinge_fleet::{
     ColdStartPolicy, Configuration, EvacuatedZones, Position, Replica, Route, RoutePart,
-    TargetClaim, TargetRecord, TargetState, Update, VersionedConfiguration, VersionedTarget,
-    ZoneNews,
+    TargetClaim, TargetLoad, TargetRecord, TargetState, Update, VersionedConfiguration,
+    VersionedTarget, ZoneNews,
 };
 use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, Locality, PacketHead};
 
@@ -101,6 +103,8 @@
     lives: u64,
     /// Part of all configurations written from now on.
     pub cold_starts: Vec<ColdStartPolicy>,
+    /// Part of them as well; 15 s if not set.
+    pub idle_timeout_ms: Option<u64>,
 }
 
 impl Store {
@@ -123,6 +127,8 @@
             port: endpoint().port(),
             parts: parts.collect(),
             priority: 2,
+            objective_ms: None,
+            timeout_ms: None,
             ..Route::default()
         };
         self.configure(vec![route]);
@@ -133,7 +139,7 @@
         let configuration = Configuration {
             version: self.revision,
             routes,
-            idle_timeout_ms: 15_000,
+            idle_timeout_ms: self.idle_timeout_ms.unwrap_or(15_000),
             cold_starts: self.cold_starts.clone(),
         };
         let configuration =
@@ -153,6 +159,19 @@
         store
     }
 
+    /// Ready targets of a service in zone `a`, all in one change.
+    pub fn many_targets(&mut self, service: &str, numbers: std::ops::Range<u32>) {
+        self.revision += 1;
+        let targets = numbers.map(|number| VersionedTarget {
+            id: format!("many-{number}"),
+            position: self.position(),
+            present: true,
+            record: Some(record(many_agent(number), service, "a", TargetState::Ready)),
+        });
+        let targets = targets.collect();
+        self.replica.apply(Update { targets, ..self.change() }, 0);
+    }
+
     pub fn target(&mut self, number: u8, service: &str, state: Option<TargetState>, now: u64) {
         let zone = if number < 50 { "a" } else { "b" };
         let record = state.map(|state| record(agent(number), service, zone, state));
@@ -225,8 +244,9 @@
     TargetClaim {
         service: service.to_owned(),
         alive: true,
-        waiting: 0,
+        load: TargetLoad::default(),
         leaving: false,
         recorded: true,
+        without_former_flows: None,
     }
 }
