--- a/crates/steering/src/balancer/queueing.rs
+++ b/crates/steering/src/balancer/queueing.rs
@@ -218,7 +218,7 @@
     ) -> Vec<Ipv4Addr> {
         let statuses = &self.statuses;
         let cost = |target: &Candidate| {
-            (target.distance == Distance::Far, expected_ms(target, statuses, now))
+            (target.distance == Distance::Far, answer_ms(target, statuses, now))
         };
         self.late_binding.choose_asked(service, targets, cost, now)
     }
@@ -237,8 +237,9 @@
     }
 }
 
-/// How long a target is believed to need for one more request.
-fn expected_ms(target: &Candidate, statuses: &AgentStatuses, now: Millis) -> Millis {
+/// How long a target is believed to need for one more request, by load where its agent told
+/// no time.
+fn answer_ms(target: &Candidate, statuses: &AgentStatuses, now: Millis) -> Millis {
     let told = statuses.target_load(target.agent);
     let service_ms = told.service_ms.map_or(DEFAULT_SERVICE_MS, Millis::from);
     let by_load = load_permille(target, statuses, now) * service_ms / 1_000;
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -16,8 +16,7 @@
 const FAR_PERMILLE: u64 = 1_500;
 /// The same for a target of another zone of the region: half a request a slot. What a
 /// balancer knows of loads is that old and rough, and each packet of a flow in its own zone
-/// saves a trip and bytes between zones: of the requests in the three seconds after a loss
-/// of power, 37 in place of 92 of 2,991 were late.
+/// saves a trip and bytes between zones.
 const OTHER_ZONE_PERMILLE: u64 = 500;
 /// Far targets compared where there are near ones.
 const FAR_COMPARED: usize = 1;
@@ -48,10 +47,9 @@
 
 /// The cheapest of the first `compared` candidates of the region, the first one of the
 /// own zone and the first far one, in the flow's order. They are compared by the time in
-/// which each is expected to answer, where agents told times, otherwise by load. One of
-/// another zone is chosen
-/// where that of the own zone is busier by a margin, a far one only where the others are
-/// busy: every packet of the flow would cross zones or regions.
+/// which each is expected to answer where agents told times, otherwise by load. One of another
+/// zone is chosen where that of the own zone is busier by a margin, a far one only where the
+/// others are busy: every packet of the flow would cross zones or regions.
 pub fn cheapest(
     order: &[Candidate],
     compared: usize,
