Tell returns of granted openings from those of earlier deliveries

Cause: a flow's opening came back `Busy`, waited, and was sent to the same agent for its grant. A doubled `Returned` of the first delivery was taken for the return of the granted one: the opening queued first and went to a second target, though the first may have opened the flow; if that one sent it back, the client was reset at the end of the budget.

Ruled out: telling them apart by the reason (`Busy`, `Failing` and `Bounced` may each be of either delivery) or by time (a message may be late by more than a grant takes).

Change: `Returned` says whether the packet came with a grant. The agent knows it from the arrival, and remembers it with the delivery's label for packets that the target sends back; openings that waited at the agent never had one. The balancer ignores an opening's return by the agent that it went to last, if the word differs from what it sent. A copy that follows an answered opening goes without a grant, and the flow's entry says so from then on: its target may have lost the flow, and the return of the copy counts.

A copy that follows an unanswered granted opening and comes back is ignored too: the granted one may be taken. If that one was lost, the client's next copy goes to another target.

Tests that return a granted opening say so now; what they expect is unchanged. The bounces of `agent.rs` are compared with the new word, too.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -192,6 +192,9 @@
     Returned {
         /// Why the target did not take it.
         reason: ReturnReason,
+        /// Whether the packet came with a [`PeerMessage::Grant`] of the agent. It tells the
+        /// balancer which of a flow's deliveries came back, as messages may come late or twice.
+        granted: bool,
         /// How busy the target is.
         load: TargetLoad,
         /// The packet as the client wrote it.
--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -81,7 +81,9 @@
                 }
             }
             DeliveryDecision::Return(reason) => {
-                self.return_packet(arrival.head, arrival.packet, arrival.balancer, reason, now);
+                let (head, packet, balancer) = (arrival.head, arrival.packet, arrival.balancer);
+                let granted = arrival.granted.is_some();
+                self.return_packet(head, packet, balancer, reason, granted, now);
             }
             DeliveryDecision::Wait { displaced } => {
                 if let Some(opening) = displaced {
@@ -128,8 +130,10 @@
         true
     }
 
+    /// Sends an opening packet back that waited here; none that came with a grant waits.
     fn return_opening(&self, opening: &WaitedOpening, reason: ReturnReason, now: Millis) {
-        self.return_packet(&opening.head, &opening.packet, opening.balancer, reason, now);
+        let (head, packet) = (&opening.head, &opening.packet);
+        self.return_packet(head, packet, opening.balancer, reason, false, now);
     }
 
     /// Asks a target that started again about some of the flows that it may have lost.
@@ -189,6 +193,7 @@
         packet: &[u8],
         balancer: Ipv4Addr,
         reason: ReturnReason,
+        granted: bool,
         now: Millis,
     ) {
         let label = match reason {
@@ -202,6 +207,6 @@
         self.metrics.returned.increment(label);
         self.decisions.returned(&head.client_flow(), label, head.is_opening(), now);
         let load = self.core.borrow().load(now);
-        self.link.send(balancer, &PeerMessage::Returned { reason, load, packet });
+        self.link.send(balancer, &PeerMessage::Returned { reason, granted, load, packet });
     }
 }
--- a/crates/relay/src/agent/output.rs
+++ b/crates/relay/src/agent/output.rs
@@ -76,8 +76,9 @@
         now: Millis,
     ) {
         match decision {
-            OutputDecision::Return { balancer } => {
-                self.return_packet(head, packet, balancer, ReturnReason::Bounced, now);
+            OutputDecision::Return { balancer, granted } => {
+                let reason = ReturnReason::Bounced;
+                self.return_packet(head, packet, balancer, reason, granted, now);
             }
             OutputDecision::PassOn { agent, path } => {
                 self.metrics.returned.increment("passed_on");
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -196,12 +196,12 @@
                     self.choose_helpers(now);
                 }
             }
-            PeerMessage::Returned { reason, load, packet } => {
+            PeerMessage::Returned { reason, granted, load, packet } => {
                 let Ok(head) = self.platform.decode(packet) else { return };
                 let decision = self.decide(now, |core, context| {
                     core.heard(sender, load, now);
                     let packet = ClientPacket { head: &head, bytes: packet };
-                    core.returned_packet(context, packet, sender, reason)
+                    core.returned_packet(context, packet, sender, reason, granted)
                 });
                 self.carry_out(decision, &head, packet, now);
             }
--- a/crates/relay/tests/agent_grants.rs
+++ b/crates/relay/tests/agent_grants.rs
@@ -111,7 +111,11 @@
     }
 
     async fn forward(&self, packet: &[u8], granted: Option<OpeningDemand>) {
-        let service = ServiceId::of(SERVICE).0;
+        self.forward_for(SERVICE, packet, granted).await;
+    }
+
+    async fn forward_for(&self, service: &str, packet: &[u8], granted: Option<OpeningDemand>) {
+        let service = ServiceId::of(service).0;
         let (search, may_wait, urgent) = (None, false, false);
         let forward = PeerMessage::Forward { service, search, may_wait, urgent, granted, packet };
         self.send(&forward).await;
@@ -294,3 +298,20 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn an_opening_that_goes_back_tells_whether_it_came_with_a_grant() {
+    let agent = Ipv4Addr::new(127, 0, 77, 14);
+    beside_an_agent(agent, async |peers| {
+        for used in [None, Some(demand(1))] {
+            peers.forward_for("another service", &1_000_u16.to_be_bytes(), used).await;
+            let returned = |message: PeerMessage<'_>| match message {
+                PeerMessage::Returned { reason, granted, .. } => Some((reason, granted)),
+                _ => None,
+            };
+            let expected = (ReturnReason::OtherService, used.is_some());
+            assert_eq!(peers.hear(returned).await, expected);
+        }
+    })
+    .await;
+}
--- a/crates/steering/src/agent/decision.rs
+++ b/crates/steering/src/agent/decision.rs
@@ -79,6 +79,8 @@
     Return {
         /// The balancer.
         balancer: Ipv4Addr,
+        /// Whether the packet came with a grant of this agent.
+        granted: bool,
     },
     /// Send it on to the next agent whose target may hold its flow.
     PassOn {
--- a/crates/steering/src/agent/deliveries.rs
+++ b/crates/steering/src/agent/deliveries.rs
@@ -5,6 +5,7 @@
 use weirhinge_fleet::SearchPath;
 
 use super::decision::OutputDecision;
+use crate::arrival::Arrival;
 
 /// Deliveries remembered to find the balancer of a bounced packet. A bounce comes
 /// back within a millisecond or so.
@@ -17,6 +18,8 @@
     /// Agents that a searching packet goes to next; empty for all others, and then
     /// without an allocation.
     next: Vec<u32>,
+    /// Whether the packet came with a grant of this agent.
+    granted: bool,
     /// Set if a bounce proves that the flow is lost: the sequence number of its reset.
     reset: Option<u32>,
 }
@@ -30,15 +33,24 @@
 
 impl Deliveries {
     /// Remembers a packet. Returns its label.
-    pub(super) fn remember(&mut self, balancer: Ipv4Addr, search: Option<&[u32]>) -> u32 {
-        let next = search.map(<[u32]>::to_vec).unwrap_or_default();
-        self.keep(|echo| Delivery { echo, balancer, next, reset: None })
+    pub(super) fn remember(&mut self, arrival: &Arrival<'_>) -> u32 {
+        let balancer = arrival.balancer;
+        let next = arrival.search.map(<[u32]>::to_vec).unwrap_or_default();
+        let granted = arrival.granted.is_some();
+        self.keep(|echo| Delivery { echo, balancer, next, granted, reset: None })
+    }
+
+    /// Remembers an opening packet that waited here, which none with a grant does. Returns
+    /// its label.
+    pub(super) fn remember_waited(&mut self, balancer: Ipv4Addr) -> u32 {
+        let next = Vec::new();
+        self.keep(|echo| Delivery { echo, balancer, next, granted: false, reset: None })
     }
 
     /// Remembers a packet whose bounce proves that its flow is lost. Returns its label.
     pub(super) fn remember_check(&mut self, balancer: Ipv4Addr, sequence: u32) -> u32 {
         let reset = Some(sequence);
-        self.keep(|echo| Delivery { echo, balancer, next: Vec::new(), reset })
+        self.keep(|echo| Delivery { echo, balancer, next: Vec::new(), granted: false, reset })
     }
 
     fn keep(&mut self, delivery: impl FnOnce(u32) -> Delivery) -> u32 {
@@ -57,9 +69,9 @@
         if let Some(sequence) = delivery.reset {
             return Some(OutputDecision::Reset { sequence });
         }
-        let balancer = delivery.balancer;
+        let (balancer, granted) = (delivery.balancer, delivery.granted);
         let Some((agent, rest)) = delivery.next.split_first() else {
-            return Some(OutputDecision::Return { balancer });
+            return Some(OutputDecision::Return { balancer, granted });
         };
         let path = SearchPath { balancer: balancer.to_bits(), next: rest.to_vec() };
         Some(OutputDecision::PassOn { agent: Ipv4Addr::from_bits(*agent), path })
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -213,7 +213,7 @@
         // A balancer that is told now need not be told when the target answers.
         let searched = arrival.search.is_some() && notice.is_none();
         self.follow(arrival.head, arrival.packet, arrival.balancer, searched, now);
-        let echo = self.deliveries.remember(arrival.balancer, arrival.search);
+        let echo = self.deliveries.remember(arrival);
         DeliveryDecision::Deliver { echo, notice }
     }
 
@@ -237,7 +237,7 @@
         let opening = self.openings.take_first(|urgent| !admission.is_busy(load, urgent))?;
         self.grants.own_turn = false;
         self.follow(&opening.head, &opening.packet, opening.balancer, false, now);
-        let echo = self.deliveries.remember(opening.balancer, None);
+        let echo = self.deliveries.remember_waited(opening.balancer);
         Some(WaitOutcome::Deliver(opening, echo))
     }
 
--- a/crates/steering/src/balancer/decision.rs
+++ b/crates/steering/src/balancer/decision.rs
@@ -108,7 +108,7 @@
     SearchEnded,
     /// The flow's opening packet waits here already.
     OpeningQueued,
-    /// Another target has got a copy of the opening packet since.
+    /// The opening packet has gone to another target since, or to the same one for its grant.
     OpeningElsewhere,
     /// No target has room in time for the opening packet, but one that has got a copy of it
     /// may have opened the flow.
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -165,13 +165,15 @@
         decision
     }
 
-    /// Decides about a client's packet that an agent sent back.
+    /// Decides about a client's packet that an agent sent back, and that it got with a grant
+    /// or without.
     pub fn returned_packet(
         &mut self,
         context: &Context<'_>,
         packet: ClientPacket<'_>,
         from: Ipv4Addr,
         reason: ReturnReason,
+        granted: bool,
     ) -> Decision {
         match reason {
             ReturnReason::Leaving => self.statuses.note_leaving(from, context.now),
@@ -189,6 +191,9 @@
             }
             self.leave_queue(&flow, context.now);
         }
+        if opens && self.is_earlier_delivery(&flow, from, granted) {
+            return Decision::Drop(DropReason::OpeningElsewhere);
+        }
         if let Some(known) = self.note_return(context, &flow, from, opens) {
             return known;
         }
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -67,6 +67,10 @@
         };
         entry.used_at = now;
         let agent = entry.agent;
+        if entry.stage == FlowStage::Held {
+            // It took the opening that answered its grant; the copy goes without one.
+            entry.granted = false;
+        }
         if entry.stage == FlowStage::Held || granted_by.is_some() {
             // The target may take the copy though it sends the first packet back.
             entry.may_be_open = true;
--- a/crates/steering/src/balancer/queueing.rs
+++ b/crates/steering/src/balancer/queueing.rs
@@ -152,6 +152,18 @@
         Decision::Reset { sequence: 0, reason: ResetReason::Overloaded { inputs } }
     }
 
+    /// Whether a returned opening is another delivery than the latest one to the same agent:
+    /// the message came late or twice, and the agent may still take the latest one.
+    pub(super) fn is_earlier_delivery(
+        &mut self,
+        flow: &FlowKey,
+        from: Ipv4Addr,
+        granted: bool,
+    ) -> bool {
+        let entry = self.flows.get_mut(flow).filter(|entry| entry.agent == from);
+        entry.is_some_and(|entry| entry.granted != granted)
+    }
+
     /// The outcome for a returned opening that queues; none if it goes on as openings of
     /// routes without an objective do.
     pub(super) fn returned_to_queue(
--- a/crates/steering/tests/admission_by_delay.rs
+++ b/crates/steering/tests/admission_by_delay.rs
@@ -219,7 +219,8 @@
             }
             let (agent, busy) = (forward.agent, ReturnReason::Busy);
             self.fixture.balancer.heard(agent, 0, now);
-            decision = self.fixture.balancer.returned_packet(&context, packet, agent, busy);
+            let balancer = &mut self.fixture.balancer;
+            decision = balancer.returned_packet(&context, packet, agent, busy, false);
         }
         match &decision {
             Decision::Queue { .. } => {}
--- a/crates/steering/tests/agent.rs
+++ b/crates/steering/tests/agent.rs
@@ -36,7 +36,7 @@
         let flags = Flags { ack: true, bounced: true, ..Flags::default() };
         PacketHead { echo, ..packet(flow(port), flags, 100) }
     };
-    let back = |balancer| OutputDecision::Return { balancer };
+    let back = |balancer| OutputDecision::Return { balancer, granted: false };
     assert_eq!(beside.output(&bounced(1, first), 1), back(agent(100)));
     assert_eq!(beside.output(&bounced(2, second), 1), back(agent(101)));
     let unknown = OutputDecision::Drop(OutputDrop::UnknownDelivery);
@@ -130,7 +130,7 @@
     let DeliveryDecision::Deliver { echo, .. } = beside.delivery(&last, 3) else {
         panic!("expected a delivery");
     };
-    let back = OutputDecision::Return { balancer: agent(100) };
+    let back = OutputDecision::Return { balancer: agent(100), granted: false };
     assert_eq!(beside.not_taken(&flow(1), echo), back);
 }
 
--- a/crates/steering/tests/grants.rs
+++ b/crates/steering/tests/grants.rs
@@ -4,9 +4,11 @@
 
 use support::asking::*;
 use support::beside::{arrival, deliver, request};
-use support::{agent as balancer, flow, opening};
+use support::{agent as balancer, flow, opening, packet};
 use weirhinge_fleet::{Millis, OpeningDemand};
-use weirhinge_steering::{Agent, Arrival, DeliveryDecision, Grant, WaitOutcome};
+use weirhinge_steering::{
+    Agent, Arrival, DeliveryDecision, Flags, Grant, OutputDecision, PacketHead, WaitOutcome,
+};
 
 #[test]
 fn room_goes_to_the_balancer_whose_first_opening_has_waited_longest() {
@@ -178,3 +180,35 @@
     assert_eq!(beside.next_outcome(90), None);
     assert_eq!(grants(&mut beside, 90), [101, 101, 101]);
 }
+
+/// The label of an opening that is handed to the target.
+fn label(decision: DeliveryDecision) -> u32 {
+    match decision {
+        DeliveryDecision::Deliver { echo, .. } => echo,
+        other => panic!("expected a delivery, got {other:?}"),
+    }
+}
+
+#[test]
+fn an_opening_that_the_target_sends_back_tells_whether_it_came_with_a_grant() {
+    let mut beside = full_agent();
+    let head = opening(flow(50));
+    let waits = beside.delivery(&Arrival { may_wait: true, ..arrival(&head) }, 90);
+    assert_eq!(waits, DeliveryDecision::Wait { displaced: None });
+    for port in 0..5 {
+        free(&mut beside, port, 100);
+    }
+    let Some(WaitOutcome::Deliver(_, waited)) = beside.next_outcome(100) else {
+        panic!("there is room");
+    };
+    ask(&mut beside, 100, others(1, 50), 100);
+    assert_eq!(grants(&mut beside, 100), [100]);
+    let granted = label(answer_grant(&mut beside, 100, 51, NOTHING, 101));
+    let direct = label(beside.delivery(&arrival(&opening(flow(52))), 101));
+    let flags = Flags { bounced: true, ..Flags::default() };
+    for (port, echo, granted) in [(50, waited, false), (51, granted, true), (52, direct, false)] {
+        let bounced = PacketHead { echo, ..packet(flow(port), flags, 0) };
+        let back = OutputDecision::Return { balancer: balancer(100), granted };
+        assert_eq!(beside.output(&bounced, 102), back);
+    }
+}
--- a/crates/steering/tests/opening_queue.rs
+++ b/crates/steering/tests/opening_queue.rs
@@ -155,7 +155,8 @@
             fixture.queue(*flow, LATER);
         }
         assert_eq!(fixture.serve(1, LATER + 10), Some((flows[0], 2)));
-        let decision = fixture.returned(&opening(flows[0]), agent(1), reason, LATER + 12);
+        let head = opening(flows[0]);
+        let decision = fixture.returned_granted(&head, agent(1), reason, LATER + 12);
         assert!(is_queued(&decision), "{reason:?}: {decision:?}");
         assert_eq!(fixture.serve(2, LATER + 20), Some((flows[0], 2)), "{reason:?}");
         assert_eq!(fixture.serve(2, LATER + 30), Some((flows[1], 1)), "{reason:?}");
@@ -170,7 +171,8 @@
     fixture.queue(flows[1], LATER + 500);
     assert_eq!(fixture.serve(1, LATER + BUDGET - 1), Some((flows[0], 1)));
     let head = opening(flows[0]);
-    let decision = fixture.returned(&head, agent(1), ReturnReason::Busy, LATER + BUDGET + 1);
+    let late = LATER + BUDGET + 1;
+    let decision = fixture.returned_granted(&head, agent(1), ReturnReason::Busy, late);
     assert!(is_overloaded(&decision), "{decision:?}");
     assert_eq!(fixture.balancer.queue_length(), 1);
 }
--- a/crates/steering/tests/opening_queue_faults.rs
+++ b/crates/steering/tests/opening_queue_faults.rs
@@ -10,7 +10,7 @@
 };
 use support::{Fixture, LATER, SERVICE, agent, data, endpoint, forwarded, opening};
 use weirhinge_fleet::{ReturnReason, Route, TargetState};
-use weirhinge_steering::{Balancer, Decision, DropReason, ForwardReason};
+use weirhinge_steering::{Balancer, Decision, DropReason, FlowKey, ForwardReason};
 
 /// For how long agents know what a balancer told, in milliseconds.
 const DEMAND_LIFETIME: u64 = 300;
@@ -25,7 +25,8 @@
     assert_eq!(fixture.serve(1, LATER + 150), Some((flow, 0)));
     let repeated = fixture.client(&copy(flow, 1), LATER + 200);
     assert_eq!(forwarded(&repeated).reason, ForwardReason::OpeningRepeated);
-    let decision = fixture.returned(&opening(flow), agent(1), ReturnReason::Busy, LATER + 201);
+    let head = opening(flow);
+    let decision = fixture.returned_granted(&head, agent(1), ReturnReason::Busy, LATER + 201);
     assert!(is_queued(&decision), "{decision:?}");
     let refused = fixture.due_refusals(LATER + BUDGET);
     assert_eq!(refused.len(), 1);
@@ -61,7 +62,8 @@
     let other = (1..=4).map(agent).find(|agent| ![silent, moved].contains(agent));
     let number = other.expect("two others").octets()[3];
     assert_eq!(fixture.serve(number, LATER + 203), Some((flows[0], 0)));
-    let decision = fixture.returned(&head, agent(number), ReturnReason::Busy, LATER + 204);
+    let from = agent(number);
+    let decision = fixture.returned_granted(&head, from, ReturnReason::Busy, LATER + 204);
     assert!(is_queued(&decision), "{decision:?}");
     let refused = fixture.due_refusals(LATER + 201 + BUDGET);
     assert_eq!(refused.len(), 1, "its budget did not begin again");
@@ -117,3 +119,81 @@
     fixture.view = store.view();
     assert_eq!(asked_later(&mut fixture), BTreeSet::from([agent(1), agent(2)]));
 }
+
+/// Where an opening went that came back, waits, and uses a grant of the same agent.
+fn sent_back_and_granted(fixture: &mut Fixture, flow: FlowKey) -> u8 {
+    let first = forwarded(&fixture.client(&opening(flow), LATER)).agent;
+    let decision = fixture.returned(&opening(flow), first, ReturnReason::Busy, LATER + 1);
+    assert!(is_queued(&decision), "{decision:?}");
+    let number = first.octets()[3];
+    assert_eq!(fixture.serve(number, LATER + 10), Some((flow, 0)));
+    number
+}
+
+/// The other of two agents.
+fn other(number: u8) -> u8 {
+    3 - number
+}
+
+/// The granting target may have opened the flow.
+#[test]
+fn a_doubled_return_of_an_earlier_delivery_sends_a_granted_opening_nowhere_else() {
+    for reason in [ReturnReason::Busy, ReturnReason::Failing, ReturnReason::Bounced] {
+        for is_answered in [false, true] {
+            let mut fixture = Fixture::new(&store(2));
+            let flow = first_ranked(1)[0];
+            let number = sent_back_and_granted(&mut fixture, flow);
+            if is_answered {
+                fixture.balancer.holds(flow, agent(number), false, 0, LATER + 11);
+            }
+            let doubled = fixture.returned(&opening(flow), agent(number), reason, LATER + 12);
+            assert_eq!(doubled, Decision::Drop(DropReason::OpeningElsewhere), "{reason:?}");
+            assert_eq!(fixture.serve(other(number), LATER + 13), None, "{reason:?}");
+            assert_eq!(fixture.due_refusals(LATER + 2 * BUDGET), []);
+            let copied = fixture.client(&copy(flow, 1), LATER + 100);
+            assert_eq!(forwarded(&copied).agent, agent(number), "{reason:?}");
+        }
+    }
+}
+
+#[test]
+fn a_doubled_return_leaves_the_return_of_the_granted_opening_its_turn() {
+    let mut fixture = Fixture::new(&store(2));
+    let flows = first_ranked(2);
+    let number = sent_back_and_granted(&mut fixture, flows[0]);
+    fixture.queue(flows[1], LATER + 11);
+    let (head, from) = (opening(flows[0]), agent(number));
+    fixture.returned(&head, from, ReturnReason::Busy, LATER + 12);
+    let decision = fixture.returned_granted(&head, from, ReturnReason::Busy, LATER + 13);
+    assert!(is_queued(&decision), "{decision:?}");
+    assert_eq!(fixture.serve(other(number), LATER + 14), Some((flows[0], 1)));
+    assert_eq!(fixture.serve(other(number), LATER + 15), Some((flows[1], 0)));
+}
+
+/// The doubled word is that of a grant, the opening waits no longer and went without one.
+#[test]
+fn a_doubled_return_of_a_granted_opening_is_not_that_of_a_later_delivery() {
+    let mut fixture = Fixture::new(&store(1));
+    let flow = first_ranked(1)[0];
+    let number = sent_back_and_granted(&mut fixture, flow);
+    let (head, from) = (opening(flow), agent(number));
+    let decision = fixture.returned_granted(&head, from, ReturnReason::Leaving, LATER + 12);
+    assert!(!matches!(decision, Decision::Forward(_)), "{decision:?}");
+    let anew = fixture.client(&copy(flow, 1), LATER + 200);
+    assert_eq!(forwarded(&anew).agent, from);
+    let doubled = fixture.returned_granted(&head, from, ReturnReason::Busy, LATER + 201);
+    assert_eq!(doubled, Decision::Drop(DropReason::OpeningElsewhere));
+}
+
+/// A target that lost the flow sends the copy back, and would do so with each further one.
+#[test]
+fn a_copy_that_an_answered_granted_opening_s_target_sends_back_is_no_earlier_delivery() {
+    let mut fixture = Fixture::new(&store(2));
+    let flow = first_ranked(1)[0];
+    let number = sent_back_and_granted(&mut fixture, flow);
+    fixture.balancer.holds(flow, agent(number), false, 0, LATER + 11);
+    let head = copy(flow, 1);
+    assert_eq!(forwarded(&fixture.client(&head, LATER + 200)).agent, agent(number));
+    let onward = fixture.returned(&head, agent(number), ReturnReason::Leaving, LATER + 201);
+    assert_eq!(forwarded(&onward).agent, agent(other(number)));
+}
--- a/crates/steering/tests/support/fixture.rs
+++ b/crates/steering/tests/support/fixture.rs
@@ -37,17 +37,40 @@
         self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
     }
 
+    /// An agent sends a packet back that it got without a grant.
     pub fn returned(
         &mut self,
         head: &PacketHead,
         from: Ipv4Addr,
         reason: ReturnReason,
         now: u64,
+    ) -> Decision {
+        self.returned_of(head, from, reason, false, now)
+    }
+
+    /// An agent sends an opening packet back that it got with a grant.
+    pub fn returned_granted(
+        &mut self,
+        head: &PacketHead,
+        from: Ipv4Addr,
+        reason: ReturnReason,
+        now: u64,
+    ) -> Decision {
+        self.returned_of(head, from, reason, true, now)
+    }
+
+    fn returned_of(
+        &mut self,
+        head: &PacketHead,
+        from: Ipv4Addr,
+        reason: ReturnReason,
+        granted: bool,
+        now: u64,
     ) -> Decision {
         let context =
             Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
         let packet = ClientPacket { head, bytes: b"packet" };
-        self.balancer.returned_packet(&context, packet, from, reason)
+        self.balancer.returned_packet(&context, packet, from, reason, granted)
     }
 
     pub fn bounced(&mut self, head: &PacketHead, from: Ipv4Addr, now: u64) -> Decision {
