Reset no opening that a silent target may have taken, also without an objective

Cause: an opening whose copy went to another target, as the first did not answer, was reset as refused if the second one sent it back and none was left, or if it had waited there. The first target may have opened the flow, which the reset ends. Only openings of routes with an objective were spared this.

Change: both refusals look at the flow's entry, as those for want of time do. Where a target may have opened the flow, the opening is dropped (`opening_refused`) and its client's next packet decides.

Existing tests are unchanged.

Not changed: resets for want of any eligible target (`NoTarget`, `Evacuated`).

--- a/crates/steering/src/balancer/granting.rs
+++ b/crates/steering/src/balancer/granting.rs
@@ -4,7 +4,7 @@
 
 use weirhinge_fleet::{Millis, OpeningDemand, ServiceId, TargetLoad};
 
-use super::decision::{Decision, Forward, ForwardReason, QueueInputs};
+use super::decision::{Decision, Forward, ForwardReason, QueueInputs, ResetReason};
 use super::opening_queue::QueuedOpening;
 use super::{Balancer, ClientPacket, Context};
 use crate::flow_table::FlowStage;
@@ -175,7 +175,8 @@
             let ahead = self.late_binding.waiting(class);
             let expected_wait_ms = self.late_binding.expected_wait(class, ahead, now);
             let inputs = QueueInputs { ahead, expected_wait_ms, budget_ms: 0 };
-            let decision = self.refuse(&opening.head.client_flow(), inputs);
+            let reason = ResetReason::Overloaded { inputs };
+            let decision = self.refuse(&opening.head.client_flow(), reason);
             let waited_ms = now.saturating_sub(opening.queued_at);
             let QueuedOpening { head, bytes, .. } = opening;
             refused.push(SettledOpening { head, bytes, decision, waited_ms });
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -115,8 +115,7 @@
         if entry.has_waited {
             // It waited for nearly as long as the client does, or had to make room for
             // newer ones; it gets its answer now.
-            self.flows.remove(&flow);
-            return Decision::Reset { sequence: 0, reason: ResetReason::Refused };
+            return self.refuse(&flow, ResetReason::Refused);
         }
         entry.has_waited = true;
         entry.tried.clear();
@@ -204,18 +203,18 @@
     ) -> Decision {
         // Silent targets may yet answer the next copy, those that sent the packet
         // back will not take it now.
+        if any_eligible && reason == ForwardReason::OpeningReturned {
+            return self.refuse(flow, ResetReason::Refused);
+        }
         self.flows.remove(flow);
         let settled = context.fresh && !self.is_unsettled(context.now);
         if !any_eligible && self.is_evacuated(context, flow) {
             return Decision::Reset { sequence: 0, reason: ResetReason::Evacuated };
         }
-        match (any_eligible, reason) {
-            (true, ForwardReason::OpeningReturned) => {
-                Decision::Reset { sequence: 0, reason: ResetReason::Refused }
-            }
-            (false, _) if settled => Decision::Reset { sequence: 0, reason: ResetReason::NoTarget },
-            _ => Decision::Drop(DropReason::NoTargetYet),
+        if !any_eligible && settled {
+            return Decision::Reset { sequence: 0, reason: ResetReason::NoTarget };
         }
+        Decision::Drop(DropReason::NoTargetYet)
     }
 
     /// Whether a flow's service has ready targets, but in evacuated zones alone. That is
--- a/crates/steering/src/balancer/queueing.rs
+++ b/crates/steering/src/balancer/queueing.rs
@@ -107,7 +107,7 @@
         let (head, bytes) = (*packet.head, packet.bytes.to_vec());
         let opening = QueuedOpening { head, bytes, class, queued_at, budget_end };
         if !may_wait || !self.late_binding.push(opening, place.turn, now) {
-            return self.refuse(&flow, inputs);
+            return self.refuse(&flow, ResetReason::Overloaded { inputs });
         }
         let ask = self.agents_to_ask(service, place.targets, now);
         let demand = self.late_binding.demand(service, now);
@@ -141,15 +141,15 @@
         entry.may_be_open = copies > 0;
     }
 
-    /// The outcome for an opening that gets no room in time. Its client is told if no target
-    /// can have opened the flow.
-    pub(super) fn refuse(&mut self, flow: &FlowKey, inputs: QueueInputs) -> Decision {
+    /// The outcome for an opening that no target takes, or none in time. Its client is told if
+    /// no target can have opened the flow.
+    pub(super) fn refuse(&mut self, flow: &FlowKey, reason: ResetReason) -> Decision {
         let may_be_open = self.flows.get_mut(flow).is_none_or(|entry| entry.may_be_open);
         self.flows.remove(flow);
         if may_be_open {
             return Decision::Drop(DropReason::OpeningRefused);
         }
-        Decision::Reset { sequence: 0, reason: ResetReason::Overloaded { inputs } }
+        Decision::Reset { sequence: 0, reason }
     }
 
     /// Whether a returned opening is another delivery than the latest one to the same agent:
--- a/crates/steering/tests/opening_queue_faults.rs
+++ b/crates/steering/tests/opening_queue_faults.rs
@@ -8,9 +8,9 @@
 use support::queue::{
     BUDGET, copy, first_ranked, is_queued, route, store, urgent, urgent_endpoint,
 };
-use support::{Fixture, LATER, SERVICE, agent, data, endpoint, forwarded, opening};
+use support::{Fixture, LATER, SERVICE, Store, agent, data, endpoint, flow, forwarded, opening};
 use weirhinge_fleet::{ReturnReason, Route, TargetState};
-use weirhinge_steering::{Balancer, Decision, DropReason, FlowKey, ForwardReason};
+use weirhinge_steering::{Balancer, Decision, DropReason, FlowKey, ForwardReason, ResetReason};
 
 /// For how long agents know what a balancer told, in milliseconds.
 const DEMAND_LIFETIME: u64 = 300;
@@ -197,3 +197,35 @@
     let onward = fixture.returned(&head, agent(number), ReturnReason::Leaving, LATER + 201);
     assert_eq!(forwarded(&onward).agent, agent(other(number)));
 }
+
+const REFUSED: Decision = Decision::Reset { sequence: 0, reason: ResetReason::Refused };
+
+/// Where an opening goes first and, after no answer, its copy; of a route without an objective.
+fn moved_on(fixture: &mut Fixture) -> Ipv4Addr {
+    let silent = forwarded(&fixture.client(&opening(flow(1)), LATER)).agent;
+    let moved = fixture.client(&copy(flow(1), 1), LATER + 200);
+    assert_eq!(forwarded(&moved).reason, ForwardReason::OpeningMoved);
+    assert_ne!(forwarded(&moved).agent, silent);
+    forwarded(&moved).agent
+}
+
+#[test]
+fn an_opening_that_no_further_target_takes_is_not_reset_if_a_silent_one_may_have_opened_it() {
+    let mut fixture = Fixture::new(&Store::with_targets(2));
+    let moved = moved_on(&mut fixture);
+    assert_eq!(fixture.bounced(&copy(flow(1), 1), moved, LATER + 201), NOT_TOLD);
+    let (visited, told) = fixture.bounce_to_the_end(&opening(flow(2)), LATER + 202);
+    assert_eq!((visited.len(), told), (2, REFUSED), "it went nowhere else");
+}
+
+#[test]
+fn an_opening_that_waited_at_a_target_is_not_reset_if_a_silent_one_may_have_opened_it() {
+    let mut fixture = Fixture::new(&Store::with_targets(3));
+    let moved = moved_on(&mut fixture);
+    let head = copy(flow(1), 1);
+    let waits = fixture.returned(&head, moved, ReturnReason::Busy, LATER + 201);
+    assert_eq!(forwarded(&waits).reason, ForwardReason::OpeningWaits);
+    let waited_at = forwarded(&waits).agent;
+    let given_up = fixture.returned(&head, waited_at, ReturnReason::Busy, LATER + 1_300);
+    assert_eq!(given_up, NOT_TOLD);
+}
