--- a/crates/steering/src/balancer/queueing.rs
+++ b/crates/steering/src/balancer/queueing.rs
@@ -14,11 +14,10 @@
 use super::opening_queue::{QueueClass, QueuedOpening, Turn};
 use super::queue_delay::may_wait;
 use super::{Balancer, ClientPacket, Context};
-use crate::agent_status::AgentStatuses;
 use crate::caller_rank::CallerRank;
 use crate::flow_table::FlowStage;
 use crate::packet::{FlowKey, PacketHead};
-use crate::selection::load_permille;
+use crate::selection::TargetCosts;
 use crate::view::{Candidate, Distance, RouteChoice};
 
 /// Time of a flow that neither the queue nor the target sees: a handshake and the way of the
@@ -107,7 +106,7 @@
         let (head, bytes) = (*packet.head, packet.bytes.to_vec());
         let opening = QueuedOpening { head, bytes, class, queued_at, budget_end };
         if !may_wait || !self.late_binding.push(opening, place.turn, now) {
-            return self.refuse(&flow, inputs);
+            return self.refuse(&flow, ResetReason::Overloaded { inputs });
         }
         let ask = self.agents_to_ask(service, place.targets, now);
         let demand = self.late_binding.demand(service, now);
@@ -141,15 +140,27 @@
         entry.may_be_open = copies > 0;
     }
 
-    /// The outcome for an opening that gets no room in time. Its client is told if no target
-    /// can have opened the flow.
-    pub(super) fn refuse(&mut self, flow: &FlowKey, inputs: QueueInputs) -> Decision {
+    /// The outcome for an opening that no target takes, or none in time. Its client is told if
+    /// no target can have opened the flow.
+    pub(super) fn refuse(&mut self, flow: &FlowKey, reason: ResetReason) -> Decision {
         let may_be_open = self.flows.get_mut(flow).is_none_or(|entry| entry.may_be_open);
         self.flows.remove(flow);
         if may_be_open {
             return Decision::Drop(DropReason::OpeningRefused);
         }
-        Decision::Reset { sequence: 0, reason: ResetReason::Overloaded { inputs } }
+        Decision::Reset { sequence: 0, reason }
+    }
+
+    /// Whether a returned opening is another delivery than the latest one to the same agent:
+    /// the message came late or twice, and the agent may still take the latest one.
+    pub(super) fn is_earlier_delivery(
+        &mut self,
+        flow: &FlowKey,
+        from: Ipv4Addr,
+        granted: bool,
+    ) -> bool {
+        let entry = self.flows.get_mut(flow).filter(|entry| entry.agent == from);
+        entry.is_some_and(|entry| entry.granted != granted)
     }
 
     /// The outcome for a returned opening that queues; none if it goes on as openings of
@@ -208,18 +219,16 @@
         self.late_binding.len()
     }
 
-    /// The agents to be asked for room: those that expect to answer soonest, and far ones
-    /// only after all others.
+    /// The agents to be asked for room: those of the cheapest targets, and far ones only after
+    /// all others.
     pub(super) fn agents_to_ask(
         &mut self,
         service: ServiceId,
         targets: &[Candidate],
         now: Millis,
     ) -> Vec<Ipv4Addr> {
-        let statuses = &self.statuses;
-        let cost = |target: &Candidate| {
-            (target.distance == Distance::Far, expected_ms(target, statuses, now))
-        };
+        let costs = TargetCosts::new(targets, &self.statuses, now);
+        let cost = |target: &Candidate| (target.distance == Distance::Far, costs.cost(target));
         self.late_binding.choose_asked(service, targets, cost, now)
     }
 
@@ -236,11 +245,3 @@
         })
     }
 }
-
-/// How long a target is believed to need for one more request.
-fn expected_ms(target: &Candidate, statuses: &AgentStatuses, now: Millis) -> Millis {
-    let told = statuses.target_load(target.agent);
-    let service_ms = told.service_ms.map_or(DEFAULT_SERVICE_MS, Millis::from);
-    let by_load = load_permille(target, statuses, now) * service_ms / 1_000;
-    told.expected_ms.map_or(by_load, Millis::from)
-}
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -16,8 +16,7 @@
 const FAR_PERMILLE: u64 = 1_500;
 /// The same for a target of another zone of the region: half a request a slot. What a
 /// balancer knows of loads is that old and rough, and each packet of a flow in its own zone
-/// saves a trip and bytes between zones: of the requests in the three seconds after a loss
-/// of power, 37 in place of 92 of 2,991 were late.
+/// saves a trip and bytes between zones.
 const OTHER_ZONE_PERMILLE: u64 = 500;
 /// Far targets compared where there are near ones.
 const FAR_COMPARED: usize = 1;
@@ -46,12 +45,39 @@
     daemons.iter().copied().max_by_key(|daemon| rank(flow_hash, *daemon))
 }
 
+/// What one more flow costs at each target, by the time in which it is expected to answer
+/// where agents told times, otherwise by load, and by its distance.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetCosts<'a> {
+    typical: Option<TypicalTimes>,
+    statuses: &'a AgentStatuses,
+    now: Millis,
+}
+
+impl<'a> TargetCosts<'a> {
+    /// Costs at targets like those of `order`.
+    pub fn new(order: &[Candidate], statuses: &'a AgentStatuses, now: Millis) -> Self {
+        Self { typical: TypicalTimes::of(order, statuses, now), statuses, now }
+    }
+
+    /// The cost at a target; of equal ones the nearer is cheaper.
+    pub fn cost(&self, candidate: &Candidate) -> (u64, Distance) {
+        let charge = match candidate.distance {
+            Distance::Zone => 0,
+            Distance::Region => OTHER_ZONE_PERMILLE,
+            Distance::Far => FAR_PERMILLE,
+        };
+        let cost = match self.typical {
+            Some(typical) => typical.cost(candidate, charge, self.statuses, self.now),
+            None => load_permille(candidate, self.statuses, self.now) + charge,
+        };
+        (cost, candidate.distance)
+    }
+}
+
 /// The cheapest of the first `compared` candidates of the region, the first one of the
-/// own zone and the first far one, in the flow's order. They are compared by the time in
-/// which each is expected to answer, where agents told times, otherwise by load. One of
-/// another zone is chosen
-/// where that of the own zone is busier by a margin, a far one only where the others are
-/// busy: every packet of the flow would cross zones or regions.
+/// own zone and the first far one, in the flow's order. One of another zone is chosen where that of the own zone is busier by a margin, a far one only where the
+/// others are busy: every packet of the flow would cross zones or regions.
 pub fn cheapest(
     order: &[Candidate],
     compared: usize,
@@ -63,20 +89,8 @@
     let far = order.iter().filter(|candidate| candidate.distance == Distance::Far);
     let any_near = order.iter().any(|candidate| candidate.distance != Distance::Far);
     let far = far.take(if any_near { FAR_COMPARED } else { compared });
-    let typical = TypicalTimes::of(order, statuses, now);
-    let cost = |candidate: &&Candidate| {
-        let charge = match candidate.distance {
-            Distance::Zone => 0,
-            Distance::Region => OTHER_ZONE_PERMILLE,
-            Distance::Far => FAR_PERMILLE,
-        };
-        let cost = match typical {
-            Some(typical) => typical.cost(candidate, charge, statuses, now),
-            None => load_permille(candidate, statuses, now) + charge,
-        };
-        (cost, candidate.distance)
-    };
-    near.chain(own).chain(far).min_by_key(cost).copied()
+    let costs = TargetCosts::new(order, statuses, now);
+    near.chain(own).chain(far).min_by_key(|candidate| costs.cost(candidate)).copied()
 }
 
 /// Believed load in thousandths of the target's slots.
