Say once what stood twice in the decisions under load

Cause: read as a whole, the change holds pieces twice. A refused opening was copied first, in a crowd the usual case. Ruled out: reading a target's service time through its told times in place of the load, which takes no service time where no expected time came with it (the_budget_leaves_time_for_the_request_itself failed); one counter of urgent openings in a row for both sides, which count different things. Change: one module for the share, constructors and methods for the others; only what waits is copied. The count of urgent openings in a row no longer overflows. Behaviour stays. All tests of the crate pass, and none was changed in this commit.

--- a/crates/relay/src/agent/mod.rs
+++ b/crates/relay/src/agent/mod.rs
@@ -228,7 +228,7 @@
         self.node.borrow_mut().claim = Some(TargetClaim {
             service: self.service.clone(),
             alive: !self.target_gone.get(),
-            load: core.load(self.clock.now()),
+            load: core.load(now),
             leaving: self.leaving.get(),
             recorded: core.is_sized(),
             without_former_flows: core.without_former_flows(now),
--- a/crates/steering/src/agent/breaker.rs
+++ b/crates/steering/src/agent/breaker.rs
@@ -62,22 +62,11 @@
     /// Whether a new flow may go to the target; in the half-open state this takes the
     /// place of the one that may.
     pub(super) fn admits(&mut self, now: Millis) -> bool {
-        if let State::Open(until) = self.state
-            && now >= until
-        {
-            self.state = State::HalfOpen { successes: 0, next_trial_at: now };
-        }
-        match &mut self.state {
-            State::Closed(_) => true,
-            State::Open(_) => false,
-            State::HalfOpen { next_trial_at, .. } => {
-                let may_try = now >= *next_trial_at;
-                if may_try {
-                    *next_trial_at = now + TRIAL_MS;
-                }
-                may_try
-            }
+        let admits = self.would_admit(now);
+        if admits {
+            self.begin_trial(now);
         }
+        admits
     }
 
     /// Whether [`Self::admits`] would let a new flow go to the target.
@@ -89,6 +78,16 @@
         }
     }
 
+    /// Notes that a new flow tests a target that was ejected.
+    fn begin_trial(&mut self, now: Millis) {
+        let successes = match self.state {
+            State::Closed(_) => return,
+            State::Open(_) => 0,
+            State::HalfOpen { successes, .. } => successes,
+        };
+        self.state = State::HalfOpen { successes, next_trial_at: now + TRIAL_MS };
+    }
+
     /// Whether the target is ejected and not tested yet.
     pub(super) fn is_ejected(&self, now: Millis) -> bool {
         matches!(self.state, State::Open(until) if now < until)
--- a/crates/steering/src/agent/former_flows.rs
+++ b/crates/steering/src/agent/former_flows.rs
@@ -6,7 +6,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 
-use weirhinge_fleet::Millis;
+use weirhinge_fleet::{Millis, ServiceId};
 
 use super::{Agent, FLOW_IDLE_MS, Flow};
 use crate::packet::FlowKey;
@@ -51,13 +51,13 @@
         }
     }
 
-    fn learn(&mut self, view: &FleetView, is_named: impl Fn(SocketAddrV4) -> bool, now: Millis) {
+    fn learn(&mut self, view: &FleetView, service: ServiceId, now: Millis) {
         let Some(version) = view.label().map(|label| label.version) else { return };
         if self.version == Some(version) {
             return;
         }
-        let named = view.route_services().map(|(endpoint, _)| endpoint);
-        let named: HashSet<SocketAddrV4> = named.filter(|endpoint| is_named(*endpoint)).collect();
+        let named = view.route_services().filter(|(_, named)| *named == service);
+        let named: HashSet<SocketAddrV4> = named.map(|(endpoint, _)| endpoint).collect();
         let is_next = self.version.is_none_or(|known| known + 1 == version);
         if !is_next || !self.named.is_subset(&named) {
             self.left_at = Some(now);
@@ -77,12 +77,7 @@
 impl Agent {
     /// Takes in the routes in force; to be called regularly.
     pub fn learn_routes(&mut self, view: &FleetView, now: Millis) {
-        let service = self.service;
-        let is_named = |endpoint| {
-            let route = view.route(endpoint);
-            route.is_some_and(|route| route.services().any(|named| named == service))
-        };
-        self.former.learn(view, is_named, now);
+        self.former.learn(view, self.service, now);
         self.former.unfollowed.retain(|_, until| now < *until);
     }
 
--- a/crates/steering/src/agent/granting.rs
+++ b/crates/steering/src/agent/granting.rs
@@ -136,7 +136,7 @@
         self.openings.first_is_urgent().is_some_and(|urgent| self.room().has(urgent))
     }
 
-    fn room(&self) -> Room {
+    pub(super) fn room(&self) -> Room {
         let load = self.requests_in_hand();
         Room {
             urgent: !self.admission.is_busy(load, true),
--- a/crates/steering/src/agent/mod.rs
+++ b/crates/steering/src/agent/mod.rs
@@ -224,9 +224,8 @@
         if !self.cold_start_admits(now) || self.yields_to_grant(now) {
             return None;
         }
-        let load = self.requests_in_hand();
-        let admission = &self.admission;
-        let opening = self.openings.take_first(|urgent| !admission.is_busy(load, urgent))?;
+        let room = self.room();
+        let opening = self.openings.take_first(|urgent| room.has(urgent))?;
         self.grants.own_turn = false;
         self.follow(&opening.head, &opening.packet, opening.balancer, false, now);
         let echo = self.deliveries.remember_waited(opening.balancer);
--- a/crates/steering/src/agent_status.rs
+++ b/crates/steering/src/agent_status.rs
@@ -51,6 +51,15 @@
     ended_at: Option<Millis>,
 }
 
+impl AgentStatus {
+    /// Takes in how busy the target is.
+    fn tell(&mut self, load: TargetLoad, now: Millis) {
+        self.heard_at = now;
+        self.load = load;
+        self.sent_since = 0;
+    }
+}
+
 /// An agent's word that a target works beside it.
 #[derive(Clone, Copy, Debug)]
 struct Claim {
@@ -59,6 +68,12 @@
     said_at: Millis,
 }
 
+impl Claim {
+    fn is_fresh(&self, now: Millis) -> bool {
+        now.saturating_sub(self.said_at) < CLAIM_LIFETIME_MS
+    }
+}
+
 /// What an agent told of its target's times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ToldTimes {
@@ -139,9 +154,7 @@
     /// Records a sign of life with how busy the target is.
     pub fn heard(&mut self, agent: Ipv4Addr, load: TargetLoad, now: Millis) {
         let status = self.statuses.entry(agent).or_default();
-        status.heard_at = now;
-        status.load = load;
-        status.sent_since = 0;
+        status.tell(load, now);
         status.unanswered_since = None;
         status.ignored_search_at = None;
         status.ignored_searches = 0;
@@ -153,9 +166,7 @@
     /// does not show that the target answers.
     pub fn granted(&mut self, agent: Ipv4Addr, load: TargetLoad, now: Millis) {
         let status = self.statuses.entry(agent).or_default();
-        status.heard_at = now;
-        status.load = load;
-        status.sent_since = 0;
+        status.tell(load, now);
         self.reached(now);
     }
 
@@ -163,9 +174,7 @@
     /// does not show that the target works.
     pub fn claimed(&mut self, agent: Ipv4Addr, zone: ZoneId, claim: &TargetClaim, now: Millis) {
         let status = self.statuses.entry(agent).or_default();
-        status.heard_at = now;
-        status.load = claim.load;
-        status.sent_since = 0;
+        status.tell(claim.load, now);
         status.leaving_at = claim.leaving.then_some(now);
         // Digests that were sent before the last word may come after it.
         status.ended_at = status.ended_at.filter(|_| claim.leaving);
@@ -292,9 +301,7 @@
     /// Agents that lately said that a target of this service works beside them.
     pub fn claimants(&self, service: ServiceId, now: Millis) -> Vec<Ipv4Addr> {
         let is_fresh = |status: &AgentStatus| {
-            status.claim.is_some_and(|claim| {
-                claim.service == service && now.saturating_sub(claim.said_at) < CLAIM_LIFETIME_MS
-            })
+            status.claim.is_some_and(|claim| claim.service == service && claim.is_fresh(now))
         };
         let fresh = self.statuses.iter().filter(|(_, status)| is_fresh(status));
         let mut agents: Vec<Ipv4Addr> = fresh.map(|(agent, _)| *agent).collect();
@@ -311,10 +318,8 @@
     ) -> Vec<(ServiceId, Ipv4Addr)> {
         let claims = self.statuses.iter();
         let claims = claims.filter_map(|(agent, status)| status.claim.map(|claim| (agent, claim)));
-        let outside = claims.filter(|(_, claim)| {
-            !services.contains(&claim.service)
-                && now.saturating_sub(claim.said_at) < CLAIM_LIFETIME_MS
-        });
+        let outside =
+            claims.filter(|(_, claim)| !services.contains(&claim.service) && claim.is_fresh(now));
         outside.map(|(agent, claim)| (claim.service, *agent)).collect()
     }
 
--- a/crates/steering/src/balancer/granting.rs
+++ b/crates/steering/src/balancer/granting.rs
@@ -37,6 +37,13 @@
     pub waited_ms: Millis,
 }
 
+impl SettledOpening {
+    fn new(opening: QueuedOpening, decision: Decision, now: Millis) -> Self {
+        let waited_ms = now.saturating_sub(opening.queued_at);
+        Self { head: opening.head, bytes: opening.bytes, decision, waited_ms }
+    }
+}
+
 /// What a balancer does with an agent's grant.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GrantAnswer {
@@ -131,9 +138,7 @@
         let packet = ClientPacket { head: &opening.head, bytes: &opening.bytes };
         let decision = self.choose_target(context, packet, ForwardReason::Opened);
         self.keep_undecided(&decision, packet, now);
-        let waited_ms = now.saturating_sub(opening.queued_at);
-        let QueuedOpening { head, bytes, .. } = opening;
-        Some(SettledOpening { head, bytes, decision, waited_ms })
+        Some(SettledOpening::new(opening, decision, now))
     }
 
     /// Sends a waiting opening to the target that granted room.
@@ -161,10 +166,7 @@
         let mut forward = Forward::to(agent, service, ForwardReason::OpeningGranted);
         forward.urgent = urgent;
         forward.granted = Some(self.late_binding.demand(service, now));
-        let decision = Decision::Forward(forward);
-        let waited_ms = now.saturating_sub(opening.queued_at);
-        let QueuedOpening { head, bytes, .. } = opening;
-        Some(SettledOpening { head, bytes, decision, waited_ms })
+        Some(SettledOpening::new(opening, Decision::Forward(forward), now))
     }
 
     /// The openings whose budgets have ended.
@@ -177,9 +179,7 @@
             let inputs = QueueInputs { ahead, expected_wait_ms, budget_ms: 0 };
             let reason = ResetReason::Overloaded { inputs };
             let decision = self.refuse(&opening.head.client_flow(), reason);
-            let waited_ms = now.saturating_sub(opening.queued_at);
-            let QueuedOpening { head, bytes, .. } = opening;
-            refused.push(SettledOpening { head, bytes, decision, waited_ms });
+            refused.push(SettledOpening::new(opening, decision, now));
         }
         refused
     }
--- a/crates/steering/src/balancer/late_binding.rs
+++ b/crates/steering/src/balancer/late_binding.rs
@@ -10,6 +10,7 @@
 use super::opening_queue::{OpeningQueue, QueueClass, QueuedOpening, Turn};
 use super::queue_delay::AdmissionRate;
 use crate::caller_rank::{CallerRank, caller_rank};
+use crate::class_share::others_are_due;
 use crate::packet::FlowKey;
 use crate::view::Candidate;
 
@@ -20,8 +21,6 @@
 /// How long after the last question further agents are asked: several times a journey there
 /// and back.
 const ASK_FURTHER_MS: Millis = 25;
-/// One grant in so many goes to an opening that is not urgent while both wait.
-const OTHERS_ONE_IN: u32 = 8;
 /// How long a service's typical time of a request counts before it is looked up again.
 const SERVICE_TIME_LIFETIME_MS: Millis = 100;
 /// How long a service is remembered after the last opening waited for it.
@@ -86,7 +85,7 @@
         self.shares.admitted(*flow.client.ip(), now);
         let state = self.service(class.service);
         state.rate(class.urgent).admitted(now);
-        state.urgent_in_row = if class.urgent { state.urgent_in_row + 1 } else { 0 };
+        state.urgent_in_row = if class.urgent { state.urgent_in_row.saturating_add(1) } else { 0 };
         self.note_left(class, now);
         Some(opening)
     }
@@ -166,16 +165,17 @@
         urgent_only: bool,
     ) -> impl Iterator<Item = FlowKey> {
         let in_row = self.services.get(&service).map_or(0, |state| state.urgent_in_row);
-        let urgent_first = urgent_only || in_row + 1 < OTHERS_ONE_IN;
-        let classes = [urgent_first, !urgent_first].map(|urgent| QueueClass { service, urgent });
+        let mut classes = QueueClass::of(service);
+        if !urgent_only && others_are_due(in_row) {
+            classes.reverse();
+        }
         let taking = if urgent_only { 1 } else { classes.len() };
         classes.into_iter().take(taking).flat_map(|class| self.queue.flows_of(class))
     }
 
     /// The flow that is served first of a service.
     pub(super) fn first_flow(&self, service: ServiceId) -> Option<FlowKey> {
-        let classes = [true, false].map(|urgent| QueueClass { service, urgent });
-        classes.into_iter().find_map(|class| self.queue.flows_of(class).next())
+        self.flows_of(service).next()
     }
 
     /// The flow on whose behalf further agents are asked: in turns the first one and each
@@ -184,11 +184,16 @@
         let state = self.service(service);
         let turn = state.further_asks;
         state.further_asks = turn.wrapping_add(1);
-        let classes = [true, false].map(|urgent| QueueClass { service, urgent });
+        let classes = QueueClass::of(service);
         let waiting: usize = classes.iter().map(|class| self.queue.waiting(*class)).sum();
         let is_others_turn = waiting > 1 && turn % 2 == 1;
         let place = if is_others_turn { 1 + turn / 2 % (waiting - 1) } else { 0 };
-        classes.into_iter().flat_map(|class| self.queue.flows_of(class)).nth(place)
+        self.flows_of(service).nth(place)
+    }
+
+    /// The flows that wait for a service, urgent ones first.
+    fn flows_of(&self, service: ServiceId) -> impl Iterator<Item = FlowKey> {
+        QueueClass::of(service).into_iter().flat_map(|class| self.queue.flows_of(class))
     }
 
     /// The agents of the cheapest of these targets that were not asked for room lately; of
--- a/crates/steering/src/balancer/opening_queue.rs
+++ b/crates/steering/src/balancer/opening_queue.rs
@@ -17,6 +17,13 @@
     pub(super) urgent: bool,
 }
 
+impl QueueClass {
+    /// The classes of a service, the urgent one first.
+    pub(super) fn of(service: ServiceId) -> [Self; 2] {
+        [true, false].map(|urgent| Self { service, urgent })
+    }
+}
+
 /// Where an opening joins its class.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Turn {
@@ -122,8 +129,8 @@
 
     /// What waits for a service.
     pub(super) fn demand(&self, service: ServiceId, now: Millis) -> OpeningDemand {
-        let urgent = self.waiting_openings(QueueClass { service, urgent: true }, now);
-        let others = self.waiting_openings(QueueClass { service, urgent: false }, now);
+        let classes = QueueClass::of(service);
+        let [urgent, others] = classes.map(|class| self.waiting_openings(class, now));
         OpeningDemand { urgent, others }
     }
 
--- a/crates/steering/src/balancer/queueing.rs
+++ b/crates/steering/src/balancer/queueing.rs
@@ -103,9 +103,12 @@
             Turn::First => budget_ms > 0,
             Turn::Last => may_wait(expected_wait_ms, ahead, budget_ms, rank),
         };
-        let (head, bytes) = (*packet.head, packet.bytes.to_vec());
-        let opening = QueuedOpening { head, bytes, class, queued_at, budget_end };
-        if !may_wait || !self.late_binding.push(opening, place.turn, now) {
+        // In a crowd most are refused: only what waits is copied.
+        let opening = || {
+            let (head, bytes) = (*packet.head, packet.bytes.to_vec());
+            QueuedOpening { head, bytes, class, queued_at, budget_end }
+        };
+        if !may_wait || !self.late_binding.push(opening(), place.turn, now) {
             return self.refuse(&flow, ResetReason::Overloaded { inputs });
         }
         let ask = self.agents_to_ask(service, place.targets, now);
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -12,6 +12,7 @@
 mod arrival;
 mod balancer;
 mod caller_rank;
+mod class_share;
 mod expected_time;
 mod flow_table;
 mod overload;
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -76,8 +76,9 @@
 }
 
 /// The cheapest of the first `compared` candidates of the region, the first one of the
-/// own zone and the first far one, in the flow's order. One of another zone is chosen where that of the own zone is busier by a margin, a far one only where the
-/// others are busy: every packet of the flow would cross zones or regions.
+/// own zone and the first far one, in the flow's order. One of another zone is chosen
+/// where that of the own zone is busier by a margin, a far one only where the others are
+/// busy: every packet of the flow would cross zones or regions.
 pub fn cheapest(
     order: &[Candidate],
     compared: usize,
