Build routes, targets and contexts of tests in one place

Cause: five tests spelled out a route of the steering crate, six functions of the fixture a context, two tests of the routing crate a service and a target. Change: route_to, Fixture::parts, and a support module of the routing tests. Assertions, bounds and literals that are compared stay; a service of number_hint is now named service-1, which nothing compares.

--- a/crates/routing/tests/number_hint.rs
+++ b/crates/routing/tests/number_hint.rs
@@ -1,10 +1,11 @@
 //! Callers without timestamps name the holder by the number that they acknowledge.
 
+mod support;
+
 use etherparse::PacketBuilder;
 use proptest::prelude::*;
-use weirhinge_config::{
-    ConfigDocument, HashKey, Service, ServiceId, Target, TargetId, TargetState, TransportProtocol,
-};
+use support::{service, target};
+use weirhinge_config::{ConfigDocument, HashKey, TargetId, TargetState};
 use weirhinge_packet::decode_packet;
 use weirhinge_routing::{HolderHint, NAMED_BYTES, RouteBasis, RoutingTable};
 
@@ -12,30 +13,10 @@
 const TARGETS: u16 = 4;
 
 fn document(state: TargetState) -> ConfigDocument {
-    let service = Service {
-        id: ServiceId(1),
-        name: "approvals".to_owned(),
-        address: [203, 0, 113, 10].into(),
-        port: 8_443,
-        protocol: TransportProtocol::Tcp,
-        proxy_protocol: false,
-    };
-    let target = |id: u16| Target {
-        id: TargetId(id),
-        name: format!("target-{id}"),
-        service: ServiceId(1),
-        zone: "austin".to_owned(),
-        agent: ([127, 0, 0, 1], 7_000 + id).into(),
-        back_end: ([127, 0, 0, 1], 9_000 + id).into(),
-        weight: 100,
-        state,
-        slots: 7,
-        connections: 2_000,
-    };
     ConfigDocument {
         revision: 1,
-        services: vec![service],
-        targets: (0..TARGETS).map(target).collect(),
+        services: vec![service(1, 10)],
+        targets: (0..TARGETS).map(|id| target(id, 1, state)).collect(),
     }
 }
 
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -1,10 +1,11 @@
 //! Routes are deterministic, move little, follow weights, and trust no hint
 //! across services.
 
+mod support;
+
 use etherparse::PacketBuilder;
-use weirhinge_config::{
-    ConfigDocument, HashKey, Service, ServiceId, Target, TargetId, TargetState, TransportProtocol,
-};
+use support::{service, target};
+use weirhinge_config::{ConfigDocument, HashKey, ServiceId, TargetId, TargetState};
 use weirhinge_packet::decode_packet;
 use weirhinge_routing::{BucketTable, HolderHint, RouteBasis, RouteError, RoutingTable};
 
@@ -77,25 +78,10 @@
 }
 
 fn document(draining: &[u16]) -> ConfigDocument {
-    let service = |id: u32, last: u8| Service {
-        id: ServiceId(id),
-        name: format!("service-{id}"),
-        address: [203, 0, 113, last].into(),
-        port: 8_443,
-        protocol: TransportProtocol::Tcp,
-        proxy_protocol: false,
-    };
-    let target = |id: u16| Target {
-        id: TargetId(id),
-        name: format!("target-{id}"),
-        service: ServiceId(if id < 4 { 1 } else { 2 }),
-        zone: "austin".to_owned(),
-        agent: ([127, 0, 0, 1], 7_000 + id).into(),
-        back_end: ([127, 0, 0, 1], 9_000 + id).into(),
-        weight: 100,
-        state: if draining.contains(&id) { TargetState::Draining } else { TargetState::Active },
-        slots: 7,
-        connections: 2_000,
+    let target = |id: u16| {
+        let state =
+            if draining.contains(&id) { TargetState::Draining } else { TargetState::Active };
+        target(id, if id < 4 { 1 } else { 2 }, state)
     };
     ConfigDocument {
         revision: 5,
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -311,15 +311,9 @@
 
 #[test]
 fn a_route_is_urgent_beside_a_less_urgent_one_of_its_service_alone() {
-    use weirhinge_fleet::{Route, RoutePart};
-    let route = |port: u16, service: &str, priority: u32| Route {
-        address: support::endpoint().ip().to_bits(),
-        port,
-        parts: vec![RoutePart { service: service.to_owned(), weight: 1 }],
-        priority,
-        objective_ms: None,
-        timeout_ms: None,
-        ..Route::default()
+    let address = *support::endpoint().ip();
+    let route = |port: u16, service: &str, priority: u32| {
+        support::route_to(std::net::SocketAddrV4::new(address, port), service, priority)
     };
     let mut store = Store::with_targets(3);
     store.configure(vec![route(443, SERVICE, 1), route(444, SERVICE, 2), route(445, OTHER, 1)]);
--- a/crates/steering/tests/former_services.rs
+++ b/crates/steering/tests/former_services.rs
@@ -6,9 +6,10 @@
 use std::net::Ipv4Addr;
 
 use support::{
-    Fixture, LATER, OTHER, SERVICE, Store, agent, data, endpoint, flow, forwarded, opening, rows,
+    Fixture, LATER, OTHER, SERVICE, Store, agent, data, endpoint, flow, forwarded, opening,
+    route_to, rows,
 };
-use weirhinge_fleet::{Route, RoutePart, TargetState};
+use weirhinge_fleet::{Route, TargetState};
 use weirhinge_steering::{Decision, DropReason, ResetReason};
 
 const THIRD: &str = "charts";
@@ -224,15 +225,8 @@
 #[test]
 fn further_targets_are_asked_in_the_permitted_regions_only() {
     let mut store = Store::default();
-    store.configure(vec![Route {
-        address: endpoint().ip().to_bits(),
-        port: endpoint().port(),
-        parts: vec![RoutePart { service: SERVICE.to_owned(), weight: 1 }],
-        priority: 2,
-        objective_ms: None,
-        timeout_ms: None,
-        permitted_regions: vec!["near".to_owned()],
-    }]);
+    let permitted_regions = vec!["near".to_owned()];
+    store.configure(vec![Route { permitted_regions, ..route_to(endpoint(), SERVICE, 2) }]);
     store.target(1, SERVICE, Some(TargetState::Ready), 0);
     store.target(11, OTHER, Some(TargetState::Ready), 0);
     store.target(51, OTHER, Some(TargetState::Ready), 0);
--- a/crates/steering/tests/home_regions.rs
+++ b/crates/steering/tests/home_regions.rs
@@ -6,22 +6,16 @@
 
 use support::{
     Fixture, LATER, SERVICE, Store, agent, claim, data, endpoint, flow, forwarded, opening, path,
+    route_to,
 };
-use weirhinge_fleet::{Route, RoutePart, TargetState, ZoneId};
+use weirhinge_fleet::{Route, TargetState, ZoneId};
 use weirhinge_steering::{Decision, ResetReason};
 
 /// Targets 1 and 2 are in region `near`, 51 and 52 in region `far`.
 fn store(allowed: &[&str]) -> Store {
     let mut store = Store::default();
-    store.configure(vec![Route {
-        address: endpoint().ip().to_bits(),
-        port: endpoint().port(),
-        parts: vec![RoutePart { service: SERVICE.to_owned(), weight: 1 }],
-        priority: 2,
-        objective_ms: None,
-        timeout_ms: None,
-        permitted_regions: allowed.iter().map(|region| (*region).to_owned()).collect(),
-    }]);
+    let permitted_regions = allowed.iter().map(|region| (*region).to_owned()).collect();
+    store.configure(vec![Route { permitted_regions, ..route_to(endpoint(), SERVICE, 2) }]);
     for number in [1, 2, 51, 52] {
         store.target(number, SERVICE, Some(TargetState::Ready), 0);
     }
--- a/crates/steering/tests/support/fixture.rs
+++ b/crates/steering/tests/support/fixture.rs
@@ -25,16 +25,23 @@
         Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 }
     }
 
+    /// The balancer, and what it decides from beside its own state.
+    fn parts(&mut self, now: u64) -> (&mut Balancer, Context<'_>) {
+        let context =
+            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
+        (&mut self.balancer, context)
+    }
+
     /// Decides about a client's packet without the time for unknown flows.
     pub fn pressed(&mut self, head: &PacketHead, helpers: &[Ipv4Addr], now: u64) -> Decision {
-        let context = Context { view: &self.view, fresh: self.fresh, helpers, now, unix_ms: 0 };
-        self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
+        let (balancer, context) = self.parts(now);
+        let context = Context { helpers, ..context };
+        balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
     }
 
     pub fn client(&mut self, head: &PacketHead, now: u64) -> Decision {
-        let context =
-            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
-        self.balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
+        let (balancer, context) = self.parts(now);
+        balancer.client_packet(&context, ClientPacket { head, bytes: b"packet" })
     }
 
     /// An agent sends a packet back that it got without a grant.
@@ -67,10 +74,9 @@
         granted: bool,
         now: u64,
     ) -> Decision {
-        let context =
-            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
+        let (balancer, context) = self.parts(now);
         let packet = ClientPacket { head, bytes: b"packet" };
-        self.balancer.returned_packet(&context, packet, from, reason, granted)
+        balancer.returned_packet(&context, packet, from, reason, granted)
     }
 
     pub fn bounced(&mut self, head: &PacketHead, from: Ipv4Addr, now: u64) -> Decision {
@@ -83,21 +89,18 @@
     }
 
     pub fn search_again(&mut self, head: &PacketHead, now: u64) -> Decision {
-        let context =
-            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
-        self.balancer.search_again(&context, ClientPacket { head, bytes: b"packet" })
+        let (balancer, context) = self.parts(now);
+        balancer.search_again(&context, ClientPacket { head, bytes: b"packet" })
     }
 
     pub fn due_undecided(&mut self, now: u64) -> Vec<(PacketHead, Vec<u8>)> {
-        let context =
-            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
-        self.balancer.due_undecided(&context)
+        let (balancer, context) = self.parts(now);
+        balancer.due_undecided(&context)
     }
 
     pub fn decide_again(&mut self, head: &PacketHead, now: u64) -> Option<Decision> {
-        let context =
-            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
-        self.balancer.decide_again(&context, ClientPacket { head, bytes: b"packet" })
+        let (balancer, context) = self.parts(now);
+        balancer.decide_again(&context, ClientPacket { head, bytes: b"packet" })
     }
 
     /// Opens a flow and lets the chosen target answer.
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -47,6 +47,17 @@
     }
 }
 
+/// A route to one service.
+pub fn route_to(endpoint: SocketAddrV4, service: &str, priority: u32) -> Route {
+    Route {
+        address: endpoint.ip().to_bits(),
+        port: endpoint.port(),
+        parts: vec![RoutePart { service: service.to_owned(), weight: 1 }],
+        priority,
+        ..Route::default()
+    }
+}
+
 pub fn flow(port: u16) -> FlowKey {
     let client = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port);
     FlowKey { client, service: endpoint() }
@@ -122,16 +133,8 @@
         let parts = parts.iter();
         let parts = parts
             .map(|(service, weight)| RoutePart { service: (*service).to_owned(), weight: *weight });
-        let route = Route {
-            address: endpoint().ip().to_bits(),
-            port: endpoint().port(),
-            parts: parts.collect(),
-            priority: 2,
-            objective_ms: None,
-            timeout_ms: None,
-            ..Route::default()
-        };
-        self.configure(vec![route]);
+        let route = route_to(endpoint(), SERVICE, 2);
+        self.configure(vec![Route { parts: parts.collect(), ..route }]);
     }
 
     pub fn configure(&mut self, routes: Vec<Route>) {
--- a/crates/steering/tests/support/queue.rs
+++ b/crates/steering/tests/support/queue.rs
@@ -2,13 +2,13 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use weirhinge_fleet::{ReturnReason, Route, RoutePart, ServiceId, TargetLoad};
+use weirhinge_fleet::{ReturnReason, Route, ServiceId, TargetLoad};
 use weirhinge_steering::{
     Context, Decision, FlowKey, GrantAnswer, PacketHead, ResetReason, RoomGrant, RoomRequest,
     SettledOpening, caller_rank,
 };
 
-use super::{Fixture, SERVICE, Store, agent, endpoint, forwarded, opening};
+use super::{Fixture, SERVICE, Store, agent, endpoint, forwarded, opening, route_to};
 
 /// Within which callers expect an answer.
 pub const OBJECTIVE: u64 = 1_000;
@@ -22,15 +22,8 @@
 
 /// A route with an objective.
 pub fn route(endpoint: SocketAddrV4, service: &str, priority: u32) -> Route {
-    Route {
-        address: endpoint.ip().to_bits(),
-        port: endpoint.port(),
-        parts: vec![RoutePart { service: service.to_owned(), weight: 1 }],
-        priority,
-        objective_ms: Some(OBJECTIVE),
-        timeout_ms: Some(10_000),
-        ..Route::default()
-    }
+    let route = route_to(endpoint, service, priority);
+    Route { objective_ms: Some(OBJECTIVE), timeout_ms: Some(10_000), ..route }
 }
 
 /// An urgent route and another one, to a service of so many targets.
