Bound what seeds and balancers send to agents by the fleet, not by its agents

Cause: every well connected agent contacted a silent seed once in 60 ticks, so three seeds answered ever more agents, and an agent of a large fleet asked all three balancers that it drew for a digest in return, as it hears from each of hundreds of balancers rarely. A balancer that missed a propagated message (one in 400 with six receivers) did not ask anybody, and read the store instead. Ruled out: the waves of digests after a read; they are six datagrams a balancer at any size. Change: only balancers contact silent seeds, the more balancers the more rarely; an agent asks one of the balancers drawn; a balancer whose state was not confirmed in time asks those that it draws.

--- a/crates/relay/src/fleet_node/peer_selection.rs
+++ b/crates/relay/src/fleet_node/peer_selection.rs
@@ -23,11 +23,14 @@
 const AGENT_CONTACTS: usize = 8;
 /// Number of balancers, drawn at random for each tick, that an agent of a larger fleet contacts.
 const AGENT_CONTACTS_PER_TICK: usize = 3;
+/// Maximum number of these balancers that an agent asks for a digest in return. They advertise
+/// further balancers.
+const AGENT_DIGEST_REQUESTS_PER_TICK: usize = 1;
 /// Number of balancers from which a daemon counts as well connected.
 const WELL_CONNECTED_BALANCERS: usize = 3;
-/// A well connected daemon contacts a silent seed on average once in this many ticks, which rejoins
-/// fleets that were partitioned.
-const SEED_CONTACT_INTERVAL_TICKS: u32 = 60;
+/// A well connected balancer contacts a silent seed on average once in this many ticks, or in as
+/// many as there are balancers if those are more. This rejoins fleets that were partitioned.
+const MIN_SEED_CONTACT_INTERVAL_TICKS: usize = 60;
 /// Time after the start during which all silent seeds are contacted at every tick.
 const STARTUP_PERIOD_MS: Millis = 3_000;
 /// Minimum ratio of a peer's processor time to this daemon's for packets to be handed off to it.
@@ -151,25 +154,57 @@
             PeerRole::Balancer => 2,
         };
         let mut receivers = self.choose(&balancers, contacts);
+        let asked = self.digest_request_recipients(&receivers, now);
         let silent: Vec<Ipv4Addr> = self.peers.silent_seeds().collect();
         let is_joining = now < STARTUP_PERIOD_MS || balancers.is_empty();
         let is_well_connected = balancers.len() >= WELL_CONNECTED_BALANCERS;
         let seed_count = match (is_joining, is_well_connected) {
             (true, _) => silent.len(),
-            (false, true) => {
-                usize::from(self.random.borrow_mut().random_ratio(1, SEED_CONTACT_INTERVAL_TICKS))
-            }
+            (false, true) => usize::from(self.draws_seed_contact(balancers.len())),
             (false, false) => 1,
         };
         receivers.extend(self.choose(&silent, seed_count));
         receivers.sort();
         receivers.dedup();
-        let has_no_state = self.replica.position().is_start();
-        let requests_digest =
-            |receiver| has_no_state || self.peers.needs_digest_request(receiver, now);
+        let is_silent = |receiver: &Ipv4Addr| silent.contains(receiver);
+        let requests_digest = |receiver| asked.contains(&receiver) || is_silent(&receiver);
         receivers.into_iter().map(|receiver| (receiver, requests_digest(receiver))).collect()
     }
 
+    /// Whether this well connected daemon contacts a silent seed at this tick. One contact rejoins
+    /// all balancers of a partition, and agents learn of balancers from those.
+    fn draws_seed_contact(&self, balancers: usize) -> bool {
+        let interval_ticks = balancers.max(MIN_SEED_CONTACT_INTERVAL_TICKS);
+        self.role == PeerRole::Balancer
+            && self.random.borrow_mut().random_ratio(1, interval_ticks as u32)
+    }
+
+    /// Returns those of the peers drawn for a tick that are asked for a digest in return: those from
+    /// which none arrived recently, or all if this daemon may have missed news. An agent of a large
+    /// fleet hears from each balancer so rarely that it would ask all of them, and asks only one.
+    fn digest_request_recipients(&self, drawn: &[Ipv4Addr], now: Millis) -> Vec<Ipv4Addr> {
+        if self.has_missed_confirmation(now) {
+            return drawn.to_vec();
+        }
+        let silent = drawn.iter().filter(|peer| self.peers.needs_digest_request(**peer, now));
+        let limit = match self.role {
+            PeerRole::Agent => AGENT_DIGEST_REQUESTS_PER_TICK,
+            PeerRole::Balancer => drawn.len(),
+        };
+        silent.take(limit).copied().collect()
+    }
+
+    /// Whether this balancer has no state yet, or the latest confirmation of its state by the store
+    /// is so old that it must have missed one. A message that balancers propagate misses some of
+    /// them, one in four hundred with six receivers each, and these learn what they missed from
+    /// their peers before they read the store themselves.
+    fn has_missed_confirmation(&self, now: Millis) -> bool {
+        if self.role == PeerRole::Agent {
+            return self.replica.position().is_start();
+        }
+        self.age(now).is_none_or(|age| age >= self.timing.read_after_ms)
+    }
+
     /// Returns the daemon to fetch from after a digest. Agents need the configuration only to pass
     /// it on to balancers that have none, so any balancer will do, and they choose one at random:
     /// when a whole fleet starts, all agents would otherwise connect to the few balancers in the
