Let one balancer read the store in fleets of any size

Cause: a balancer learns that another one reads from that one's own digests alone, which reach six balancers each; in a large fleet a second reader went on for minutes (readers come from verification reads and from each change of the reader). A balancer that took over watched for 1 s before it could confirm its state, by which time all others had begun to read as well. Ruled out: passing on who reads, in a message of its own: six more datagrams a second of each balancer. Change: a reader that receives newer state from a peer than it read itself gives way with probability rank / (rank + 1); verification makes no reader; reads other than the reader's are answered at once; listings after a lost history or a restore are spread by 2 ms a balancer, except for the reader's.

--- a/crates/fleet/src/reader.rs
+++ b/crates/fleet/src/reader.rs
@@ -28,6 +28,10 @@
 /// Maximum mean backoff of one balancer. It is bounded so that a balancer that lost contact with
 /// its peers recovers soon.
 const MAX_MEAN_BACKOFF_MS: Millis = 5_000;
+/// Wait of a watch that is to be answered at once.
+const PROMPT_WATCH_MS: Millis = 1;
+/// Mean time between the listings of a fleet whose balancers all have to list the store.
+const LISTING_INTERVAL_MS: Millis = 2;
 /// How long a daemon without any state waits for peers before it reads the store.
 const INITIAL_READ_DELAY_MS: Millis = 12;
 
@@ -57,10 +61,66 @@
     pub reading: bool,
     /// Whether a balancer with a lower address recently reported that it reads the store.
     pub has_lower_reader: bool,
+    /// Whether this balancer, while reading, gives way to another reader, see [`yields`].
+    pub yields: bool,
     /// Whether a verification read of this balancer is due.
     pub verification_due: bool,
 }
 
+/// Why a balancer reads the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadReason {
+    /// It has no state yet.
+    Start,
+    /// No other balancer appears to read: the known state is too old.
+    Stale,
+    /// It is the reader.
+    Reading,
+    /// It verifies that the state considered fresh is in fact fresh.
+    Verification,
+}
+
+impl ReadReason {
+    /// Returns how long the store may delay its answer to a watch until there is a change. If the
+    /// known state is too old, others wait for the answer to confirm it.
+    pub fn watch_wait_ms(self, timing: &Timing) -> Millis {
+        match self {
+            ReadReason::Reading => timing.watch_wait_ms,
+            ReadReason::Start | ReadReason::Stale | ReadReason::Verification => PROMPT_WATCH_MS,
+        }
+    }
+
+    /// Whether the balancer reads on behalf of the others after a successful read for this reason.
+    /// After a verification read there is another reader.
+    pub fn makes_reader(self) -> bool {
+        self != ReadReason::Verification
+    }
+}
+
+/// Returns how long a balancer waits before it lists the whole store because the changes after its
+/// position are unavailable. `fraction` is a random number in [0, 1).
+///
+/// After an outage all balancers may find this at the same time. Their listings are spread so that
+/// most balancers receive the first one's result from their peers instead. The reader does not wait,
+/// as the others depend on it.
+pub fn listing_delay(reason: ReadReason, balancers: usize, fraction: f64) -> Millis {
+    if reason == ReadReason::Reading {
+        return 0;
+    }
+    (fraction * (LISTING_INTERVAL_MS * balancers as Millis) as f64) as Millis
+}
+
+/// Whether a reader that learned from a peer that another balancer reads too gives way to it.
+/// `fraction` is a random number in [0, 1).
+///
+/// A balancer's report that it reads reaches only those to which it sends its digests directly, a
+/// small part of a large fleet, whereas what it read soon reaches all. A reader that receives newer
+/// state than it read itself therefore knows that there is another reader, but not which. The more
+/// balancers have a lower address, the more likely it is that the other one is to continue.
+pub fn yields(rank: usize, fraction: f64) -> bool {
+    fraction * (rank as f64 + 1.0) < rank as f64
+}
+
 /// Schedule of the verification reads of one balancer.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct VerificationSchedule {
@@ -84,13 +144,16 @@
     }
 }
 
-/// Whether this balancer should make the next call to the store.
-pub fn should_read(inputs: &ReaderInputs, timing: &Timing) -> bool {
+/// Returns why this balancer should make the next call to the store; none if it should not.
+pub fn read_reason(inputs: &ReaderInputs, timing: &Timing) -> Option<ReadReason> {
     let rank_delay = (inputs.rank as Millis).saturating_mul(timing.rank_delay_ms);
     let read_after = timing.read_after_ms + rank_delay.min(timing.max_rank_delay_ms);
+    let continues_reading = inputs.reading && !inputs.has_lower_reader && !inputs.yields;
     match inputs.age_ms {
-        None => inputs.uptime_ms >= INITIAL_READ_DELAY_MS,
-        Some(age) if age > read_after => true,
-        Some(_) => inputs.verification_due || (inputs.reading && !inputs.has_lower_reader),
+        None if inputs.uptime_ms >= INITIAL_READ_DELAY_MS => Some(ReadReason::Start),
+        None => None,
+        Some(age) if age > read_after => Some(ReadReason::Stale),
+        Some(_) if continues_reading => Some(ReadReason::Reading),
+        Some(_) => inputs.verification_due.then_some(ReadReason::Verification),
     }
 }
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -3,7 +3,9 @@
 use std::net::Ipv4Addr;
 
 use proptest::prelude::*;
-use weirhinge_fleet::reader::{ReaderInputs, VerificationSchedule, retry_backoff, should_read};
+use weirhinge_fleet::reader::{
+    ReadReason, ReaderInputs, VerificationSchedule, read_reason, retry_backoff, yields,
+};
 use weirhinge_fleet::{
     Bounds, Digest, EvacuatedZones, MessageError, Millis, PEER_TIMEOUT_MS, PeerMessage, PeerRole,
     PeerTable, Position, SearchPath, Timing, ZoneId, decode, encode,
@@ -41,6 +43,7 @@
         rank: 0,
         reading: false,
         has_lower_reader: false,
+        yields: false,
         verification_due: false,
     }
 }
@@ -108,6 +111,10 @@
     assert!(!peers.has_lower_reader(10, 1_000));
 }
 
+fn should_read(inputs: &ReaderInputs, timing: &Timing) -> bool {
+    read_reason(inputs, timing).is_some()
+}
+
 #[test]
 fn fresh_state_is_not_read_again() {
     assert!(!should_read(&inputs(), &Timing::default()));
@@ -120,6 +127,20 @@
         &ReaderInputs { reading: true, has_lower_reader: true, ..inputs() },
         &Timing::default()
     ));
+    assert!(!should_read(
+        &ReaderInputs { reading: true, yields: true, ..inputs() },
+        &Timing::default()
+    ));
+}
+
+/// The lowest balancer never gives way, the highest one nearly always does.
+#[test]
+fn readers_give_way_according_to_rank() {
+    let yielding = |rank| {
+        let fractions = (0..1_000).map(|step| f64::from(step) / 1_000.0);
+        fractions.filter(|fraction| yields(rank, *fraction)).count()
+    };
+    assert_eq!([0, 1, 3, 9].map(yielding), [0, 500, 750, 900]);
 }
 
 #[test]
@@ -263,7 +284,10 @@
 fn due_verification_read_happens_despite_fresh_state() {
     let fresh = ReaderInputs { age_ms: Some(100), has_lower_reader: true, ..inputs() };
     assert!(!should_read(&fresh, &Timing::default()));
-    assert!(should_read(&ReaderInputs { verification_due: true, ..fresh }, &Timing::default()));
+    let due = ReaderInputs { verification_due: true, ..fresh };
+    let reason = read_reason(&due, &Timing::default());
+    assert_eq!(reason, Some(ReadReason::Verification));
+    assert!(!ReadReason::Verification.makes_reader(), "there is another reader");
 }
 
 #[test]
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -12,7 +12,8 @@
 use slog::{Logger, info};
 use weirhinge_fleet::{
     Change, Digest, FetchRequest, FetchScope, Millis, PeerRole, PeerTable, Position, Replica,
-    TargetStatus, Timing, Update, VersionedTarget, ZoneId, reader,
+    TargetStatus, Timing, Update, VersionedTarget, ZoneId,
+    reader::{self, ReadReason},
 };
 use weirhinge_steering::{FleetView, Locality};
 
@@ -58,6 +59,9 @@
     verification: Cell<reader::VerificationSchedule>,
     /// Whether this daemon reads the store on behalf of the others.
     pub reading: bool,
+    /// Whether peers sent newer state than this reader read itself, so that another balancer must be
+    /// reading too.
+    another_reads: Cell<bool>,
     zone: ZoneId,
     capacity: Option<u32>,
     /// Whether this daemon is shutting down.
@@ -92,6 +96,7 @@
             pending_records: Vec::new(),
             verification: Cell::default(),
             reading: false,
+            another_reads: Cell::default(),
             zone: ZoneId::of(&settings.zone),
             capacity: settings.processor_permille,
             stopping: false,
@@ -223,6 +228,9 @@
             (Some(before), Some(after)) => before >= after + MIN_FRESHNESS_GAIN_MS,
             (before, after) => before.is_none() && after.is_some(),
         };
+        if is_fresher {
+            self.another_reads.set(true);
+        }
         DigestActions {
             fetch_from: self.needs_fetch(digest).then(|| self.fetch_source(digest)),
             reply: is_new || digest.reply || self.has_updates_for(digest),
@@ -245,7 +253,7 @@
     /// Applies a record of this agent's target that a balancer sent.
     pub fn apply_record(&mut self, target: VersionedTarget, now: Millis) {
         let update = Update { targets: vec![target], ..Update::default() };
-        self.apply(update, "peer", now);
+        self.apply_from_peer(update, now);
     }
 
     /// Whether this daemon knows something that the sender of a digest needs.
@@ -262,8 +270,17 @@
         }
     }
 
+    /// Applies a peer's update. Returns whether anything changed.
+    pub fn apply_from_peer(&mut self, update: Update, now: Millis) -> bool {
+        let has_changed = self.apply(update, "peer", now);
+        if has_changed {
+            self.another_reads.set(true);
+        }
+        has_changed
+    }
+
     /// Applies an update from the store or a peer. Returns whether anything changed.
-    pub fn apply(&mut self, update: Update, source: &str, now: Millis) -> bool {
+    fn apply(&mut self, update: Update, source: &str, now: Millis) -> bool {
         let before = self.replica.position();
         self.learn_era(update.through.era, source, now);
         let changes = self.replica.apply(update, now);
@@ -308,6 +325,9 @@
     pub fn apply_from_store(&mut self, update: Update, now: Millis) {
         let known = self.replica.position();
         self.apply(update, "store", now);
+        if !self.reading {
+            self.another_reads.set(false);
+        }
         let changed = self.replica.targets().filter(|entry| entry.target.position > known);
         let records = changed.map(|entry| &entry.target).filter(|target| target.record.is_some());
         self.pending_records = records.take(MAX_AGENTS_NOTIFIED).cloned().collect();
@@ -318,8 +338,8 @@
         std::mem::take(&mut self.pending_records)
     }
 
-    /// Whether this balancer should make the next call to the store.
-    pub fn should_read(&self, now: Millis) -> bool {
+    /// Returns why this balancer should make the next call to the store; none if it should not.
+    pub fn read_reason(&self, now: Millis) -> Option<ReadReason> {
         let inputs = reader::ReaderInputs {
             uptime_ms: now,
             age_ms: self.replica.age(now),
@@ -328,9 +348,22 @@
             has_lower_reader: self
                 .peers
                 .has_lower_reader(now, self.timing.reader_report_lifetime_ms),
+            yields: self.reading && self.another_reads.take() && self.draw_yield(),
             verification_due: self.is_verification_due(now),
         };
-        reader::should_read(&inputs, &self.timing)
+        reader::read_reason(&inputs, &self.timing)
+    }
+
+    /// Returns how long to wait before listing the whole store because the changes after the known
+    /// position are unavailable.
+    pub fn listing_delay(&self, reason: ReadReason) -> Millis {
+        let fraction = self.random.borrow_mut().random();
+        reader::listing_delay(reason, self.balancer_count(), fraction)
+    }
+
+    fn draw_yield(&self) -> bool {
+        let fraction = self.random.borrow_mut().random();
+        reader::yields(self.peers.rank(), fraction)
     }
 
     /// Returns the milliseconds to wait after a number of consecutive failed calls to the store.
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -233,7 +233,7 @@
                 self.metrics.fetches.increment("done");
                 // The answer's transit time is unknown; the whole duration is its upper bound.
                 let update = update.delayed_by(now.saturating_sub(began));
-                let changed = self.node.borrow_mut().apply(update, "peer", now);
+                let changed = self.node.borrow_mut().apply_from_peer(update, now);
                 if changed {
                     self.propagate_updates();
                 }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -6,6 +6,7 @@
 
 use hyper::body::Bytes;
 use slog::{Logger, info, warn};
+use weirhinge_fleet::reader::ReadReason;
 use weirhinge_fleet::{
     EvacuatedZones, Millis, Position, Timing, Update, VersionedConfiguration, VersionedTarget,
     ZoneUpdate,
@@ -102,18 +103,18 @@
         let mut failures = 0;
         loop {
             let now = self.clock.now();
-            if !self.node.borrow().should_read(now) {
+            let Some(reason) = self.node.borrow().read_reason(now) else {
                 self.set_reading(false);
                 let known = !self.node.borrow().position().is_start();
                 tokio::time::sleep(if known { IDLE_POLL_INTERVAL } else { START_POLL_INTERVAL })
                     .await;
                 continue;
-            }
-            match self.read_once().await {
+            };
+            match self.read_once(reason).await {
                 Ok(()) => {
                     failures = 0;
                     self.note_store_regained();
-                    self.set_reading(true);
+                    self.set_reading(reason.makes_reader());
                     on_update();
                     self.await_min_watch_interval(now).await;
                 }
@@ -138,7 +139,7 @@
         tokio::time::sleep(Duration::from_millis(remaining)).await;
     }
 
-    async fn read_once(&mut self) -> Result<(), StoreError> {
+    async fn read_once(&mut self, reason: ReadReason) -> Result<(), StoreError> {
         let known = self.node.borrow().position();
         // No first listing is needed if peers have sent the state already.
         if known.is_start() {
@@ -147,7 +148,7 @@
         if self.needs_list && self.is_store_lost {
             return self.list(ListingReason::Outage).await;
         }
-        let reason = match self.watch(known).await {
+        let listing_reason = match self.watch(known, reason.watch_wait_ms(&self.timing)).await {
             Ok(()) => {
                 self.refused_watches = 0;
                 return Ok(());
@@ -158,21 +159,25 @@
         };
         info!(self.log, "store: changes after the known revision are unavailable, listing again";
             "event" => "store_history_gone",
-            "reason" => reason.label(), "revision" => known.revision);
+            "reason" => listing_reason.label(), "revision" => known.revision);
         self.needs_list = true;
-        self.back_off_after_refusal().await;
-        self.list(reason).await
+        self.back_off_after_refusal(reason).await;
+        if self.node.borrow().position() != known {
+            // Peers have sent newer state in the meantime.
+            return Ok(());
+        }
+        self.list(listing_reason).await
     }
 
-    /// Waits before the next listing, unless this is the first refused watch in a row. One listing
-    /// normally resolves a refusal; when it did not, listing again immediately would load the store
-    /// without any benefit.
-    async fn back_off_after_refusal(&mut self) {
+    /// Waits before the next listing. One listing normally resolves a refused watch; when it did
+    /// not, listing again soon would load the store without any benefit.
+    async fn back_off_after_refusal(&mut self, reason: ReadReason) {
         self.refused_watches += 1;
-        if self.refused_watches > 1 {
-            let backoff_ms = self.node.borrow().retry_backoff(self.refused_watches);
-            tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
-        }
+        let wait_ms = match self.refused_watches {
+            1 => self.node.borrow().listing_delay(reason),
+            refused => self.node.borrow().retry_backoff(refused),
+        };
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
     }
 
     async fn list(&mut self, reason: ListingReason) -> Result<(), StoreError> {
@@ -234,9 +239,8 @@
         Ok(())
     }
 
-    async fn watch(&mut self, after: Position) -> Result<(), StoreError> {
+    async fn watch(&mut self, after: Position, wait_ms: Millis) -> Result<(), StoreError> {
         let requested_at = self.clock.now();
-        let wait_ms = self.timing.watch_wait_ms;
         let path = self.platform.watch_path(after.revision, wait_ms);
         let timeout = Duration::from_millis(wait_ms) + WATCH_TIMEOUT_MARGIN;
         let response = self.call(&path, timeout).await?;
--- a/crates/relay/tests/fleet_node.rs
+++ b/crates/relay/tests/fleet_node.rs
@@ -121,7 +121,7 @@
 #[test]
 fn agents_are_not_notified_of_updates_from_peers() {
     let mut balancer = node(BALANCER, PeerRole::Balancer);
-    balancer.apply(update(0, 3, vec![target(1, 2)]), "peer", 5_000);
+    balancer.apply_from_peer(update(0, 3, vec![target(1, 2)]), 5_000);
     assert!(balancer.take_pending_records().is_empty());
 }
 
@@ -196,12 +196,15 @@
         let uptime: Millis = 100;
         let now = confirmed_at + Millis::from(started) * 600;
         let mut agent = node(machine(started), PeerRole::Agent);
-        agent.apply(balancer.answer(agent.request(), now), "peer", uptime);
+        agent.apply_from_peer(balancer.answer(agent.request(), now), uptime);
         let digest = agent.digest(false, uptime);
         balancer.on_digest(&digest, now);
         assert_eq!(balancer.age(now), Some(now - confirmed_at), "agent {started}");
     }
-    assert!(balancer.should_read(confirmed_at + 5_400), "a balancer reads the store again");
+    assert!(
+        balancer.read_reason(confirmed_at + 5_400).is_some(),
+        "a balancer reads the store again"
+    );
 }
 
 /// An update from the store in which the evacuation of zone `a` starts.
@@ -222,7 +225,7 @@
     assert!(!again.propagate, "propagated once");
     // An agent of the zone gets a reply and then knows of the evacuation.
     let mut agent = node(machine(2), PeerRole::Agent);
-    agent.apply(other.answer(agent.request(), now), "peer", 100);
+    agent.apply_from_peer(other.answer(agent.request(), now), 100);
     let unaware = node(machine(3), PeerRole::Agent);
     let mut unaware_digest = unaware.digest(false, 100);
     unaware_digest.configuration = Some(1);
--- a/crates/relay/tests/fleet_scale.rs
+++ b/crates/relay/tests/fleet_scale.rs
@@ -10,9 +10,10 @@
 
 use slog::{Discard, Logger, o};
 use support::settings;
+use weirhinge_fleet::reader::ReadReason;
 use weirhinge_fleet::{
     Configuration, Digest, Millis, PeerMessage, PeerRole, Position, TargetRecord, TargetState,
-    TargetStatus, Update, VersionedConfiguration, VersionedTarget, encode,
+    TargetStatus, Timing, Update, VersionedConfiguration, VersionedTarget, encode,
 };
 use weirhinge_relay::FleetNode;
 
@@ -28,7 +29,8 @@
     Poll,
     Deliver(Box<Digest>),
     Fetched(Box<Update>),
-    Read(Position),
+    List { after: Position, reason: ReadReason },
+    Read { after: Position, reason: ReadReason },
 }
 
 struct SimulatedDaemon {
@@ -155,21 +157,25 @@
             Event::Poll => self.poll(index),
             Event::Deliver(digest) => self.deliver(index, &digest),
             Event::Fetched(update) => {
-                if self.daemons[index].node.apply(*update, "peer", now) {
+                if self.daemons[index].node.apply_from_peer(*update, now) {
                     self.propagate(index);
                 }
             }
-            Event::Read(after) => self.read(index, after),
+            Event::List { after, reason } => {
+                self.calls += 1;
+                self.list(index, after, reason);
+            }
+            Event::Read { after, reason } => self.read(index, after, reason),
         }
     }
 
     fn poll(&mut self, index: usize) {
         let now = self.now;
         let node = &mut self.daemons[index].node;
-        if !node.should_read(now) {
+        let Some(reason) = node.read_reason(now) else {
             node.reading = false;
             return self.schedule(now + 40, index, Event::Poll);
-        }
+        };
         let after = node.position();
         self.calls += 1;
         if self.is_store_down {
@@ -182,19 +188,38 @@
             node.reading = false;
             return self.schedule(now + 500, index, Event::Poll);
         }
-        let is_listing = after.is_start() || after.era != self.store.era;
-        self.listings += u64::from(is_listing);
-        let wait = if after == self.store { 1_000 } else { STORE_READ_MS };
-        self.schedule(now + wait, index, Event::Read(after));
+        if after.is_start() {
+            return self.list(index, after, reason);
+        }
+        if after.era != self.store.era {
+            let delay = node.listing_delay(reason);
+            return self.schedule(
+                now + STORE_READ_MS + delay,
+                index,
+                Event::List { after, reason },
+            );
+        }
+        let is_unchanged = after == self.store;
+        let wait = if is_unchanged { reason.watch_wait_ms(&Timing::default()) } else { 0 };
+        self.schedule(now + STORE_READ_MS + wait, index, Event::Read { after, reason });
+    }
+
+    /// Lists the store, unless peers have sent newer state.
+    fn list(&mut self, index: usize, known: Position, reason: ReadReason) {
+        if self.daemons[index].node.position() != known {
+            return self.schedule(self.now + 40, index, Event::Poll);
+        }
+        self.listings += 1;
+        self.schedule(self.now + STORE_READ_MS, index, Event::Read { after: known, reason });
     }
 
-    fn read(&mut self, index: usize, after: Position) {
+    fn read(&mut self, index: usize, after: Position, reason: ReadReason) {
         let now = self.now;
         let update = self.store_update(after);
         self.daemons[index].failures = 0;
         let node = &mut self.daemons[index].node;
         node.apply_from_store(update, now);
-        node.reading = true;
+        node.reading = reason.makes_reader();
         self.propagate(index);
         self.schedule(now + 250, index, Event::Poll);
     }
@@ -387,3 +412,25 @@
     assert!(contacts.iter().all(|count| *count > 0));
     assert!(simulation.everyone_knows(Position::new(0, 1)));
 }
+
+/// A balancer's report that it reads the store reaches few others in a large fleet. Readers have to
+/// give way to each other nevertheless, or each one that began to read would call the store once a
+/// second for minutes.
+#[test]
+fn one_reader_remains_in_fleets_of_any_size() {
+    const EXTRA_READERS: usize = 10;
+    for balancers in [30, 300, 1_000] {
+        let mut simulation = Simulation::new(balancers, 0);
+        simulation.run_until(10_000, |_| false);
+        for extra in 1..=EXTRA_READERS {
+            simulation.daemons[balancers / EXTRA_READERS * extra - 1].node.reading = true;
+        }
+        simulation.run_until(20_000, |_| false);
+        let (calls, began) = (simulation.calls, simulation.now);
+        simulation.run_until(30_000, |_| false);
+        let calls = simulation.calls - calls;
+        println!("{balancers} balancers: {calls} calls from {began} to {} ms", simulation.now);
+        // One watch a second, and verification reads.
+        assert!(calls <= 20, "{balancers} balancers: {calls} calls in 10 s");
+    }
+}
