Hold full replicas of the store's contents at some agents

Balancers that all lost power while the store was down knew no record of any target until it was back, and dropped packets of open flows (328 times at two balancers), as an agent speaks to three of them each half second and its word is valid for 2.5 s: a balancer among 304 knows one target in twenty. Agents kept the configuration for such balancers, and nobody the records. Ruled out: longer validity of agents' reports (they age with the fleet, and a drained target would stay); replicas at all agents (bytes grow with the square of the targets); whole listings from the three seeds (304 balancers ask them at once: 20 Mbit/s carry 77 KB to eleven of them in half a second). Change: balancers ask the 32 agents with the lowest hashes of the ready targets to hold a full replica, with the store's position and its age; these offer it to the balancers that they contact, and a balancer without state fetches it. What is learnt so has the position and age of the store's last confirmation, so DRAIN and ROUTE rest on the same rules as in a balancer that lived on. Balancers without state fetch from any peer that is ahead, and a daemon refuses responses beyond what its link sends in 350 ms. Both messages are new ones; old builds count them as malformed and go on.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod reader;
 mod removal_history;
 mod replica;
+mod replication;
 mod target_entry;
 mod timing;
 mod update;
@@ -36,6 +37,7 @@
 pub use peers::{PEER_TIMEOUT_MS, PeerTable, ServingPeer};
 pub use position::Position;
 pub use replica::{Replica, RestoreConflicts};
+pub use replication::{FULL_REPLICAS, full_replica_agents};
 pub use target_entry::{TargetEntry, VersionedTarget};
 pub use timing::{Bounds, Timing};
 pub use update::{Change, Update, VersionedConfiguration};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -236,6 +236,19 @@
         /// The current load of the target.
         load: TargetLoad,
     },
+    /// A balancer requests that an agent keep a full replica, and states what it can be fetched up
+    /// to. It repeats the request in answer to the agent's digests.
+    ReplicaRequest {
+        /// The position up to which the balancer knows all changes.
+        position: Position,
+        /// Milliseconds since the store confirmed `position`; none if it never did.
+        age_ms: Option<u64>,
+    },
+    /// An agent holds a full replica, which can be fetched from it.
+    ReplicaHeld {
+        /// The position up to which the replica contains all changes.
+        position: Position,
+    },
 }
 
 /// The path of a packet that searches for the target that holds its flow.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -8,11 +8,14 @@
 use crate::Millis;
 use crate::message::{Digest, PeerRole};
 use crate::model::ZoneId;
+use crate::position::Position;
 
 /// Milliseconds without a message after which a peer is considered gone.
 pub const PEER_TIMEOUT_MS: Millis = 6_000;
 /// Milliseconds without a message after which a digest is requested from a peer.
 const DIGEST_REQUEST_AFTER_MS: Millis = 2_000;
+/// Milliseconds for which a digest shows that its sender answers fetches.
+const RECENT_DIGEST_MS: Millis = 1_000;
 /// Maximum number of balancers remembered; the others are reached indirectly.
 const MAX_PEERS: usize = 2_048;
 /// Maximum number of balancer addresses in a digest.
@@ -24,6 +27,8 @@
     last_seen_at: Option<Millis>,
     advertised_at: Millis,
     reported_reading_at: Option<Millis>,
+    /// The position up to which it knows all changes.
+    position: Position,
     zone: ZoneId,
     capacity: Option<u32>,
     stopping: bool,
@@ -93,6 +98,7 @@
             last_seen_at: Some(now),
             advertised_at: now,
             reported_reading_at,
+            position: digest.position,
             zone: digest.zone,
             capacity: digest.capacity,
             stopping: digest.stopping,
@@ -187,6 +193,17 @@
         })
     }
 
+    /// Iterates over the balancers that recently reported a position later than this one.
+    pub fn ahead_of(&self, position: Position, now: Millis) -> impl Iterator<Item = Ipv4Addr> {
+        let is_recent = move |peer: &Peer| {
+            let last_seen_at = peer.last_seen_at;
+            last_seen_at.is_some_and(|at| now.saturating_sub(at) < RECENT_DIGEST_MS)
+        };
+        let ahead = self.peers.iter();
+        let ahead = ahead.filter(move |(_, peer)| peer.position > position && is_recent(peer));
+        ahead.map(|(address, _)| *address)
+    }
+
     /// Iterates over the balancers of a zone from which a digest arrived.
     pub fn in_zone(&self, zone: ZoneId) -> impl Iterator<Item = Ipv4Addr> {
         let seen = self.peers.iter().filter(|(_, peer)| peer.last_seen_at.is_some());
@@ -201,6 +218,7 @@
             last_seen_at: None,
             advertised_at: now,
             reported_reading_at: None,
+            position: Position::default(),
             zone: ZoneId::default(),
             capacity: None,
             stopping: false,
--- a/crates/relay/src/agent/delivery.rs
+++ b/crates/relay/src/agent/delivery.rs
@@ -50,6 +50,9 @@
                     Err(malformed) => self.metrics.dropped.increment(malformed.label()),
                 }
             }
+            Ok(PeerMessage::ReplicaRequest { position, age_ms }) => {
+                self.link.on_replica_request(sender, position, age_ms);
+            }
             Ok(PeerMessage::Demand { service, demand }) => {
                 self.handle_demand(sender, ServiceId(service), demand);
             }
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -226,6 +226,7 @@
             }
             PeerMessage::HandOff { packet } => self.handle_handed_off_packet(packet, now),
             PeerMessage::TargetEnded => self.core.borrow_mut().note_target_ended(sender, now),
+            PeerMessage::ReplicaHeld { position } => self.link.on_replica_held(sender, position),
             PeerMessage::ProbeAnswer => self.core.borrow_mut().note_probe_answer(now),
             PeerMessage::Grant { service, urgent_only, load } => {
                 let service = ServiceId(service);
@@ -236,6 +237,7 @@
             | PeerMessage::Declined
             | PeerMessage::Record(_)
             | PeerMessage::Probe
+            | PeerMessage::ReplicaRequest { .. }
             | PeerMessage::Demand { .. } => {
                 self.link.count_unexpected();
             }
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -2,9 +2,11 @@
 //! and fetches.
 
 mod change_log;
+mod full_replica;
 mod peer_selection;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
 use rand::rngs::StdRng;
@@ -12,15 +14,19 @@
 use slog::{Logger, info};
 use weirhinge_fleet::{
     Change, Digest, FetchRequest, FetchScope, Millis, PeerRole, PeerTable, Position, Replica,
-    TargetStatus, Timing, Update, VersionedTarget, ZoneId,
+    TargetStatus, Timing, Update, VersionedTarget, ZoneId, full_replica_agents,
     reader::{self, ReadReason},
 };
 use weirhinge_steering::{FleetView, Locality};
 
+use self::full_replica::FullReplica;
 use crate::settings::CommonSettings;
 
 /// A digest that reduces the age of the known state by at least this much is propagated.
 const MIN_FRESHNESS_GAIN_MS: Millis = 300;
+/// Consecutive reads between which newer state came from peers, after which a reader assumes that
+/// another balancer keeps reading.
+const MIN_READS_BY_ANOTHER: u32 = 2;
 /// Maximum number of agents notified immediately of a new record of their target; the others
 /// receive it in answer to their next digest.
 const MAX_AGENTS_NOTIFIED: usize = 64;
@@ -37,6 +43,8 @@
     pub propagate: bool,
     /// The record of the sender's target, if the sender is an agent that lacks it.
     pub record: Option<VersionedTarget>,
+    /// Whether to request a full replica of the sender, an agent.
+    pub requests_replica: bool,
 }
 
 /// A daemon's replica of the store and its table of peers, with the routes and targets compiled
@@ -55,6 +63,10 @@
     random: RefCell<StdRng>,
     /// Records that changed in the store and of which the targets' agents were not notified yet.
     pending_records: Vec<VersionedTarget>,
+    /// The agents that hold a full replica, as selected by this balancer.
+    replica_agents: BTreeSet<Ipv4Addr>,
+    /// This agent's full replica, if a balancer requested it.
+    full_replica: Option<FullReplica>,
     /// When this balancer makes verification reads of the store.
     verification: Cell<reader::VerificationSchedule>,
     /// Whether this daemon reads the store on behalf of the others.
@@ -62,6 +74,8 @@
     /// Whether peers sent newer state than this reader read itself, so that another balancer must be
     /// reading too.
     another_reads: Cell<bool>,
+    /// Consecutive reads of this reader before which that was so.
+    reads_by_another: Cell<u32>,
     zone: ZoneId,
     capacity: Option<u32>,
     /// Whether this daemon is shutting down.
@@ -94,9 +108,12 @@
             locality: settings.locality.clone(),
             random: RefCell::new(StdRng::seed_from_u64(seed)),
             pending_records: Vec::new(),
+            replica_agents: BTreeSet::new(),
+            full_replica: None,
             verification: Cell::default(),
             reading: false,
             another_reads: Cell::default(),
+            reads_by_another: Cell::default(),
             zone: ZoneId::of(&settings.zone),
             capacity: settings.processor_permille,
             stopping: false,
@@ -142,11 +159,11 @@
         self.view_regained_at.take()
     }
 
-    /// Answers a peer's fetch request. An agent does not have all targets and returns only the
-    /// configuration and the evacuated zones.
+    /// Answers a peer's fetch request. An agent without a full replica does not have all targets
+    /// and returns only the configuration and the evacuated zones.
     pub fn answer(&self, request: FetchRequest, now: Millis) -> Update {
         match self.role {
-            PeerRole::Agent => self.replica.configuration_only(),
+            PeerRole::Agent => self.agent_answer(&request, now),
             PeerRole::Balancer => self.replica.update_for(&request, now),
         }
     }
@@ -214,6 +231,9 @@
                 "peer" => Ipv4Addr::from_bits(digest.sender).to_string(),
                 "role" => ?digest.role, "revision" => digest.position.revision);
         }
+        if digest.role == PeerRole::Balancer {
+            self.discard_unrequested_replica(digest, now);
+        }
         self.learn_era(digest.position.era, "peer", now);
         let known = self.replica.position();
         let age_before = self.replica.age(now);
@@ -232,10 +252,11 @@
             self.another_reads.set(true);
         }
         DigestActions {
-            fetch_from: self.needs_fetch(digest).then(|| self.fetch_source(digest)),
+            fetch_from: self.needs_fetch(digest).then(|| self.fetch_source(digest, now)),
             reply: is_new || digest.reply || self.has_updates_for(digest),
             propagate: (is_fresher || !evacuations.is_empty()) && self.role == PeerRole::Balancer,
             record: self.record_for(digest),
+            requests_replica: self.requests_replica_of(digest),
         }
     }
 
@@ -311,8 +332,12 @@
         for change in changes {
             self.log_change(change, source, now);
         }
-        if !changes.is_empty() {
-            self.view = FleetView::compile(&self.replica, &self.locality);
+        if changes.is_empty() {
+            return;
+        }
+        self.view = FleetView::compile(&self.replica, &self.locality);
+        if self.role == PeerRole::Balancer {
+            self.replica_agents = full_replica_agents(&self.replica);
         }
     }
 
@@ -327,6 +352,7 @@
         self.apply(update, "store", now);
         if !self.reading {
             self.another_reads.set(false);
+            self.reads_by_another.set(0);
         }
         let changed = self.replica.targets().filter(|entry| entry.target.position > known);
         let records = changed.map(|entry| &entry.target).filter(|target| target.record.is_some());
@@ -348,7 +374,7 @@
             has_lower_reader: self
                 .peers
                 .has_lower_reader(now, self.timing.reader_report_lifetime_ms),
-            yields: self.reading && self.another_reads.take() && self.draw_yield(),
+            yields: self.reading && self.another_keeps_reading() && self.draw_yield(),
             verification_due: self.is_verification_due(now),
         };
         reader::read_reason(&inputs, &self.timing)
@@ -361,6 +387,15 @@
         reader::listing_delay(reason, self.balancer_count(), fraction)
     }
 
+    /// Whether, between this reader's last reads, peers repeatedly sent newer state than it read
+    /// itself. A verification read, after which nobody continues to read, brings newer state once.
+    fn another_keeps_reading(&self) -> bool {
+        let before = self.reads_by_another.get();
+        let reads = if self.another_reads.take() { before + 1 } else { 0 };
+        self.reads_by_another.set(reads);
+        reads >= MIN_READS_BY_ANOTHER
+    }
+
     fn draw_yield(&self) -> bool {
         let fraction = self.random.borrow_mut().random();
         reader::yields(self.peers.rank(), fraction)
@@ -410,6 +445,9 @@
     /// period after a restore of the store ends.
     pub fn check_freshness(&mut self, now: Millis) {
         let changes = self.replica.expire_hold(now);
+        if let Some(full_replica) = &mut self.full_replica {
+            full_replica.expire_hold(now);
+        }
         self.handle_changes(&changes, "hold over", now);
         self.update_freshness(now);
     }
--- a/crates/relay/src/fleet_node/peer_selection.rs
+++ b/crates/relay/src/fleet_node/peer_selection.rs
@@ -205,17 +205,21 @@
         self.age(now).is_none_or(|age| age >= self.timing.read_after_ms)
     }
 
-    /// Returns the daemon to fetch from after a digest. Agents need the configuration only to pass
-    /// it on to balancers that have none, so any balancer will do, and they choose one at random:
-    /// when a whole fleet starts, all agents would otherwise connect to the few balancers in the
-    /// settings.
-    pub(super) fn fetch_source(&self, digest: &Digest) -> Ipv4Addr {
+    /// Returns the daemon to fetch from after a digest. When a whole fleet starts, all daemons would
+    /// connect to the few balancers in the settings if they fetched from the sender, so those that
+    /// have no state choose another source at random. Agents need the configuration only to pass it
+    /// on to balancers that have none, so to them any balancer will do.
+    pub(super) fn fetch_source(&self, digest: &Digest, now: Millis) -> Ipv4Addr {
         let sender = Ipv4Addr::from_bits(digest.sender);
-        if self.role == PeerRole::Balancer {
-            return sender;
-        }
-        let balancers: Vec<Ipv4Addr> = self.peers.balancers().collect();
-        self.choose(&balancers, 1).pop().unwrap_or(sender)
+        let position = self.replica.position();
+        let sources: Vec<Ipv4Addr> = match (self.role, digest.role) {
+            (PeerRole::Agent, _) => self.peers.balancers().collect(),
+            (PeerRole::Balancer, PeerRole::Balancer) if position.is_start() => {
+                self.peers.ahead_of(position, now).collect()
+            }
+            (PeerRole::Balancer, _) => Vec::new(),
+        };
+        self.choose(&sources, 1).pop().unwrap_or(sender)
     }
 
     fn choose(&self, addresses: &[Ipv4Addr], count: usize) -> Vec<Ipv4Addr> {
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -7,16 +7,29 @@
 use eyre::WrapErr;
 use slog::{Logger, warn};
 use tokio::net::UdpSocket;
-use weirhinge_fleet::{Digest, MessageError, Millis, PeerMessage, Position, TargetRecord, encode};
+use weirhinge_fleet::{
+    Digest, FetchRequest, MessageError, Millis, PeerMessage, Position, TargetRecord, Update, encode,
+};
 
 use crate::clock::Clock;
 use crate::fleet_node::FleetNode;
 use crate::metrics::FleetMetrics;
-use crate::peer_stream;
+use crate::peer_stream::{self, ResponseBudget};
 use crate::settings::CommonSettings;
 
 /// Time after which a position that a fetch has not brought is fetched from another peer.
 const FETCH_RETRY_MS: Millis = 150;
+/// Maximum number of fetches at the same time.
+const MAX_CONCURRENT_FETCHES: usize = 2;
+
+/// What a fetch updates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FetchTarget {
+    /// The daemon's own state.
+    State,
+    /// The full replica of an agent.
+    FullReplica,
+}
 
 /// Sends messages to peers, answers their digests and fetches their state.
 pub struct PeerLink {
@@ -29,6 +42,9 @@
     buffer: RefCell<Vec<u8>>,
     /// The position that the last fetch was started for, and when it began.
     last_fetch: Cell<(Position, Millis)>,
+    /// The same for the full replica of an agent.
+    last_replica_fetch: Cell<(Position, Millis)>,
+    fetches_in_progress: Cell<usize>,
 }
 
 impl PeerLink {
@@ -48,11 +64,11 @@
             .await
             .wrap_err_with(|| format!("bind for peers at {address}"))?;
         let answer_node = Rc::clone(&node);
-        peer_stream::serve(settings.address, settings.peer_port, move |request| {
-            answer_node.borrow().answer(request, clock.now())
-        })
-        .await
-        .wrap_err_with(|| format!("listen for peers at {address}"))?;
+        let budget = ResponseBudget::for_link(settings.link_kbps);
+        let answer = move |request| answer_node.borrow().answer(request, clock.now());
+        peer_stream::serve(address, budget, metrics.clone(), answer)
+            .await
+            .wrap_err_with(|| format!("listen for peers at {address}"))?;
         Ok(Rc::new(Self {
             socket,
             port: settings.peer_port,
@@ -62,6 +78,8 @@
             log,
             buffer: RefCell::new(Vec::new()),
             last_fetch: Cell::default(),
+            last_replica_fetch: Cell::default(),
+            fetches_in_progress: Cell::default(),
         }))
     }
 
@@ -108,16 +126,48 @@
             self.send_digest(sender, false);
         }
         if let Some(source) = reaction.fetch_from {
-            self.fetch(source, digest.position, now);
+            self.fetch(FetchTarget::State, source, digest.position, now);
         }
         if let Some(record) = reaction.record {
             self.send(sender, &PeerMessage::Record(record));
         }
+        if reaction.requests_replica {
+            self.request_replica(sender, now);
+        }
         if reaction.propagate {
             self.propagate_updates();
         }
     }
 
+    /// Requests that an agent keep a full replica.
+    fn request_replica(&self, agent: Ipv4Addr, now: Millis) {
+        let node = self.node.borrow();
+        let (position, age_ms) = (node.position(), node.age(now));
+        self.send(agent, &PeerMessage::ReplicaRequest { position, age_ms });
+    }
+
+    /// Handles a balancer's request that this agent keep a full replica.
+    pub fn on_replica_request(
+        self: &Rc<Self>,
+        balancer: Ipv4Addr,
+        position: Position,
+        age_ms: Option<u64>,
+    ) {
+        let now = self.clock.now();
+        let is_behind = self.node.borrow_mut().on_replica_request(position, age_ms, now);
+        if is_behind {
+            self.fetch(FetchTarget::FullReplica, balancer, position, now);
+        }
+    }
+
+    /// Handles an agent's notice that it holds a full replica.
+    pub fn on_replica_held(self: &Rc<Self>, agent: Ipv4Addr, position: Position) {
+        let is_behind = self.node.borrow().needs_replica(position);
+        if is_behind {
+            self.fetch(FetchTarget::State, agent, position, self.clock.now());
+        }
+    }
+
     /// Sends this daemon's digest to some peers, and new records to their targets' agents.
     pub fn propagate_updates(&self) {
         let (receivers, records) = {
@@ -199,8 +249,12 @@
             node.check_freshness(now);
             node.digest_recipients(now)
         };
+        let replica_position = self.node.borrow().replica_position();
         for (receiver, reply) in receivers {
             self.send_digest(receiver, reply);
+            if let Some(position) = replica_position {
+                self.send(receiver, &PeerMessage::ReplicaHeld { position });
+            }
         }
         self.update_gauges();
     }
@@ -212,19 +266,42 @@
     }
 
     /// Fetches a peer's state up to `position`, unless a recent fetch may still bring it.
-    fn fetch(self: &Rc<Self>, peer: Ipv4Addr, position: Position, now: Millis) {
-        let (last_position, began) = self.last_fetch.get();
-        if position <= last_position && now.saturating_sub(began) < FETCH_RETRY_MS {
+    fn fetch(
+        self: &Rc<Self>,
+        target: FetchTarget,
+        peer: Ipv4Addr,
+        position: Position,
+        now: Millis,
+    ) {
+        let last_fetch = match target {
+            FetchTarget::State => &self.last_fetch,
+            FetchTarget::FullReplica => &self.last_replica_fetch,
+        };
+        let (last_position, began) = last_fetch.get();
+        let is_recent = position <= last_position && now.saturating_sub(began) < FETCH_RETRY_MS;
+        if is_recent || self.fetches_in_progress.get() >= MAX_CONCURRENT_FETCHES {
             return;
         }
-        self.last_fetch.set((position, now));
+        let Some(request) = self.fetch_request(target) else { return };
+        last_fetch.set((position, now));
+        self.fetches_in_progress.update(|count| count + 1);
         let link = Rc::clone(self);
-        tokio::task::spawn_local(async move { link.fetch_from(peer).await });
+        tokio::task::spawn_local(async move {
+            link.fetch_from(target, peer, request).await;
+            link.fetches_in_progress.update(|count| count - 1);
+        });
     }
 
-    async fn fetch_from(&self, peer: Ipv4Addr) {
+    fn fetch_request(&self, target: FetchTarget) -> Option<FetchRequest> {
+        let node = self.node.borrow();
+        match target {
+            FetchTarget::State => Some(node.request()),
+            FetchTarget::FullReplica => node.full_replica_request(),
+        }
+    }
+
+    async fn fetch_from(&self, target: FetchTarget, peer: Ipv4Addr, request: FetchRequest) {
         let began = self.clock.now();
-        let request = self.node.borrow().request();
         let result = peer_stream::fetch(SocketAddrV4::new(peer, self.port), request).await;
         let now = self.clock.now();
         self.metrics.fetch_seconds.observe((now - began) as f64 / 1_000.0);
@@ -232,11 +309,7 @@
             Ok(update) => {
                 self.metrics.fetches.increment("done");
                 // The answer's transit time is unknown; the whole duration is its upper bound.
-                let update = update.delayed_by(now.saturating_sub(began));
-                let changed = self.node.borrow_mut().apply_from_peer(update, now);
-                if changed {
-                    self.propagate_updates();
-                }
+                self.apply_fetched(target, update.delayed_by(now.saturating_sub(began)), now);
             }
             Err(error) => {
                 self.metrics.fetches.increment("failed");
@@ -246,6 +319,18 @@
         }
     }
 
+    fn apply_fetched(&self, target: FetchTarget, update: Update, now: Millis) {
+        match target {
+            FetchTarget::State => {
+                let changed = self.node.borrow_mut().apply_from_peer(update, now);
+                if changed {
+                    self.propagate_updates();
+                }
+            }
+            FetchTarget::FullReplica => self.node.borrow_mut().apply_to_full_replica(update, now),
+        }
+    }
+
     fn update_gauges(&self) {
         let node = self.node.borrow();
         let age = node.age(self.clock.now());
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -138,6 +138,8 @@
     pub zones_evacuated: Gauge,
     /// Fetches from peers, by outcome.
     pub fetches: ReasonCounters,
+    /// Responses to peers' fetches, by outcome.
+    pub responses: ReasonCounters,
     /// Duration of one fetch from a peer in seconds.
     pub fetch_seconds: Histogram,
     /// Datagrams from peers that were refused, and messages to peers that could not be sent, by
@@ -156,6 +158,8 @@
             zones_evacuated: metrics
                 .gauge("zones_evacuated", "Zones whose targets get no new flows"),
             fetches: metrics.reason_counters("peer_fetches", "Fetches from peers"),
+            responses: metrics
+                .reason_counters("peer_fetch_responses", "Responses to peers' fetches"),
             fetch_seconds: metrics.histogram("peer_fetch_seconds", "Seconds of one fetch"),
             refused: metrics.reason_counters("peer_messages_refused", "Datagrams of peers refused"),
         }
