Call a store that fails ten times a second from fleets of any size

Cause: the mean backoff of a balancer ended at 5 s, so a fleet of 304 made 60 calls a second to a store that was down, 1,000 would make 200; and each balancer made its first three attempts within 0.3 s, 900 calls at once whenever all of them noticed an outage. Ruled out: a later first attempt: a reader that fails has to be replaced within the bound of a change. Change: the time to a balancer's next call is exponential with a mean of 100 ms times the balancers, drawn again each second, so that one that lost its peers calls soon; only the five lowest balancers repeat a failed call at once; a balancer that waits stops waiting when peers send newer state. The test that allowed 205 calls a second at 1,000 balancers and a mean of 5 s now demands 7 to 11 at 1 to 2,000 balancers and waits of at most a second.

--- a/crates/fleet/src/reader.rs
+++ b/crates/fleet/src/reader.rs
@@ -23,11 +23,15 @@
 /// Number of consecutive failures from which the store is assumed to fail for all balancers; fewer
 /// may be a fault of this balancer alone.
 const STORE_OUTAGE_FAILURES: u32 = 3;
+/// Number of balancers, those with the lowest addresses, that make these first attempts in quick
+/// succession. If all others did so as well, calls at the start of an outage would be a multiple of
+/// the number of balancers.
+const QUICK_RETRY_RANKS: usize = 5;
 /// Mean time between calls of the whole fleet to a store that fails for all balancers.
 const FLEET_RETRY_INTERVAL_MS: Millis = 100;
-/// Maximum mean backoff of one balancer. It is bounded so that a balancer that lost contact with
-/// its peers recovers soon.
-const MAX_MEAN_BACKOFF_MS: Millis = 5_000;
+/// Maximum time for which a balancer waits before it takes the number of its peers into account
+/// again, so that one that lost contact with them recovers soon.
+const MAX_RETRY_WAIT_MS: Millis = 1_000;
 /// Wait of a watch that is to be answered at once.
 const PROMPT_WATCH_MS: Millis = 1;
 /// Mean time between the listings of a fleet whose balancers all have to list the store.
@@ -35,17 +39,34 @@
 /// How long a daemon without any state waits for peers before it reads the store.
 const INITIAL_READ_DELAY_MS: Millis = 12;
 
-/// Returns the backoff after a number of consecutive failed calls. `fraction` is a random number in
-/// [0, 1). While the store is down, all balancers try to read; together they call it about ten
-/// times per second, for any number of balancers up to 50.
-pub fn retry_backoff(failures: u32, balancers: usize, fraction: f64) -> Millis {
-    let initial = INITIAL_BACKOFF_MS << failures.saturating_sub(1).min(STORE_OUTAGE_FAILURES);
-    if failures < STORE_OUTAGE_FAILURES {
-        return (initial as f64 * (0.7 + 0.6 * fraction)) as Millis;
+/// The wait after a failed call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryWait {
+    /// Milliseconds to wait.
+    pub wait_ms: Millis,
+    /// Whether to call the store afterwards; otherwise another wait follows.
+    pub calls_store: bool,
+}
+
+/// Returns the wait after a number of consecutive failed calls of a balancer, given the number of
+/// balancers with a lower address and of all balancers. `fraction` is a random number in [0, 1).
+///
+/// While the store is down, all balancers try to read. The time to a balancer's next call is drawn
+/// from an exponential distribution whose mean is proportional to the number of balancers, so that
+/// all of them together call the store about ten times per second. As this distribution has no
+/// memory, the wait can be drawn again in between.
+pub fn retry_wait(failures: u32, rank: usize, balancers: usize, fraction: f64) -> RetryWait {
+    if failures < STORE_OUTAGE_FAILURES && rank < QUICK_RETRY_RANKS {
+        let backoff = INITIAL_BACKOFF_MS << failures.saturating_sub(1);
+        let wait_ms = (backoff as f64 * (0.7 + 0.6 * fraction)) as Millis;
+        return RetryWait { wait_ms, calls_store: true };
+    }
+    let mean = (FLEET_RETRY_INTERVAL_MS * balancers.max(1) as Millis) as f64;
+    let drawn = (-mean * (1.0 - fraction).ln()) as Millis;
+    if drawn > MAX_RETRY_WAIT_MS {
+        return RetryWait { wait_ms: MAX_RETRY_WAIT_MS, calls_store: false };
     }
-    let mean = (FLEET_RETRY_INTERVAL_MS * balancers.max(1) as Millis).min(MAX_MEAN_BACKOFF_MS);
-    let drawn = (2.0 * mean as f64 * fraction) as Millis;
-    drawn.max(INITIAL_BACKOFF_MS)
+    RetryWait { wait_ms: drawn.max(INITIAL_BACKOFF_MS), calls_store: true }
 }
 
 /// Inputs to the decision whether a balancer reads the store.
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -4,10 +4,10 @@
 
 use proptest::prelude::*;
 use weirhinge_fleet::reader::{
-    ReadReason, ReaderInputs, VerificationSchedule, read_reason, retry_backoff, yields,
+    ReadReason, ReaderInputs, RetryWait, VerificationSchedule, read_reason, retry_wait, yields,
 };
 use weirhinge_fleet::{
-    Bounds, Digest, EvacuatedZones, MessageError, Millis, PEER_TIMEOUT_MS, PeerMessage, PeerRole,
+    Bounds, Digest, EvacuatedZones, MessageError, PEER_TIMEOUT_MS, PeerMessage, PeerRole,
     PeerTable, Position, SearchPath, Timing, ZoneId, decode, encode,
 };
 
@@ -291,26 +291,53 @@
 }
 
 #[test]
-fn first_retries_follow_soon() {
+fn first_retries_of_the_lowest_balancers_follow_soon() {
     for balancers in [1, 19, 1_000] {
-        let waits = [1, 2].map(|failures| retry_backoff(failures, balancers, 0.5));
-        assert_eq!(waits, [60, 120]);
+        let waits = [1, 2].map(|failures| retry_wait(failures, 0, balancers, 0.5));
+        let expected = [60, 120].map(|wait_ms| RetryWait { wait_ms, calls_store: true });
+        assert_eq!(waits, expected);
     }
 }
 
-/// Without a backoff that depends on the number of balancers, each one called a failed store about
-/// once a second: 1,147 calls on one day in the largest fleet tested.
+/// Returns the mean time between the calls of one of `balancers` to a store that fails, over many
+/// waits with fractions spread evenly over [0, 1).
+fn mean_call_interval(failures: u32, rank: usize, balancers: usize) -> f64 {
+    const DRAWS: u32 = 10_000;
+    let waits = (0..DRAWS)
+        .map(|step| retry_wait(failures, rank, balancers, f64::from(step) / f64::from(DRAWS)));
+    let (mut waited_ms, mut calls) = (0, 0);
+    for wait in waits {
+        waited_ms += wait.wait_ms;
+        calls += u32::from(wait.calls_store);
+    }
+    waited_ms as f64 / f64::from(calls)
+}
+
+/// Without a wait that depends on the number of balancers, each one called a failed store about
+/// once a second: 1,147 calls on one day in a fleet of 91 balancers.
 #[test]
-fn failed_store_is_called_about_ten_times_per_second() {
-    let fractions = (0..100).map(|step| f64::from(step) / 100.0);
-    for (balancers, limit) in [(1, 12.0), (19, 11.0), (91, 20.0), (1_000, 205.0)] {
-        let waits = fractions.clone().map(|fraction| retry_backoff(5, balancers, fraction));
-        let mean = waits.sum::<Millis>() as f64 / 100.0;
-        let calls_per_second = balancers as f64 * 1_000.0 / mean;
+fn failed_store_is_called_about_ten_times_per_second_by_fleets_of_any_size() {
+    for balancers in [1, 19, 91, 300, 1_000, 2_000] {
+        let interval = mean_call_interval(5, 9, balancers);
+        let calls_per_second = balancers as f64 * 1_000.0 / interval;
         assert!(
-            calls_per_second <= limit,
+            (7.0..11.0).contains(&calls_per_second),
             "{balancers} balancers: {calls_per_second} calls per second"
         );
-        assert!(mean <= 5_000.0);
     }
 }
+
+/// When an outage begins, the balancers beyond the lowest ones call the store once each.
+#[test]
+fn other_balancers_do_not_repeat_a_failed_call_in_quick_succession() {
+    let first = mean_call_interval(1, 9, 300);
+    assert!(first > 25_000.0, "{first} ms");
+}
+
+/// The number of balancers is taken into account again once a second, so that a balancer that lost
+/// contact with its peers calls the store soon.
+#[test]
+fn waits_are_short_in_fleets_of_any_size() {
+    let waits = (0..1_000).map(|step| retry_wait(5, 9, 2_000, f64::from(step) / 1_000.0));
+    assert!(waits.map(|wait| wait.wait_ms).max().is_some_and(|longest| longest <= 1_000));
+}
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -15,7 +15,7 @@
 use weirhinge_fleet::{
     Change, Digest, FetchRequest, FetchScope, Millis, PeerRole, PeerTable, Position, Replica,
     TargetStatus, Timing, Update, VersionedTarget, ZoneId, full_replica_agents,
-    reader::{self, ReadReason},
+    reader::{self, ReadReason, RetryWait},
 };
 use weirhinge_steering::{FleetView, Locality};
 
@@ -401,10 +401,10 @@
         reader::yields(self.peers.rank(), fraction)
     }
 
-    /// Returns the milliseconds to wait after a number of consecutive failed calls to the store.
-    pub fn retry_backoff(&self, failures: u32) -> Millis {
+    /// Returns the wait after a number of consecutive failed calls to the store.
+    pub fn retry_wait(&self, failures: u32) -> RetryWait {
         let fraction = self.random.borrow_mut().random();
-        reader::retry_backoff(failures, self.balancer_count(), fraction)
+        reader::retry_wait(failures, self.peers.rank(), self.balancer_count(), fraction)
     }
 
     /// Returns the number of known balancers, including this one.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -122,13 +122,24 @@
                     self.note_store_lost(&error);
                     self.set_reading(false);
                     failures += 1;
-                    let backoff_ms = self.node.borrow().retry_backoff(failures);
-                    tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
+                    self.await_retry(failures).await;
                 }
             }
         }
     }
 
+    /// Waits until a failed call is due to be repeated, or until peers have sent newer state.
+    async fn await_retry(&self, failures: u32) {
+        loop {
+            let wait = self.node.borrow().retry_wait(failures);
+            tokio::time::sleep(Duration::from_millis(wait.wait_ms)).await;
+            let is_needed = self.node.borrow().read_reason(self.clock.now()).is_some();
+            if wait.calls_store || !is_needed {
+                return;
+            }
+        }
+    }
+
     fn set_reading(&self, reading: bool) {
         self.node.borrow_mut().reading = reading;
     }
@@ -175,7 +186,7 @@
         self.refused_watches += 1;
         let wait_ms = match self.refused_watches {
             1 => self.node.borrow().listing_delay(reason),
-            refused => self.node.borrow().retry_backoff(refused),
+            refused => self.node.borrow().retry_wait(refused).wait_ms,
         };
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
     }
--- a/crates/relay/tests/fleet_scale/recovery.rs
+++ b/crates/relay/tests/fleet_scale/recovery.rs
@@ -61,6 +61,7 @@
     let large = recover_without_store(300, 700);
     assert!(small.half_ms < 1_000 && small.most_ms < 1_500, "{small:?}");
     assert!(large.half_ms < 1_000 && large.most_ms < 1_500, "{large:?}");
+    assert!(large.calls <= 900, "three calls of a balancer: {large:?}");
     assert!(large.failed_fetches <= 300, "one of a balancer: {large:?}");
     assert!(large.most_ms * 10 <= medium.most_ms * 13, "{medium:?}, {large:?}");
 }
--- a/crates/relay/tests/fleet_scale/simulation.rs
+++ b/crates/relay/tests/fleet_scale/simulation.rs
@@ -59,10 +59,24 @@
 enum Event {
     Tick,
     Poll,
-    Deliver { from: Ipv4Addr, message: Message },
-    Fetched { target: FetchTarget, update: Option<Box<Update>> },
-    List { after: Position, reason: ReadReason },
-    Read { after: Position, reason: ReadReason },
+    /// The wait after a failed call is drawn again.
+    Retry,
+    Deliver {
+        from: Ipv4Addr,
+        message: Message,
+    },
+    Fetched {
+        target: FetchTarget,
+        update: Option<Box<Update>>,
+    },
+    List {
+        after: Position,
+        reason: ReadReason,
+    },
+    Read {
+        after: Position,
+        reason: ReadReason,
+    },
 }
 
 pub struct SimulatedDaemon {
@@ -233,6 +247,7 @@
         match event {
             Event::Tick => self.tick(index),
             Event::Poll => self.poll(index),
+            Event::Retry => self.await_retry(index),
             Event::Deliver { from, message } => self.deliver(index, from, &message),
             Event::Fetched { target, update } => self.complete_fetch(index, target, update),
             Event::List { after, reason } => {
@@ -306,8 +321,9 @@
     /// Waits until a failed call is due to be repeated.
     fn await_retry(&mut self, index: usize) {
         let daemon = &self.daemons[index];
-        let wait_ms = daemon.node.retry_backoff(daemon.failures);
-        self.schedule(self.now + wait_ms, index, Event::Poll);
+        let wait = daemon.node.retry_wait(daemon.failures);
+        let event = if wait.calls_store { Event::Poll } else { Event::Retry };
+        self.schedule(self.now + wait.wait_ms, index, event);
     }
 
     fn read(&mut self, index: usize, after: Position, reason: ReadReason) {
