List the store with stale reads at the start and confirm with one watch

Cause: each balancer that starts without state lists the whole store: four calls with 682 targets, 36 with 7,200, of all balancers at once after a loss of power. Change: the first listing uses stale reads, which cost a tenth and are not rated; its state has no age until a watch that is answered at once confirms it and brings what the listing lacks. The confirmations of balancers that start together are spread by 2 ms a balancer, and most get theirs from peers. The position of a listing is the lowest of its pages. Simulated start of 30, 300 and 1,000 balancers: at most half a call of full cost for each (test). The calls that remain are one of each balancer when it notices the outage, and those of balancers that start in it; not traced further.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,7 +40,7 @@
 pub use replication::{FULL_REPLICAS, full_replica_agents};
 pub use target_entry::{TargetEntry, VersionedTarget};
 pub use timing::{Bounds, Timing};
-pub use update::{Change, Update, VersionedConfiguration};
+pub use update::{Change, UNCONFIRMED_AGE_MS, Update, VersionedConfiguration};
 
 /// Milliseconds on the process's monotonic clock since an arbitrary fixed moment.
 pub type Millis = u64;
--- a/crates/fleet/src/reader.rs
+++ b/crates/fleet/src/reader.rs
@@ -76,6 +76,9 @@
     pub uptime_ms: Millis,
     /// Milliseconds since the store confirmed the replica's state; none if it never did.
     pub age_ms: Option<Millis>,
+    /// How long this balancer, once it has a state, waits for peers to confirm it after its start,
+    /// see [`confirmation_delay`].
+    pub confirmation_delay_ms: Millis,
     /// Number of known balancers with a lower address.
     pub rank: usize,
     /// Whether this balancer currently reads the store.
@@ -118,6 +121,13 @@
     }
 }
 
+/// Returns how long a balancer that listed the store at its start waits before it confirms that the
+/// listing is current. `fraction` is a random number in [0, 1), drawn once. When all balancers
+/// start, most of them receive the first confirmations from their peers instead.
+pub fn confirmation_delay(balancers: usize, fraction: f64) -> Millis {
+    (fraction * (LISTING_INTERVAL_MS * balancers as Millis) as f64) as Millis
+}
+
 /// Returns how long a balancer waits before it lists the whole store because the changes after its
 /// position are unavailable. `fraction` is a random number in [0, 1).
 ///
@@ -128,7 +138,7 @@
     if reason == ReadReason::Reading {
         return 0;
     }
-    (fraction * (LISTING_INTERVAL_MS * balancers as Millis) as f64) as Millis
+    confirmation_delay(balancers, fraction)
 }
 
 /// Whether a reader that learned from a peer that another balancer reads too gives way to it.
@@ -171,7 +181,9 @@
     let read_after = timing.read_after_ms + rank_delay.min(timing.max_rank_delay_ms);
     let continues_reading = inputs.reading && !inputs.has_lower_reader && !inputs.yields;
     match inputs.age_ms {
-        None if inputs.uptime_ms >= INITIAL_READ_DELAY_MS => Some(ReadReason::Start),
+        None if inputs.uptime_ms >= INITIAL_READ_DELAY_MS + inputs.confirmation_delay_ms => {
+            Some(ReadReason::Start)
+        }
         None => None,
         Some(age) if age > read_after => Some(ReadReason::Stale),
         Some(_) if continues_reading => Some(ReadReason::Reading),
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -10,7 +10,7 @@
 use crate::removal_history::RemovalHistory;
 use crate::target_entry::{TargetEntry, VersionedTarget};
 use crate::timing::Timing;
-use crate::update::{Change, Update, VersionedConfiguration};
+use crate::update::{Change, UNCONFIRMED_AGE_MS, Update, VersionedConfiguration};
 
 /// How long a removed target is remembered, so that an older report does not restore it and its
 /// open flows can still be located.
@@ -225,9 +225,10 @@
         changes
     }
 
-    /// Records that the store confirmed `position` to some daemon `age_ms` milliseconds ago.
+    /// Records that the store confirmed `position` to some daemon `age_ms` milliseconds ago, unless
+    /// that is [`UNCONFIRMED_AGE_MS`].
     pub fn confirm(&mut self, position: Position, age_ms: u64, now: Millis) {
-        if position < self.position {
+        if position < self.position || age_ms == UNCONFIRMED_AGE_MS {
             return;
         }
         let confirmed_at = signed(now).saturating_sub(signed(age_ms));
@@ -261,7 +262,7 @@
             through: self.position,
             complete: complete && request.scope == FetchScope::All,
             skips: self.removals.has_gap_after(after),
-            age_ms: self.age(now).unwrap_or(u64::MAX),
+            age_ms: self.age(now).unwrap_or(UNCONFIRMED_AGE_MS),
             configuration: configuration
                 .filter(|known| {
                     request
--- a/crates/fleet/src/update.rs
+++ b/crates/fleet/src/update.rs
@@ -20,6 +20,9 @@
     pub configuration: Configuration,
 }
 
+/// Age of an update that the store has not confirmed as current.
+pub const UNCONFIRMED_AGE_MS: u64 = u64::MAX;
+
 /// An update about the store's contents from the store itself or from a peer.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Update {
@@ -33,7 +36,7 @@
     /// Whether targets that were added and removed within the range may be missing, because the
     /// source knows part of it only from a listing.
     pub skips: bool,
-    /// Milliseconds since the store itself confirmed `through`.
+    /// Milliseconds since the store itself confirmed `through`, or [`UNCONFIRMED_AGE_MS`].
     pub age_ms: u64,
     /// The configuration, if it changed within the range.
     pub configuration: Option<VersionedConfiguration>,
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -74,6 +74,8 @@
     /// Whether peers sent newer state than this reader read itself, so that another balancer must be
     /// reading too.
     another_reads: Cell<bool>,
+    /// Random number in [0, 1) that spreads the first reads of balancers that start together.
+    confirmation_fraction: f64,
     /// Consecutive reads of this reader before which that was so.
     reads_by_another: Cell<u32>,
     zone: ZoneId,
@@ -96,6 +98,8 @@
     /// Like [`FleetNode::new`], with a fixed random seed for the choice of peers.
     pub fn with_seed(settings: &CommonSettings, role: PeerRole, log: Logger, seed: u64) -> Self {
         let address = settings.address;
+        let mut random = StdRng::seed_from_u64(seed);
+        let confirmation_fraction = random.random();
         Self {
             address,
             role,
@@ -106,13 +110,14 @@
             view_regained_at: None,
             timing: settings.timing,
             locality: settings.locality.clone(),
-            random: RefCell::new(StdRng::seed_from_u64(seed)),
+            random: RefCell::new(random),
             pending_records: Vec::new(),
             replica_agents: BTreeSet::new(),
             full_replica: None,
             verification: Cell::default(),
             reading: false,
             another_reads: Cell::default(),
+            confirmation_fraction,
             reads_by_another: Cell::default(),
             zone: ZoneId::of(&settings.zone),
             capacity: settings.processor_permille,
@@ -369,6 +374,7 @@
         let inputs = reader::ReaderInputs {
             uptime_ms: now,
             age_ms: self.replica.age(now),
+            confirmation_delay_ms: self.confirmation_delay_ms(),
             rank: self.peers.rank(),
             reading: self.reading,
             has_lower_reader: self
@@ -380,6 +386,13 @@
         reader::read_reason(&inputs, &self.timing)
     }
 
+    fn confirmation_delay_ms(&self) -> Millis {
+        if self.replica.position().is_start() {
+            return 0;
+        }
+        reader::confirmation_delay(self.balancer_count(), self.confirmation_fraction)
+    }
+
     /// Returns how long to wait before listing the whole store because the changes after the known
     /// position are unavailable.
     pub fn listing_delay(&self, reason: ReadReason) -> Millis {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,7 +30,9 @@
 pub use backlog::Backlog;
 pub use balancer::run as run_balancer;
 pub use fleet_node::{DigestActions, FleetNode};
-pub use platform::{ListPage, Platform, RejectReason, RejectedItem, StaleResponse, WatchPage};
+pub use platform::{
+    ListPage, Platform, ReadConsistency, RejectReason, RejectedItem, StaleResponse, WatchPage,
+};
 pub use process::{ProcessLog, Signals, run_process};
 pub use reported_rejections::ReportedRejections;
 pub use settings::{AgentSettings, BalancerSettings, CommonSettings, RawSettings};
--- a/crates/relay/src/platform.rs
+++ b/crates/relay/src/platform.rs
@@ -122,6 +122,15 @@
     }
 }
 
+/// How current the store's answer to a read has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadConsistency {
+    /// It reflects all writes that were acknowledged before.
+    Linearizable,
+    /// It may be some seconds old. Such a read costs the store far less.
+    Stale,
+}
+
 /// Translates between the platform's formats and the types of the relay.
 pub trait Platform: Clone + 'static {
     /// Decodes the header of a packet.
@@ -153,7 +162,7 @@
     fn store_era(&self, headers: &http::HeaderMap) -> Result<u64, RejectedItem>;
 
     /// Returns the path and query of a request that lists the store's items after a key.
-    fn list_path(&self, after: Option<&str>) -> String;
+    fn list_path(&self, after: Option<&str>, consistency: ReadConsistency) -> String;
 
     /// Returns the path and query of a request that waits up to `wait_ms` for changes after a
     /// revision of the store's current era.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -8,14 +8,14 @@
 use slog::{Logger, info, warn};
 use weirhinge_fleet::reader::ReadReason;
 use weirhinge_fleet::{
-    EvacuatedZones, Millis, Position, Timing, Update, VersionedConfiguration, VersionedTarget,
-    ZoneUpdate,
+    EvacuatedZones, Millis, Position, Timing, UNCONFIRMED_AGE_MS, Update, VersionedConfiguration,
+    VersionedTarget, ZoneUpdate,
 };
 
 use crate::clock::Clock;
 use crate::fleet_node::FleetNode;
 use crate::metrics::StoreMetrics;
-use crate::platform::{Platform, RejectedItem, StaleResponse};
+use crate::platform::{Platform, ReadConsistency, RejectedItem, StaleResponse};
 use crate::reported_rejections::ReportedRejections;
 use crate::settings::CommonSettings;
 use crate::store_client::{StoreClient, StoreError, StoreResponse};
@@ -26,7 +26,7 @@
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 /// How often a balancer that does not read the store checks whether it should.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(40);
-/// The same interval while the balancer knows no state yet.
+/// The same interval until the store has confirmed the balancer's state.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(4);
 /// Most pages read in one listing.
 const MAX_PAGES: usize = 200;
@@ -54,6 +54,17 @@
             ListingReason::Restored => "restored",
         }
     }
+
+    /// Returns how current the listing has to be. A balancer that starts brings an old listing up to
+    /// date with one watch, which costs the store less than a current listing of many pages.
+    fn consistency(self) -> ReadConsistency {
+        match self {
+            ListingReason::Start => ReadConsistency::Stale,
+            ListingReason::Outage | ListingReason::HistoryGone | ListingReason::Restored => {
+                ReadConsistency::Linearizable
+            }
+        }
+    }
 }
 
 /// Reads the store while this balancer is one of its readers.
@@ -105,18 +116,22 @@
             let now = self.clock.now();
             let Some(reason) = self.node.borrow().read_reason(now) else {
                 self.set_reading(false);
-                let known = !self.node.borrow().position().is_start();
-                tokio::time::sleep(if known { IDLE_POLL_INTERVAL } else { START_POLL_INTERVAL })
-                    .await;
+                let is_starting = !self.is_confirmed();
+                let interval = if is_starting { START_POLL_INTERVAL } else { IDLE_POLL_INTERVAL };
+                tokio::time::sleep(interval).await;
                 continue;
             };
             match self.read_once(reason).await {
                 Ok(()) => {
                     failures = 0;
                     self.note_store_regained();
-                    self.set_reading(reason.makes_reader());
+                    // A first listing may be stale and is confirmed by the next read.
+                    let is_confirmed = self.is_confirmed();
+                    self.set_reading(is_confirmed && reason.makes_reader());
                     on_update();
-                    self.await_min_watch_interval(now).await;
+                    if is_confirmed {
+                        self.await_min_watch_interval(now).await;
+                    }
                 }
                 Err(error) => {
                     self.note_store_lost(&error);
@@ -140,6 +155,11 @@
         }
     }
 
+    /// Whether the store has confirmed the known state.
+    fn is_confirmed(&self) -> bool {
+        self.node.borrow().age(self.clock.now()).is_some()
+    }
+
     fn set_reading(&self, reading: bool) {
         self.node.borrow_mut().reading = reading;
     }
@@ -198,13 +218,13 @@
         let mut listing = Listing::default();
         let mut after: Option<String> = None;
         for _ in 0..MAX_PAGES {
-            let path = self.platform.list_path(after.as_deref());
+            let path = self.platform.list_path(after.as_deref(), reason.consistency());
             let response = self.call(&path, RESPONSE_TIMEOUT).await?;
             let page = self.platform.read_list(response.era, &response.body);
             let page = page.map_err(|rejected| self.unusable_response(rejected))?;
             self.check_page(known, &listing, page.at)?;
             self.log_rejected(&page.rejected);
-            listing.at.get_or_insert(page.at);
+            listing.note_page(page.at);
             listing.configuration = listing.configuration.or(page.configuration);
             listing.targets.extend(page.targets);
             listing.targets.extend(page.removed);
@@ -224,7 +244,10 @@
             through,
             complete: true,
             skips: true,
-            age_ms: self.clock.now().saturating_sub(requested_at),
+            age_ms: match reason.consistency() {
+                ReadConsistency::Linearizable => self.clock.now().saturating_sub(requested_at),
+                ReadConsistency::Stale => UNCONFIRMED_AGE_MS,
+            },
             configuration: listing.configuration,
             targets: listing.targets,
             zones: ZoneUpdate::Whole(EvacuatedZones::new(through, listing.evacuated)),
@@ -334,8 +357,17 @@
 /// The pages of one listing, combined.
 #[derive(Default)]
 struct Listing {
+    /// The lowest position of a page: changes after it may be missing.
     at: Option<Position>,
     configuration: Option<VersionedConfiguration>,
     targets: Vec<VersionedTarget>,
     evacuated: Vec<String>,
 }
+
+impl Listing {
+    /// Records the position of a page. Pages of a stale listing may come from different replicas of
+    /// the store, so a later page may be older.
+    fn note_page(&mut self, at: Position) {
+        self.at = Some(self.at.map_or(at, |known| known.min(at)));
+    }
+}
--- a/crates/relay/tests/fleet_scale/recovery.rs
+++ b/crates/relay/tests/fleet_scale/recovery.rs
@@ -65,3 +65,21 @@
     assert!(large.failed_fetches <= 300, "one of a balancer: {large:?}");
     assert!(large.most_ms * 10 <= medium.most_ms * 13, "{medium:?}, {large:?}");
 }
+
+/// When all balancers start at the same time, each lists the store, and a part of them that does not
+/// grow with the fleet confirms that the listings are current.
+#[test]
+fn few_balancers_confirm_the_first_listings() {
+    for balancers in [30, 300, 1_000] {
+        let mut simulation = Simulation::new(balancers, 0);
+        simulation.run_until(3_000, |_| false);
+        let calls = simulation.calls - simulation.stale_listings;
+        println!(
+            "{balancers} balancers: {calls} calls and {} stale listings in 3 s",
+            simulation.stale_listings
+        );
+        assert!(simulation.stale_listings <= balancers as u64);
+        assert!(calls <= balancers as u64 / 2 + 15, "{balancers} balancers: {calls} calls");
+        assert!(simulation.all_balancers_know(Position::new(0, 1)));
+    }
+}
--- a/crates/weirhinge/tests/platform_store.rs
+++ b/crates/weirhinge/tests/platform_store.rs
@@ -40,6 +40,23 @@
     Ok(())
 }
 
+/// The first listing of a daemon without state may be some seconds old.
+#[tokio::test(flavor = "multi_thread")]
+async fn fleet_that_starts_from_a_stale_listing_applies_later_changes() -> eyre::Result<()> {
+    let mut fleet = start(&plan()).await?;
+    fleet.store.freeze_stale_reads();
+    for process in fleet.balancers.iter_mut().chain(&mut fleet.agents) {
+        process.kill()?;
+    }
+    fleet.configure(&[(443, &[("sheets", 1)])]);
+    for process in fleet.balancers.iter_mut().chain(&mut fleet.agents) {
+        process.restart()?;
+    }
+    wait_for_version(&fleet, 6, "a change that the listing lacks").await?;
+    fleet.configure(&[(443, &[("dispatch", 1)])]);
+    wait_for_version(&fleet, 9, "the next change").await
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_reach_balancers_without_store_access() -> eyre::Result<()> {
     let faults = [
