Log a first listing in one line, and new balancers up to the 32nd

Cause: each daemon wrote a line for each target and balancer that it learned of, some 250,000 lines of a fleet of 986 daemons in the first seconds, at a time when balancers that start have the least time. Ruled out: the debug level; later changes of targets are what operators look for. Change: one line with the numbers of targets for the first listing; balancers beyond the 32nd are counted by the new gauge balancers_known alone.

--- a/crates/relay/src/fleet_node/change_log.rs
+++ b/crates/relay/src/fleet_node/change_log.rs
@@ -1,7 +1,7 @@
 //! Log entries about changes of the known state.
 
 use slog::info;
-use weirhinge_fleet::{Change, Millis};
+use weirhinge_fleet::{Change, Millis, TargetState};
 
 use super::FleetNode;
 
@@ -15,6 +15,18 @@
             "hold_ms" => self.timing.renewal_grace_ms);
     }
 
+    /// Logs the targets of the first listing that a daemon applies, in one line.
+    pub(super) fn log_first_listing(&self, changes: &[Change], source: &str, now: Millis) {
+        let count = |state| {
+            let has_state = |change: &&Change| matches!(change, Change::Target { record, .. } if record.state == state);
+            changes.iter().filter(has_state).count()
+        };
+        info!(self.log, "fleet: targets listed"; "event" => "targets_listed",
+            "ready" => count(TargetState::Ready), "draining" => count(TargetState::Draining),
+            "revision" => self.replica.position().revision, "source" => source,
+            "age_ms" => self.replica.age(now));
+    }
+
     pub(super) fn log_change(&self, change: &Change, source: &str, now: Millis) {
         let age_ms = self.replica.age(now);
         match change {
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -24,6 +24,9 @@
 
 /// A digest that reduces the age of the known state by at least this much is propagated.
 const MIN_FRESHNESS_GAIN_MS: Millis = 300;
+/// Number of known balancers up to which each new one is logged. The total number of lines in a
+/// fleet would otherwise grow with the square of its size.
+const MAX_PEERS_LOGGED: usize = 32;
 /// Consecutive reads between which newer state came from peers, after which a reader assumes that
 /// another balancer keeps reading.
 const MIN_READS_BY_ANOTHER: u32 = 2;
@@ -231,7 +234,7 @@
     /// Processes a peer's digest. Returns the actions that follow from it.
     pub fn on_digest(&mut self, digest: &Digest, now: Millis) -> DigestActions {
         let is_new = self.peers.record_digest(digest, now);
-        if is_new {
+        if is_new && self.known_balancers() <= MAX_PEERS_LOGGED {
             info!(self.log, "fleet: peer found"; "event" => "peer_found",
                 "peer" => Ipv4Addr::from_bits(digest.sender).to_string(),
                 "role" => ?digest.role, "revision" => digest.position.revision);
@@ -308,14 +311,21 @@
     /// Applies an update from the store or a peer. Returns whether anything changed.
     fn apply(&mut self, update: Update, source: &str, now: Millis) -> bool {
         let before = self.replica.position();
+        let is_first_listing = before.is_start() && update.complete;
         self.learn_era(update.through.era, source, now);
-        let changes = self.replica.apply(update, now);
+        let mut changes = self.replica.apply(update, now);
+        let has_changed = !changes.is_empty() || self.replica.position() > before;
+        if is_first_listing {
+            self.log_first_listing(&changes, source, now);
+            changes.retain(|change| !matches!(change, Change::Target { .. }));
+            self.update_view();
+        }
         if self.replica.position().era > before.era && !before.is_start() {
             self.log_hold();
         }
         self.handle_changes(&changes, source, now);
         self.update_freshness(now);
-        !changes.is_empty() || self.replica.position() > before
+        has_changed
     }
 
     /// Records the era that the store is in. In a new era, targets may be alive that the restored
@@ -337,9 +347,12 @@
         for change in changes {
             self.log_change(change, source, now);
         }
-        if changes.is_empty() {
-            return;
+        if !changes.is_empty() {
+            self.update_view();
         }
+    }
+
+    fn update_view(&mut self) {
         self.view = FleetView::compile(&self.replica, &self.locality);
         if self.role == PeerRole::Balancer {
             self.replica_agents = full_replica_agents(&self.replica);
@@ -422,7 +435,12 @@
 
     /// Returns the number of known balancers, including this one.
     fn balancer_count(&self) -> usize {
-        self.peers.balancers().count() + 1
+        self.known_balancers() + 1
+    }
+
+    /// Returns the number of other balancers that this daemon knows.
+    pub fn known_balancers(&self) -> usize {
+        self.peers.balancers().count()
     }
 
     fn is_verification_due(&self, now: Millis) -> bool {
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -338,6 +338,7 @@
         self.metrics.revision.set(node.position().revision as i64);
         self.metrics.era.set(node.newest_era() as i64);
         self.metrics.configuration.set(version as i64);
+        self.metrics.balancers.set(node.known_balancers() as i64);
         self.metrics.zones_evacuated.set(node.view().evacuated_zone_count() as i64);
         self.metrics.age_ms.set(age.map_or(-1, |age| age as i64));
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -134,6 +134,8 @@
     pub configuration: Gauge,
     /// Milliseconds since the store confirmed the known state; -1 if it never did.
     pub age_ms: Gauge,
+    /// Other balancers that this daemon knows.
+    pub balancers: Gauge,
     /// Evacuated zones: their targets get no new flows.
     pub zones_evacuated: Gauge,
     /// Fetches from peers, by outcome.
@@ -155,6 +157,7 @@
             era: metrics.gauge("store_era", "How often the store came back from a copy"),
             configuration: metrics.gauge("configuration_version", "Configuration in force"),
             age_ms: metrics.gauge("store_age_ms", "Milliseconds since the store's confirmation"),
+            balancers: metrics.gauge("balancers_known", "Other balancers known"),
             zones_evacuated: metrics
                 .gauge("zones_evacuated", "Zones whose targets get no new flows"),
             fetches: metrics.reason_counters("peer_fetches", "Fetches from peers"),
