Give the reader's inputs, concurrent reads and the simulated store modules of their own

Ruled out: nothing; no behaviour is changed. Change: fleet_node/reading.rs holds when a balancer reads, ConcurrentReads what a reader knows of others, the simulation's store is a module. One function spreads calls.

--- a/crates/fleet/src/reader.rs
+++ b/crates/fleet/src/reader.rs
@@ -34,8 +34,11 @@
 const MAX_RETRY_WAIT_MS: Millis = 1_000;
 /// Wait of a watch that is to be answered at once.
 const PROMPT_WATCH_MS: Millis = 1;
-/// Mean time between the listings of a fleet whose balancers all have to list the store.
-const LISTING_INTERVAL_MS: Millis = 2;
+/// Mean time between the calls of a fleet whose balancers all have to make the same call.
+const SPREAD_CALL_INTERVAL_MS: Millis = 2;
+/// Consecutive reads of a reader between which newer state came from peers, after which it assumes
+/// that another balancer keeps reading. A verification read brings newer state only once.
+const MIN_CONCURRENT_READS: u32 = 2;
 /// How long a daemon without any state waits for peers before it reads the store.
 const INITIAL_READ_DELAY_MS: Millis = 12;
 
@@ -125,7 +128,7 @@
 /// listing is current. `fraction` is a random number in [0, 1), drawn once. When all balancers
 /// start, most of them receive the first confirmations from their peers instead.
 pub fn confirmation_delay(balancers: usize, fraction: f64) -> Millis {
-    (fraction * (LISTING_INTERVAL_MS * balancers as Millis) as f64) as Millis
+    spread_delay(balancers, fraction)
 }
 
 /// Returns how long a balancer waits before it lists the whole store because the changes after its
@@ -138,7 +141,11 @@
     if reason == ReadReason::Reading {
         return 0;
     }
-    confirmation_delay(balancers, fraction)
+    spread_delay(balancers, fraction)
+}
+
+fn spread_delay(balancers: usize, fraction: f64) -> Millis {
+    (fraction * (SPREAD_CALL_INTERVAL_MS * balancers as Millis) as f64) as Millis
 }
 
 /// Whether a reader that learned from a peer that another balancer reads too gives way to it.
@@ -152,6 +159,29 @@
     fraction * (rank as f64 + 1.0) < rank as f64
 }
 
+/// What a reader knows of other balancers that read the store at the same time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConcurrentReads {
+    /// Whether peers sent newer state than the reader's since its last read.
+    received_newer_state: bool,
+    /// Consecutive reads before which that was so.
+    reads: u32,
+}
+
+impl ConcurrentReads {
+    /// Records that a peer sent newer state than the reader's.
+    pub fn note_newer_state(&mut self) {
+        self.received_newer_state = true;
+    }
+
+    /// Whether another balancer keeps reading; to be called once before each read.
+    pub fn is_repeated(&mut self) -> bool {
+        let has_newer = std::mem::take(&mut self.received_newer_state);
+        self.reads = if has_newer { self.reads + 1 } else { 0 };
+        self.reads >= MIN_CONCURRENT_READS
+    }
+}
+
 /// Schedule of the verification reads of one balancer.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct VerificationSchedule {
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -4,8 +4,8 @@
 
 use proptest::prelude::*;
 use weirhinge_fleet::reader::{
-    ReadReason, ReaderInputs, RetryWait, VerificationSchedule, confirmation_delay, read_reason,
-    retry_wait, yields,
+    ConcurrentReads, ReadReason, ReaderInputs, RetryWait, VerificationSchedule, confirmation_delay,
+    read_reason, retry_wait, yields,
 };
 use weirhinge_fleet::{
     Bounds, Digest, EvacuatedZones, MessageError, PEER_TIMEOUT_MS, PeerMessage, PeerRole,
@@ -135,6 +135,20 @@
     ));
 }
 
+/// A verification read of another balancer brings newer state only once.
+#[test]
+fn concurrent_reader_is_noticed_at_its_second_read() {
+    let mut reads = ConcurrentReads::default();
+    let mut notice = |received: bool| {
+        if received {
+            reads.note_newer_state();
+        }
+        reads.is_repeated()
+    };
+    let noticed = [true, false, true, true, true, false].map(&mut notice);
+    assert_eq!(noticed, [false, false, false, true, true, false]);
+}
+
 /// The lowest balancer never gives way, the highest one nearly always does.
 #[test]
 fn readers_give_way_according_to_rank() {
--- a/crates/relay/src/fleet_node/change_log.rs
+++ b/crates/relay/src/fleet_node/change_log.rs
@@ -17,10 +17,12 @@
 
     /// Logs the targets of the first listing that a daemon applies, in one line.
     pub(super) fn log_first_listing(&self, changes: &[Change], source: &str, now: Millis) {
-        let count = |state| {
-            let has_state = |change: &&Change| matches!(change, Change::Target { record, .. } if record.state == state);
-            changes.iter().filter(has_state).count()
+        let state_of = |change: &Change| match change {
+            Change::Target { record, .. } => Some(record.state),
+            _ => None,
         };
+        let states: Vec<TargetState> = changes.iter().filter_map(state_of).collect();
+        let count = |state| states.iter().filter(|known| **known == state).count();
         info!(self.log, "fleet: targets listed"; "event" => "targets_listed",
             "ready" => count(TargetState::Ready), "draining" => count(TargetState::Draining),
             "revision" => self.replica.position().revision, "source" => source,
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -4,6 +4,7 @@
 mod change_log;
 mod full_replica;
 mod peer_selection;
+mod reading;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -15,7 +16,7 @@
 use weirhinge_fleet::{
     Change, Digest, FetchRequest, FetchScope, Millis, PeerRole, PeerTable, Position, Replica,
     TargetStatus, Timing, Update, VersionedTarget, ZoneId, full_replica_agents,
-    reader::{self, ReadReason, RetryWait},
+    reader::{ConcurrentReads, VerificationSchedule},
 };
 use weirhinge_steering::{FleetView, Locality};
 
@@ -27,9 +28,6 @@
 /// Number of known balancers up to which each new one is logged. The total number of lines in a
 /// fleet would otherwise grow with the square of its size.
 const MAX_PEERS_LOGGED: usize = 32;
-/// Consecutive reads between which newer state came from peers, after which a reader assumes that
-/// another balancer keeps reading.
-const MIN_READS_BY_ANOTHER: u32 = 2;
 /// Maximum number of agents notified immediately of a new record of their target; the others
 /// receive it in answer to their next digest.
 const MAX_AGENTS_NOTIFIED: usize = 64;
@@ -71,16 +69,13 @@
     /// This agent's full replica, if a balancer requested it.
     full_replica: Option<FullReplica>,
     /// When this balancer makes verification reads of the store.
-    verification: Cell<reader::VerificationSchedule>,
+    verification: Cell<VerificationSchedule>,
     /// Whether this daemon reads the store on behalf of the others.
     pub reading: bool,
-    /// Whether peers sent newer state than this reader read itself, so that another balancer must be
-    /// reading too.
-    another_reads: Cell<bool>,
+    /// Whether other balancers read the store at the same time as this reader.
+    concurrent_reads: Cell<ConcurrentReads>,
     /// Random number in [0, 1) that spreads the first reads of balancers that start together.
     confirmation_fraction: f64,
-    /// Consecutive reads of this reader before which that was so.
-    reads_by_another: Cell<u32>,
     zone: ZoneId,
     capacity: Option<u32>,
     /// Whether this daemon is shutting down.
@@ -119,9 +114,8 @@
             full_replica: None,
             verification: Cell::default(),
             reading: false,
-            another_reads: Cell::default(),
+            concurrent_reads: Cell::default(),
             confirmation_fraction,
-            reads_by_another: Cell::default(),
             zone: ZoneId::of(&settings.zone),
             capacity: settings.processor_permille,
             stopping: false,
@@ -257,7 +251,7 @@
             (before, after) => before.is_none() && after.is_some(),
         };
         if is_fresher {
-            self.another_reads.set(true);
+            self.note_concurrent_read();
         }
         DigestActions {
             fetch_from: self.needs_fetch(digest).then(|| self.fetch_source(digest, now)),
@@ -303,7 +297,7 @@
     pub fn apply_from_peer(&mut self, update: Update, now: Millis) -> bool {
         let has_changed = self.apply(update, "peer", now);
         if has_changed {
-            self.another_reads.set(true);
+            self.note_concurrent_read();
         }
         has_changed
     }
@@ -369,8 +363,7 @@
         let known = self.replica.position();
         self.apply(update, "store", now);
         if !self.reading {
-            self.another_reads.set(false);
-            self.reads_by_another.set(0);
+            self.concurrent_reads.take();
         }
         let changed = self.replica.targets().filter(|entry| entry.target.position > known);
         let records = changed.map(|entry| &entry.target).filter(|target| target.record.is_some());
@@ -382,57 +375,6 @@
         std::mem::take(&mut self.pending_records)
     }
 
-    /// Returns why this balancer should make the next call to the store; none if it should not.
-    pub fn read_reason(&self, now: Millis) -> Option<ReadReason> {
-        let inputs = reader::ReaderInputs {
-            uptime_ms: now,
-            age_ms: self.replica.age(now),
-            confirmation_delay_ms: self.confirmation_delay_ms(),
-            rank: self.peers.rank(),
-            reading: self.reading,
-            has_lower_reader: self
-                .peers
-                .has_lower_reader(now, self.timing.reader_report_lifetime_ms),
-            yields: self.reading && self.another_keeps_reading() && self.draw_yield(),
-            verification_due: self.is_verification_due(now),
-        };
-        reader::read_reason(&inputs, &self.timing)
-    }
-
-    fn confirmation_delay_ms(&self) -> Millis {
-        if self.replica.position().is_start() {
-            return 0;
-        }
-        reader::confirmation_delay(self.balancer_count(), self.confirmation_fraction)
-    }
-
-    /// Returns how long to wait before listing the whole store because the changes after the known
-    /// position are unavailable.
-    pub fn listing_delay(&self, reason: ReadReason) -> Millis {
-        let fraction = self.random.borrow_mut().random();
-        reader::listing_delay(reason, self.balancer_count(), fraction)
-    }
-
-    /// Whether, between this reader's last reads, peers repeatedly sent newer state than it read
-    /// itself. A verification read, after which nobody continues to read, brings newer state once.
-    fn another_keeps_reading(&self) -> bool {
-        let before = self.reads_by_another.get();
-        let reads = if self.another_reads.take() { before + 1 } else { 0 };
-        self.reads_by_another.set(reads);
-        reads >= MIN_READS_BY_ANOTHER
-    }
-
-    fn draw_yield(&self) -> bool {
-        let fraction = self.random.borrow_mut().random();
-        reader::yields(self.peers.rank(), fraction)
-    }
-
-    /// Returns the wait after a number of consecutive failed calls to the store.
-    pub fn retry_wait(&self, failures: u32) -> RetryWait {
-        let fraction = self.random.borrow_mut().random();
-        reader::retry_wait(failures, self.peers.rank(), self.balancer_count(), fraction)
-    }
-
     /// Returns the number of known balancers, including this one.
     fn balancer_count(&self) -> usize {
         self.known_balancers() + 1
@@ -443,15 +385,6 @@
         self.peers.balancers().count()
     }
 
-    fn is_verification_due(&self, now: Millis) -> bool {
-        let balancers = self.balancer_count();
-        let fraction = self.random.borrow_mut().random();
-        let mut schedule = self.verification.get();
-        let is_due = schedule.is_due(now, balancers, fraction);
-        self.verification.set(schedule);
-        is_due
-    }
-
     fn update_freshness(&mut self, now: Millis) {
         // Agents make no decisions based on the age of their state.
         if self.role == PeerRole::Agent {
