Advertise all balancers of fleets beyond 1,035

Cause: the first advertised balancer was drawn from 1,024 indexes while 2,048 balancers are remembered, so that those beyond the 1,035th address were advertised by nobody. Ruled out: nothing. Change: the draw is a fraction of the known balancers.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -138,9 +138,9 @@
         self.seeds.iter().copied().filter(is_silent)
     }
 
-    /// Returns the addresses of balancers to advertise in a digest, beginning at index `start`. The
-    /// caller draws it at random so that all balancers are advertised over time.
-    pub fn balancers_to_advertise(&self, start: usize) -> Vec<u32> {
+    /// Returns the addresses of balancers to advertise in a digest, beginning at a part `fraction` of
+    /// all. The caller draws it at random from [0, 1) so that all balancers are advertised over time.
+    pub fn balancers_to_advertise(&self, fraction: f64) -> Vec<u32> {
         let seen: Vec<Ipv4Addr> = self
             .peers
             .iter()
@@ -148,6 +148,7 @@
             .map(|(address, _)| *address)
             .collect();
         let count = seen.len().min(MAX_ADVERTISED_BALANCERS);
+        let start = (fraction * seen.len() as f64) as usize;
         (0..count).map(|offset| seen[(start + offset) % seen.len()].to_bits()).collect()
     }
 
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -1,5 +1,6 @@
 //! The peer table, the reader election and the messages between peers.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
 use proptest::prelude::*;
@@ -92,7 +93,21 @@
     peers.record_digest(&advertising, 0);
     assert_eq!(peers.balancers().collect::<Vec<_>>(), vec![address(1), address(9)]);
     // An advertised balancer is not advertised further until a digest from it has arrived.
-    assert_eq!(peers.balancers_to_advertise(0), vec![address(1).to_bits()]);
+    assert_eq!(peers.balancers_to_advertise(0.0), vec![address(1).to_bits()]);
+}
+
+#[test]
+fn all_balancers_of_a_large_fleet_are_advertised() {
+    const BALANCERS: u32 = 2_000;
+    let mut peers = PeerTable::new(OWN, []);
+    for number in 0..BALANCERS {
+        let sender = Ipv4Addr::from_bits(address(0).to_bits() + 256 + number);
+        peers.record_digest(&digest(sender, false), 0);
+    }
+    let fractions = (0..BALANCERS).map(|step| f64::from(step) / f64::from(BALANCERS));
+    let advertised = fractions.flat_map(|fraction| peers.balancers_to_advertise(fraction));
+    let advertised: BTreeSet<u32> = advertised.collect();
+    assert_eq!(advertised.len(), BALANCERS as usize);
 }
 
 #[test]
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -218,9 +218,7 @@
             age_ms: self.replica.age(now),
             reading: self.reading,
             reply,
-            balancers: self
-                .peers
-                .balancers_to_advertise(self.random.borrow_mut().random_range(0..1_024)),
+            balancers: self.peers.balancers_to_advertise(self.random.borrow_mut().random()),
             target: self.target_status.clone(),
         }
     }
