Compile the view once for a first listing, and build test records in one place

Cause: the first listing of a daemon compiled routes and targets twice if it brought a configuration, at the start, when a balancer has the least time; four test files built the same record of a target. Ruled out: nothing; decisions and messages are the same. Change: an update compiles the view before its changes are logged, and once; log_changes logs them; the tests share ready_record.

--- a/crates/relay/src/fleet_node/change_log.rs
+++ b/crates/relay/src/fleet_node/change_log.rs
@@ -29,7 +29,13 @@
             "age_ms" => self.replica.age(now));
     }
 
-    pub(super) fn log_change(&self, change: &Change, source: &str, now: Millis) {
+    pub(super) fn log_changes(&self, changes: &[Change], source: &str, now: Millis) {
+        for change in changes {
+            self.log_change(change, source, now);
+        }
+    }
+
+    fn log_change(&self, change: &Change, source: &str, now: Millis) {
         let age_ms = self.replica.age(now);
         match change {
             Change::Configuration { version, position } => {
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -307,15 +307,17 @@
         self.learn_era(update.through.era, source, now);
         let mut changes = self.replica.apply(update, now);
         let has_changed = !changes.is_empty() || self.replica.position() > before;
+        if !changes.is_empty() {
+            self.update_view();
+        }
         if is_first_listing {
             self.log_first_listing(&changes, source, now);
             changes.retain(|change| !matches!(change, Change::Target { .. }));
-            self.update_view();
         }
         if self.replica.position().era > before.era && !before.is_start() {
             self.log_hold();
         }
-        self.handle_changes(&changes, source, now);
+        self.log_changes(&changes, source, now);
         self.update_freshness(now);
         has_changed
     }
@@ -336,9 +338,7 @@
 
     /// Logs changes and updates the view.
     fn handle_changes(&mut self, changes: &[Change], source: &str, now: Millis) {
-        for change in changes {
-            self.log_change(change, source, now);
-        }
+        self.log_changes(changes, source, now);
         if !changes.is_empty() {
             self.update_view();
         }
--- a/crates/relay/tests/fleet_logs.rs
+++ b/crates/relay/tests/fleet_logs.rs
@@ -7,10 +7,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
-use support::settings;
-use weirhinge_fleet::{
-    Millis, PeerRole, Position, TargetRecord, TargetState, Update, VersionedTarget,
-};
+use support::{ready_record, settings};
+use weirhinge_fleet::{Millis, PeerRole, Position, Update, VersionedTarget};
 use weirhinge_relay::FleetNode;
 
 const NOW: Millis = 5_000;
@@ -45,16 +43,7 @@
         id: format!("target-{number}"),
         position: Position::new(0, revision),
         present: true,
-        record: Some(TargetRecord {
-            service: "sheets".to_owned(),
-            address: address(number).to_bits(),
-            zone: "a".to_owned(),
-            slots: 5,
-            state: TargetState::Ready,
-            warm_up_ms: 0,
-            incarnation: None,
-            sequence: 1,
-        }),
+        record: Some(ready_record(address(number))),
     }
 }
 
--- a/crates/relay/tests/fleet_node.rs
+++ b/crates/relay/tests/fleet_node.rs
@@ -6,10 +6,10 @@
 use std::net::Ipv4Addr;
 
 use slog::{Discard, Logger, o};
-use support::settings;
+use support::{ready_record, settings};
 use weirhinge_fleet::{
-    Configuration, Digest, Millis, PeerRole, Position, ServiceId, TargetRecord, TargetState,
-    TargetStatus, Update, VersionedConfiguration, VersionedTarget, ZoneChange, ZoneUpdate,
+    Configuration, Digest, Millis, PeerRole, Position, ServiceId, TargetStatus, Update,
+    VersionedConfiguration, VersionedTarget, ZoneChange, ZoneUpdate,
 };
 use weirhinge_relay::FleetNode;
 
@@ -33,16 +33,7 @@
         id: format!("target-{number}"),
         position: at(revision),
         present: true,
-        record: Some(TargetRecord {
-            service: "sheets".to_owned(),
-            address: machine(number).to_bits(),
-            zone: "a".to_owned(),
-            slots: 5,
-            state: TargetState::Ready,
-            warm_up_ms: 0,
-            incarnation: None,
-            sequence: 1,
-        }),
+        record: Some(ready_record(machine(number))),
     }
 }
 
--- a/crates/relay/tests/fleet_scale/simulation/store.rs
+++ b/crates/relay/tests/fleet_scale/simulation/store.rs
@@ -2,11 +2,12 @@
 
 use weirhinge_fleet::reader::ReadReason;
 use weirhinge_fleet::{
-    Configuration, Position, TargetRecord, TargetState, Timing, UNCONFIRMED_AGE_MS, Update,
-    VersionedConfiguration, VersionedTarget,
+    Configuration, Position, Timing, UNCONFIRMED_AGE_MS, Update, VersionedConfiguration,
+    VersionedTarget,
 };
 
 use super::{Event, Simulation, address_of};
+use crate::support::ready_record;
 
 /// Time in which the store answers a call.
 const STORE_READ_MS: u64 = 8;
@@ -98,16 +99,7 @@
             id: format!("target-{index}"),
             position: Position::new(through.era, 1),
             present: true,
-            record: Some(TargetRecord {
-                service: "sheets".to_owned(),
-                address: address_of(index).to_bits(),
-                zone: "a".to_owned(),
-                slots: 5,
-                state: TargetState::Ready,
-                warm_up_ms: 0,
-                incarnation: None,
-                sequence: 1,
-            }),
+            record: Some(ready_record(address_of(index))),
         });
         Update {
             after,
--- a/crates/relay/tests/full_replica.rs
+++ b/crates/relay/tests/full_replica.rs
@@ -5,7 +5,7 @@
 use std::net::Ipv4Addr;
 
 use slog::{Discard, Logger, o};
-use support::settings;
+use support::{ready_record, settings};
 use weirhinge_fleet::{
     Configuration, FULL_REPLICAS, Millis, PeerRole, Position, TargetRecord, TargetState, Update,
     VersionedConfiguration, VersionedTarget,
@@ -34,16 +34,7 @@
         id: format!("target-{number}"),
         position: at(revision),
         present: true,
-        record: Some(TargetRecord {
-            service: "sheets".to_owned(),
-            address: machine(number).to_bits(),
-            zone: "a".to_owned(),
-            slots: 5,
-            state,
-            warm_up_ms: 0,
-            incarnation: None,
-            sequence: 1,
-        }),
+        record: Some(TargetRecord { state, ..ready_record(machine(number)) }),
     }
 }
 
