review: late writes of earlier incarnations end a service for the whole fleet

A script that breaks RECOVER, now the gravest case. Balancers that started after targets' restarts take the live incarnations as ended when late writes of the earlier ones arrive. Once the entries have lapsed and come back, every request is refused until the balancers start again.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,7 +4,7 @@
 root=$(cd "$here/../.." && pwd)
 case_program=$root/target/review/release/stale_start
 export PROGRAM=$root/target/release/weirhinge
-export RECORD=$here/record.txt
+export RECORD="${RECORD:-$here/record.txt}"
 [ -x "$PROGRAM" ] && [ -x "$case_program" ] || "$here/../build.sh" >&2 || exit 2
 TMPDIR=$(mktemp -d) || exit 2
 export TMPDIR
--- a/review/standins/src/bin/late_write.rs
+++ b/review/standins/src/bin/late_write.rs
@@ -7,10 +7,11 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
-use weirhinge_platform_standins::{HOME_ZONE, TargetBehaviour};
+use weirhinge_platform_standins::TargetBehaviour;
 use weirhinge_review::drain::{Added, Leave, Traffic, check_drain};
+use weirhinge_review::late_write::write_late;
 use weirhinge_review::{
-    Record, SERVICE, SERVICE_TIME, exit_code, has_trouble, record_executed, start_fleet,
+    Record, SERVICE_TIME, exit_code, has_trouble, record_executed, start_fleet,
 };
 
 const BALANCERS: u8 = 3;
@@ -20,11 +21,6 @@
 const TARGETS: usize = 6;
 /// The target that starts again, and leaves later.
 const TARGET: usize = 1;
-/// Port and start time of the first incarnation that the project's stand-in of a target writes.
-const APP_PORT: u16 = 8_165;
-const FIRST_INCARNATION: u64 = 1_775_390_000_000;
-/// The sequence number of the late write: the incarnation's second one.
-const LATE_SEQUENCE: u64 = 2;
 /// When the target starts again, after the balancer was told to stop.
 const RESTARTS_AFTER: Duration = Duration::from_millis(1_000);
 /// How long after that the late write takes effect. The store takes such writes up to 6 s late.
@@ -68,12 +64,7 @@
     tokio::time::sleep_until((restarted_at + LATE_AFTER).into()).await;
     let late_at = Instant::now();
     if has_trouble() {
-        let target = &fleet.targets[TARGET];
-        let late = format!(
-            r#"{{"service":"{SERVICE}","address":"{}:{APP_PORT}","zone":"{HOME_ZONE}","version":"v1","slots":7,"state":"ready","cold_remaining_ms":0,"sequence":{LATE_SEQUENCE},"born":{FIRST_INCARNATION}}}"#,
-            target.address
-        );
-        fleet.store.put_bytes(&target.key(), late.as_bytes());
+        write_late(&fleet, &fleet.targets[TARGET]);
         record.say("a write of the earlier incarnation takes effect late");
     }
     tokio::time::sleep_until((late_at + RENEWED_AFTER).into()).await;
--- a/review/standins/src/drain.rs
+++ b/review/standins/src/drain.rs
@@ -22,6 +22,18 @@
     outcome: Result<String, FlowError>,
 }
 
+impl Opened {
+    /// When the client began to open it.
+    pub fn at(&self) -> Instant {
+        self.at
+    }
+
+    /// Whether its request was answered.
+    pub fn is_served(&self) -> bool {
+        self.outcome.is_ok()
+    }
+}
+
 /// A target that leaves.
 pub struct Leave<'a> {
     /// Its name.
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! exit codes.
 
 pub mod drain;
+pub mod late_write;
 
 use std::io::Write;
 use std::path::PathBuf;
