Let balancers that start learn of removed targets before they reset flows

Cause: what a balancer reads at its start does not show targets whose entries went, and it took its knowledge for complete 250 ms after the store's confirmation because agents report to it; agents do not know a balancer that has just been added. A target that does not answer: it answered through the other balancers. Change: a balancer without the recent removals fetches them from a peer that announces that it knows them, and resets no flow before that, or for 3 s if no peer knows them. Removed targets keep the time left to remember them, get no new flows from balancers that did not see the removal, and are given up after two unanswered searches instead of one. The gauge removed_targets_known and the event targets_removed_earlier are new. Messages of earlier releases stay as they are: the new field of a fetch goes only to daemons that announced it. Why it works: whoever ran when the entry went still knows the target's machine, and a balancer does not claim to know every target before it has asked one of them at a position that is not older than its own first one.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,7 +18,9 @@
 mod peers;
 mod position;
 pub mod reader;
+mod removal_coverage;
 mod removal_history;
+mod removed_target;
 mod replica;
 mod replication;
 mod target_entry;
@@ -36,6 +38,7 @@
 };
 pub use peers::{PEER_TIMEOUT_MS, PeerTable, ServingPeer};
 pub use position::Position;
+pub use removed_target::RemovedTarget;
 pub use replica::{Replica, RestoreConflicts};
 pub use replication::{FULL_REPLICAS, full_replica_agents};
 pub use target_entry::{TargetEntry, VersionedTarget};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -139,6 +139,11 @@
     pub configuration: Option<u64>,
     /// The part of the state that the requester needs.
     pub scope: FetchScope,
+    /// Whether the requester also needs the targets that were removed before it knew any state.
+    /// Requested only after a [`PeerMessage::RemovedTargetsKnown`], as earlier releases do not know
+    /// this field.
+    #[musli(default, skip_encoding_if = is_false)]
+    pub with_removed: bool,
 }
 
 /// The part of the state that a fetch covers.
@@ -249,6 +254,12 @@
         /// The position up to which the replica contains all changes.
         position: Position,
     },
+    /// Sent to a balancer that may have started a short time ago: the sender knows the targets that
+    /// were removed from the store recently, and they can be fetched from it.
+    RemovedTargetsKnown {
+        /// The position up to which the sender knows all changes.
+        position: Position,
+    },
 }
 
 /// The path of a packet that searches for the target that holds its flow.
@@ -278,6 +289,10 @@
     Busy,
 }
 
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 /// Encodes a message into `buffer`, after the protocol version. Previous contents of `buffer` are
 /// discarded.
 ///
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -7,15 +7,13 @@
 use crate::evacuation::{EvacuatedZones, ZoneUpdate};
 use crate::message::{FetchRequest, FetchScope};
 use crate::position::Position;
+use crate::removal_coverage::RemovalCoverage;
 use crate::removal_history::RemovalHistory;
+use crate::removed_target::{REMOVED_TARGET_LIFETIME_MS, RemovedTarget};
 use crate::target_entry::{TargetEntry, VersionedTarget};
 use crate::timing::Timing;
 use crate::update::{Change, UNCONFIRMED_AGE_MS, Update, VersionedConfiguration};
 
-/// How long a removed target is remembered, so that an older report does not restore it and its
-/// open flows can still be located.
-const REMOVED_TARGET_LIFETIME_MS: Millis = 90_000;
-
 /// Number of entries for which the state known before a restore of the store from a backup is kept
 /// during the hold period.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -51,6 +49,7 @@
     /// started does not consider a confirmation fresh that a peer received long ago.
     confirmed_at: Option<i64>,
     removals: RemovalHistory,
+    removal_coverage: RemovalCoverage,
     era_hold: EraHold,
     /// Minimum time for which a new era does not override what was known before.
     hold_ms: Millis,
@@ -81,6 +80,7 @@
             position: Position::default(),
             confirmed_at: None,
             removals: RemovalHistory::default(),
+            removal_coverage: RemovalCoverage::default(),
             era_hold: EraHold::default(),
             hold_ms,
         }
@@ -146,10 +146,27 @@
         age.map(|age| age.max(0).unsigned_abs())
     }
 
+    /// Whether the targets that were removed recently and may still hold flows are known.
+    pub fn knows_removed_targets(&self, now: Millis) -> bool {
+        self.removal_coverage.is_sufficient(now)
+    }
+
+    /// Whether peers may know recently removed targets that are unknown here.
+    pub fn needs_removed_targets(&self, now: Millis) -> bool {
+        self.removal_coverage.needs_peer(now)
+    }
+
+    /// Whether a peer at this position knows all removals up to the time from which this replica
+    /// knows them.
+    pub fn is_removal_coverage_extended_by(&self, position: Position) -> bool {
+        self.removal_coverage.is_extended_by(position)
+    }
+
     /// Applies an update from the store or a peer. Returns the changes that it made.
     pub fn apply(&mut self, update: Update, now: Millis) -> Vec<Change> {
         let mut changes = Vec::new();
         self.learn_update_eras(&update, now);
+        self.removal_coverage.note_update(&update, now);
         self.apply_configuration(update.configuration, &mut changes);
         if let Some(zones) = self.stored_zones.updated(update.zones, update.after, update.through) {
             self.set_zones(zones, now, &mut changes);
@@ -162,6 +179,9 @@
         for target in update.targets.into_iter().chain(absent) {
             self.apply_target(target, now, &mut changes);
         }
+        for removed in update.removed {
+            self.apply_removed(removed, now, &mut changes);
+        }
         // An update that begins after the known position leaves a gap.
         let is_gapless = update.complete || update.after <= self.position;
         if update.complete || (update.skips && is_gapless) {
@@ -247,7 +267,7 @@
             target.record.as_ref().is_some_and(|record| record.address == machine)
         };
         let is_wanted = |entry: &TargetEntry, target: &VersionedTarget| match request.scope {
-            // A requester without any state does not need removed targets.
+            // A requester without any state gets removed targets separately.
             FetchScope::All if after.is_start() => target.present || entry.is_disputed(),
             FetchScope::All => complete || target.position > after,
             FetchScope::Machine(machine) => is_own(target, machine),
@@ -271,10 +291,20 @@
                 })
                 .cloned(),
             targets: wanted.cloned().collect(),
+            removed: self.removed_targets(request, now),
+            removals_known_ms: self.removal_coverage.known_ms(now).filter(|_| request.with_removed),
             zones: ZoneUpdate::Whole(self.stored_zones.clone()),
         }
     }
 
+    /// Returns the removed targets that a requester needs.
+    fn removed_targets(&self, request: &FetchRequest, now: Millis) -> Vec<RemovedTarget> {
+        if !request.with_removed {
+            return Vec::new();
+        }
+        self.targets.values().filter_map(|entry| entry.as_removed(now)).collect()
+    }
+
     /// Returns only the configuration and the evacuated zones, for a replica that does not have all
     /// targets.
     pub fn configuration_only(&self) -> Update {
@@ -369,6 +399,23 @@
         }
     }
 
+    /// Applies a removal of an earlier time. The last record of a target without an entry is kept, as
+    /// the target may still hold flows.
+    fn apply_removed(&mut self, removed: RemovedTarget, now: Millis, changes: &mut Vec<Change>) {
+        let held_through = self.era_hold.held_through();
+        let (id, record) = (removed.target.id.clone(), removed.target.record.clone());
+        let has_changed = match self.targets.get_mut(&id) {
+            Some(entry) => entry.merge_removed(removed, held_through, now),
+            None => {
+                self.targets.insert(id.clone(), TargetEntry::removed_earlier(removed, now));
+                true
+            }
+        };
+        if has_changed {
+            changes.push(Change::RemovedEarlier { id, record });
+        }
+    }
+
     /// Returns removals for the known targets that a complete listing as of `through` lacks. A
     /// listing of a new era does not disprove what was known before: the backup that the store was
     /// restored from may be older.
@@ -394,8 +441,7 @@
         self.returned_at.retain(|_, at| now.saturating_sub(*at) < REMOVED_TARGET_LIFETIME_MS);
         let removals = &mut self.removals;
         self.targets.retain(|_, entry| {
-            let age = now.saturating_sub(entry.learned_at);
-            let keep = entry.target.present || age < REMOVED_TARGET_LIFETIME_MS;
+            let keep = entry.forget_at().is_none_or(|forget_at| now < forget_at);
             if !keep {
                 removals.forget_through(entry.target.position);
             }
--- a/crates/fleet/src/target_entry.rs
+++ b/crates/fleet/src/target_entry.rs
@@ -14,6 +14,7 @@
 use crate::Millis;
 use crate::model::{TargetRecord, TargetState};
 use crate::position::Position;
+use crate::removed_target::{REMOVED_TARGET_LIFETIME_MS, RemovedTarget};
 
 /// Maximum number of ended incarnations remembered per target, 8 bytes each. A report of an older
 /// one would have to be delayed by as many restarts.
@@ -103,12 +104,49 @@
     disputed: Option<VersionedTarget>,
     /// Incarnations that were followed by others within one era, the latest last.
     ended_incarnations: Vec<u64>,
+    /// When the entry is dropped, if a peer reported the removal as one of an earlier time.
+    earlier_removal_until: Option<Millis>,
 }
 
 impl TargetEntry {
     /// Creates an entry for a target that was not known.
     pub(crate) fn new(target: VersionedTarget, now: Millis) -> Self {
-        Self { target, learned_at: now, disputed: None, ended_incarnations: Vec::new() }
+        Self {
+            target,
+            learned_at: now,
+            disputed: None,
+            ended_incarnations: Vec::new(),
+            earlier_removal_until: None,
+        }
+    }
+
+    /// Creates an entry for a target that was not known and was removed at an earlier time.
+    pub(crate) fn removed_earlier(removed: RemovedTarget, now: Millis) -> Self {
+        let earlier_removal_until = Some(now.saturating_add(removed.remaining_ms));
+        Self { earlier_removal_until, ..Self::new(removed.target, now) }
+    }
+
+    /// Whether the target was removed before this daemon could learn of it, so that the time of the
+    /// removal is unknown.
+    pub fn was_removed_earlier(&self) -> bool {
+        !self.target.present && self.earlier_removal_until.is_some()
+    }
+
+    /// Returns when a removed target is to be forgotten; none while the record is in the store.
+    pub(crate) fn forget_at(&self) -> Option<Millis> {
+        if self.target.present {
+            return None;
+        }
+        let own_observation = self.learned_at.saturating_add(REMOVED_TARGET_LIFETIME_MS);
+        Some(self.earlier_removal_until.unwrap_or(own_observation))
+    }
+
+    /// Returns the removal for a peer that may not know it; none if the target was not removed, its
+    /// record is unknown, or the removal is disputed.
+    pub(crate) fn as_removed(&self, now: Millis) -> Option<RemovedTarget> {
+        let remaining_ms = self.forget_at()?.saturating_sub(now);
+        let is_useful = remaining_ms > 0 && self.target.record.is_some() && !self.is_disputed();
+        is_useful.then(|| RemovedTarget { target: self.target.clone(), remaining_ms })
     }
 
     /// Whether a newer era of the store contradicts the version in effect and both are kept.
@@ -146,6 +184,20 @@
         self.update_learned_at(&before, now)
     }
 
+    /// Merges a removal of an earlier time. Returns whether the state of the target changed.
+    pub(crate) fn merge_removed(
+        &mut self,
+        removed: RemovedTarget,
+        backup_through: Option<Position>,
+        now: Millis,
+    ) -> bool {
+        let has_changed = self.merge(removed.target, backup_through, now);
+        if has_changed && !self.target.present {
+            self.earlier_removal_until = Some(now.saturating_add(removed.remaining_ms));
+        }
+        has_changed
+    }
+
     /// Resolves a dispute in favor of the newer era, unless its version was removed since. A target
     /// whose record was not renewed in `era` is considered removed. Returns whether the state of
     /// the target changed.
@@ -214,6 +266,7 @@
             && content(&before.record) == content(&self.target.record);
         if !is_same {
             self.learned_at = now;
+            self.earlier_removal_until = None;
         }
         !is_same
     }
--- a/crates/fleet/src/update.rs
+++ b/crates/fleet/src/update.rs
@@ -6,6 +6,7 @@
 use crate::evacuation::ZoneUpdate;
 use crate::model::{Configuration, TargetRecord};
 use crate::position::Position;
+use crate::removed_target::RemovedTarget;
 use crate::target_entry::VersionedTarget;
 
 /// A configuration with the position of its write.
@@ -42,6 +43,12 @@
     pub configuration: Option<VersionedConfiguration>,
     /// Targets that changed within the range.
     pub targets: Vec<VersionedTarget>,
+    /// Targets removed up to `through`, if the receiver requested them.
+    #[musli(default, skip_encoding_if = Vec::is_empty)]
+    pub removed: Vec<RemovedTarget>,
+    /// Milliseconds for which the source has known all removals, if `removed` contains them.
+    #[musli(default, skip_encoding_if = Option::is_none)]
+    pub removals_known_ms: Option<Millis>,
     /// Evacuated zones.
     pub zones: ZoneUpdate,
 }
@@ -79,6 +86,13 @@
         /// The last known record.
         record: Option<TargetRecord>,
     },
+    /// A peer reported a target that was removed before this daemon could learn of it.
+    RemovedEarlier {
+        /// The target's identifier.
+        id: String,
+        /// The last known record.
+        record: Option<TargetRecord>,
+    },
     /// A zone's evacuation started: its targets must not get new flows.
     ZoneEvacuated {
         /// The zone's name.
--- a/crates/fleet/tests/evacuation.rs
+++ b/crates/fleet/tests/evacuation.rs
@@ -80,8 +80,12 @@
     balancer.apply(listing(10, &["a"]), 0);
     let mut agent = Replica::new();
     agent.learn_evacuated(balancer.evacuated(), 5);
-    let everything =
-        FetchRequest { after: Position::default(), configuration: None, scope: FetchScope::All };
+    let everything = FetchRequest {
+        after: Position::default(),
+        configuration: None,
+        scope: FetchScope::All,
+        with_removed: false,
+    };
     for source in [balancer.update_for(&everything, 10), agent.configuration_only()] {
         let mut restarted = Replica::new();
         restarted.apply(source, 20);
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -12,7 +12,12 @@
 
 /// A fetch request of a peer that has no configuration.
 fn after(revision: u64) -> FetchRequest {
-    FetchRequest { after: at(revision), configuration: None, scope: FetchScope::All }
+    FetchRequest {
+        after: at(revision),
+        configuration: None,
+        scope: FetchScope::All,
+        with_removed: false,
+    }
 }
 
 fn record(address: u32, state: TargetState) -> TargetRecord {
--- a/crates/fleet/tests/restored_store.rs
+++ b/crates/fleet/tests/restored_store.rs
@@ -85,7 +85,7 @@
 
 fn fetch_all(replica: &Replica) -> FetchRequest {
     let (after, configuration) = (replica.position(), replica.version());
-    FetchRequest { after, configuration, scope: FetchScope::All }
+    FetchRequest { after, configuration, scope: FetchScope::All, with_removed: false }
 }
 
 #[test]
--- a/crates/fleet/tests/store_model/daemons.rs
+++ b/crates/fleet/tests/store_model/daemons.rs
@@ -198,7 +198,12 @@
         }
         if peer.position() > known || peer.version() > daemon.replica.version() {
             let configuration = daemon.replica.version();
-            let request = FetchRequest { after: known, configuration, scope: FetchScope::All };
+            let request = FetchRequest {
+                after: known,
+                configuration,
+                scope: FetchScope::All,
+                with_removed: daemon.replica.needs_removed_targets(world.now),
+            };
             daemon.replica.apply(peer.update_for(&request, world.now), world.now);
         }
     }
--- a/crates/relay/src/balancer/mod.rs
+++ b/crates/relay/src/balancer/mod.rs
@@ -137,6 +137,7 @@
     let reader_daemon = Rc::clone(daemon);
     tokio::task::spawn_local(reader.run(move || {
         reader_daemon.link.propagate_updates();
+        reader_daemon.link.fetch_removed_targets();
         reader_daemon.query_agents_if_regained();
     }));
     tokio::task::spawn_local(Rc::clone(daemon).receive_datagrams());
@@ -227,6 +228,9 @@
             PeerMessage::HandOff { packet } => self.handle_handed_off_packet(packet, now),
             PeerMessage::TargetEnded => self.core.borrow_mut().note_target_ended(sender, now),
             PeerMessage::ReplicaHeld { position } => self.link.on_replica_held(sender, position),
+            PeerMessage::RemovedTargetsKnown { position } => {
+                self.link.on_removed_targets_known(sender, position);
+            }
             PeerMessage::ProbeAnswer => self.core.borrow_mut().note_probe_answer(now),
             PeerMessage::Grant { service, urgent_only, load } => {
                 let service = ServiceId(service);
@@ -248,7 +252,9 @@
         let node = self.node.borrow();
         let fresh = node.is_fresh(now);
         let unix_ms = self.clock.unix_ms();
-        let context = Context { view: node.view(), fresh, helpers: &[], now, unix_ms };
+        let knows_removed_targets = node.knows_removed_targets(now);
+        let view = node.view();
+        let context = Context { view, fresh, knows_removed_targets, helpers: &[], now, unix_ms };
         decide(&mut self.core.borrow_mut(), &context)
     }
 
--- a/crates/relay/src/fleet_node/change_log.rs
+++ b/crates/relay/src/fleet_node/change_log.rs
@@ -29,6 +29,17 @@
             "age_ms" => self.replica.age(now));
     }
 
+    /// Logs the targets that were removed before this daemon could learn of them, in one line.
+    pub(super) fn log_earlier_removals(&self, changes: &[Change], source: &str, now: Millis) {
+        let is_earlier = |change: &&Change| matches!(change, Change::RemovedEarlier { .. });
+        let count = changes.iter().filter(is_earlier).count();
+        if count > 0 {
+            info!(self.log, "fleet: targets removed earlier"; "event" => "targets_removed_earlier",
+                "count" => count, "revision" => self.replica.position().revision,
+                "source" => source, "age_ms" => self.replica.age(now));
+        }
+    }
+
     pub(super) fn log_changes(&self, changes: &[Change], source: &str, now: Millis) {
         for change in changes {
             self.log_change(change, source, now);
@@ -61,6 +72,8 @@
                     "zone" => zone, "revision" => self.replica.evacuated().as_of.revision,
                     "source" => source, "age_ms" => age_ms);
             }
+            // They are logged in one line.
+            Change::RemovedEarlier { .. } => {}
             Change::Removed { id, record } => {
                 let agent = record.as_ref().map(|record| record.machine().to_string());
                 info!(self.log, "fleet: target removed"; "event" => "target_removed",
--- a/crates/relay/src/fleet_node/full_replica.rs
+++ b/crates/relay/src/fleet_node/full_replica.rs
@@ -83,6 +83,13 @@
         Some(position).filter(|position| !position.is_start())
     }
 
+    /// Returns the position of this agent's full replica if it contains the targets that were removed
+    /// recently.
+    pub(super) fn replica_with_removed_targets(&self, now: Millis) -> Option<Position> {
+        let replica = &self.full_replica.as_ref()?.replica;
+        replica.knows_removed_targets(now).then(|| replica.position())
+    }
+
     /// Whether this balancer lacks changes that a full replica at this position contains.
     pub fn needs_replica(&self, position: Position) -> bool {
         self.role == PeerRole::Balancer && position > self.replica.position()
@@ -92,7 +99,8 @@
     pub fn full_replica_request(&self) -> Option<FetchRequest> {
         let replica = &self.full_replica.as_ref()?.replica;
         let (after, configuration) = (replica.position(), replica.version());
-        Some(FetchRequest { after, configuration, scope: FetchScope::All })
+        let scope = FetchScope::All;
+        Some(FetchRequest { after, configuration, scope, with_removed: false })
     }
 
     /// Applies an update to this agent's full replica.
--- a/crates/relay/src/fleet_node/mod.rs
+++ b/crates/relay/src/fleet_node/mod.rs
@@ -5,6 +5,7 @@
 mod full_replica;
 mod peer_selection;
 mod reading;
+mod removed_targets;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -46,6 +47,11 @@
     pub record: Option<VersionedTarget>,
     /// Whether to request a full replica of the sender, an agent.
     pub requests_replica: bool,
+    /// The position to announce in a [`PeerMessage::RemovedTargetsKnown`] to the sender, a balancer
+    /// that may have started a short time ago.
+    ///
+    /// [`PeerMessage::RemovedTargetsKnown`]: weirhinge_fleet::PeerMessage::RemovedTargetsKnown
+    pub removed_targets_known: Option<Position>,
 }
 
 /// A daemon's replica of the store and its table of peers, with the routes and targets compiled
@@ -68,6 +74,8 @@
     replica_agents: BTreeSet<Ipv4Addr>,
     /// This agent's full replica, if a balancer requested it.
     full_replica: Option<FullReplica>,
+    /// A peer that knows the recently removed targets, with its position.
+    removed_targets_source: Option<(Ipv4Addr, Position)>,
     /// When this balancer makes verification reads of the store.
     verification: Cell<VerificationSchedule>,
     /// Whether this daemon reads the store on behalf of the others.
@@ -112,6 +120,7 @@
             pending_records: Vec::new(),
             replica_agents: BTreeSet::new(),
             full_replica: None,
+            removed_targets_source: None,
             verification: Cell::default(),
             reading: false,
             concurrent_reads: Cell::default(),
@@ -177,7 +186,7 @@
             PeerRole::Agent => FetchScope::Machine(self.address.to_bits()),
         };
         let (after, configuration) = (self.replica.position(), self.replica.version());
-        FetchRequest { after, configuration, scope }
+        FetchRequest { after, configuration, scope, with_removed: false }
     }
 
     /// Whether a peer's digest shows state that this daemon needs.
@@ -257,6 +266,9 @@
             propagate: (is_fresher || !evacuations.is_empty()) && self.role == PeerRole::Balancer,
             record: self.record_for(digest),
             requests_replica: self.requests_replica_of(digest),
+            removed_targets_known: self
+                .removed_targets_position(now)
+                .filter(|_| digest.role == PeerRole::Balancer && (is_new || digest.reply)),
         }
     }
 
@@ -314,6 +326,7 @@
             self.log_first_listing(&changes, source, now);
             changes.retain(|change| !matches!(change, Change::Target { .. }));
         }
+        self.log_earlier_removals(&changes, source, now);
         if self.replica.position().era > before.era && !before.is_start() {
             self.log_hold();
         }
--- a/crates/relay/src/fleet_node/peer_selection.rs
+++ b/crates/relay/src/fleet_node/peer_selection.rs
@@ -180,10 +180,11 @@
     }
 
     /// Returns those of the peers drawn for a tick that are asked for a digest in return: those from
-    /// which none arrived recently, or all if this daemon may have missed news. An agent of a large
+    /// which none arrived recently, or all if this daemon may have missed news or does not know the
+    /// recently removed targets, which peers announce with a requested digest. An agent of a large
     /// fleet hears from each balancer so rarely that it would ask all of them, and asks only one.
     fn digest_request_recipients(&self, drawn: &[Ipv4Addr], now: Millis) -> Vec<Ipv4Addr> {
-        if self.has_missed_confirmation(now) {
+        if self.has_missed_confirmation(now) || self.needs_removed_targets(now) {
             return drawn.to_vec();
         }
         let silent = drawn.iter().filter(|peer| self.peers.needs_digest_request(**peer, now));
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -27,6 +27,8 @@
 enum FetchTarget {
     /// The daemon's own state.
     State,
+    /// The daemon's own state and the targets that were removed recently.
+    RemovedTargets,
     /// The full replica of an agent.
     FullReplica,
 }
@@ -42,6 +44,8 @@
     buffer: RefCell<Vec<u8>>,
     /// The position that the last fetch was started for, and when it began.
     last_fetch: Cell<(Position, Millis)>,
+    /// The same for the targets that were removed recently.
+    last_removed_fetch: Cell<(Position, Millis)>,
     /// The same for the full replica of an agent.
     last_replica_fetch: Cell<(Position, Millis)>,
     fetches_in_progress: Cell<usize>,
@@ -78,6 +82,7 @@
             log,
             buffer: RefCell::new(Vec::new()),
             last_fetch: Cell::default(),
+            last_removed_fetch: Cell::default(),
             last_replica_fetch: Cell::default(),
             fetches_in_progress: Cell::default(),
         }))
@@ -134,11 +139,30 @@
         if reaction.requests_replica {
             self.request_replica(sender, now);
         }
+        if let Some(position) = reaction.removed_targets_known {
+            self.send(sender, &PeerMessage::RemovedTargetsKnown { position });
+        }
         if reaction.propagate {
             self.propagate_updates();
         }
     }
 
+    /// Handles a peer's notice that it knows the recently removed targets.
+    pub fn on_removed_targets_known(self: &Rc<Self>, peer: Ipv4Addr, position: Position) {
+        self.node.borrow_mut().note_removed_targets_source(peer, position);
+        self.fetch_removed_targets();
+    }
+
+    /// Fetches the recently removed targets if this balancer has a state, lacks them and knows of a
+    /// peer that has them.
+    pub fn fetch_removed_targets(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let source = self.node.borrow_mut().take_removed_targets_source(now);
+        if let Some((peer, position)) = source {
+            self.fetch(FetchTarget::RemovedTargets, peer, position, now);
+        }
+    }
+
     /// Requests that an agent keep a full replica.
     fn request_replica(&self, agent: Ipv4Addr, now: Millis) {
         let node = self.node.borrow();
@@ -275,6 +299,7 @@
     ) {
         let last_fetch = match target {
             FetchTarget::State => &self.last_fetch,
+            FetchTarget::RemovedTargets => &self.last_removed_fetch,
             FetchTarget::FullReplica => &self.last_replica_fetch,
         };
         let (last_position, began) = last_fetch.get();
@@ -296,11 +321,17 @@
         let node = self.node.borrow();
         match target {
             FetchTarget::State => Some(node.request()),
+            FetchTarget::RemovedTargets => Some(node.removed_targets_request()),
             FetchTarget::FullReplica => node.full_replica_request(),
         }
     }
 
-    async fn fetch_from(&self, target: FetchTarget, peer: Ipv4Addr, request: FetchRequest) {
+    async fn fetch_from(
+        self: &Rc<Self>,
+        target: FetchTarget,
+        peer: Ipv4Addr,
+        request: FetchRequest,
+    ) {
         let began = self.clock.now();
         let result = peer_stream::fetch(SocketAddrV4::new(peer, self.port), request).await;
         let now = self.clock.now();
@@ -319,13 +350,14 @@
         }
     }
 
-    fn apply_fetched(&self, target: FetchTarget, update: Update, now: Millis) {
+    fn apply_fetched(self: &Rc<Self>, target: FetchTarget, update: Update, now: Millis) {
         match target {
-            FetchTarget::State => {
+            FetchTarget::State | FetchTarget::RemovedTargets => {
                 let changed = self.node.borrow_mut().apply_from_peer(update, now);
                 if changed {
                     self.propagate_updates();
                 }
+                self.fetch_removed_targets();
             }
             FetchTarget::FullReplica => self.node.borrow_mut().apply_to_full_replica(update, now),
         }
@@ -341,5 +373,7 @@
         self.metrics.balancers.set(node.known_balancers() as i64);
         self.metrics.zones_evacuated.set(node.view().evacuated_zone_count() as i64);
         self.metrics.age_ms.set(age.map_or(-1, |age| age as i64));
+        let knows_removed_targets = node.knows_removed_targets(self.clock.now());
+        self.metrics.knows_removed_targets.set(i64::from(knows_removed_targets));
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -134,6 +134,8 @@
     pub configuration: Gauge,
     /// Milliseconds since the store confirmed the known state; -1 if it never did.
     pub age_ms: Gauge,
+    /// 1 if the daemon knows the targets that were removed from the store recently, otherwise 0.
+    pub knows_removed_targets: Gauge,
     /// Other balancers that this daemon knows.
     pub balancers: Gauge,
     /// Evacuated zones: their targets get no new flows.
@@ -157,6 +159,8 @@
             era: metrics.gauge("store_era", "How often the store came back from a copy"),
             configuration: metrics.gauge("configuration_version", "Configuration in force"),
             age_ms: metrics.gauge("store_age_ms", "Milliseconds since the store's confirmation"),
+            knows_removed_targets: metrics
+                .gauge("removed_targets_known", "Whether recently removed targets are known"),
             balancers: metrics.gauge("balancers_known", "Other balancers known"),
             zones_evacuated: metrics
                 .gauge("zones_evacuated", "Zones whose targets get no new flows"),
--- a/crates/relay/src/platform.rs
+++ b/crates/relay/src/platform.rs
@@ -112,12 +112,11 @@
         Ok(Update {
             after,
             through: self.at,
-            complete: false,
-            skips: false,
             age_ms: if is_unchanged { elapsed_ms.saturating_sub(wait_ms) } else { 0 },
             configuration: self.configuration,
             targets: self.targets,
             zones: ZoneUpdate::Changes(self.zones),
+            ..Update::default()
         })
     }
 }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -251,6 +251,7 @@
             configuration: listing.configuration,
             targets: listing.targets,
             zones: ZoneUpdate::Whole(EvacuatedZones::new(through, listing.evacuated)),
+            ..Update::default()
         });
         Ok(())
     }
--- a/crates/relay/tests/fleet_node.rs
+++ b/crates/relay/tests/fleet_node.rs
@@ -227,3 +227,40 @@
     restarted.on_digest(&agent.digest(false, 200), 50);
     assert_eq!(restarted.view().evacuated_zone_count(), 1);
 }
+
+/// Guards against a balancer that lists the store itself and then asks no peer for the targets that
+/// left before.
+#[test]
+fn balancer_that_listed_the_store_fetches_removed_targets_from_a_peer() {
+    let now: Millis = 50_000;
+    let mut peer = node(BALANCER, PeerRole::Balancer);
+    peer.apply_from_store(update(0, 3, vec![target(1, 2), target(2, 3)]), 5_000);
+    let removal = VersionedTarget { present: false, record: None, ..target(1, 4) };
+    peer.apply_from_store(update(3, 4, vec![removal]), now);
+    let mut started = node(machine(9), PeerRole::Balancer);
+    started.apply_from_store(update(0, 4, vec![target(2, 3)]), 15);
+    assert!(!started.knows_removed_targets(20));
+    let request = started.digest(true, 20);
+    let position = peer.on_digest(&request, now + 5).removed_targets_known;
+    started.note_removed_targets_source(BALANCER, position.expect("the peer ran for long"));
+    assert_eq!(started.take_removed_targets_source(25), Some((BALANCER, at(4))));
+    assert_eq!(started.take_removed_targets_source(25), None, "used once");
+    started.apply_from_peer(peer.answer(started.removed_targets_request(), now + 10), 30);
+    assert!(started.knows_removed_targets(30));
+    assert!(started.view().target_of_agent(machine(1)).is_some(), "flows are searched there");
+    started.note_removed_targets_source(BALANCER, at(4));
+    assert_eq!(started.take_removed_targets_source(35), None, "fetched once");
+}
+
+/// Each digest between balancers that have run for long would otherwise be followed by a message.
+#[test]
+fn removed_targets_are_announced_only_with_a_requested_digest() {
+    let mut peer = serving(BALANCER, 5_000);
+    let other = serving(machine(9), 5_000);
+    let announced = |peer: &mut FleetNode, reply, now| {
+        peer.on_digest(&other.digest(reply, now), now).removed_targets_known.is_some()
+    };
+    assert!(!announced(&mut peer, true, 6_000), "it has not run for long itself");
+    assert!(!announced(&mut peer, false, 9_000));
+    assert!(announced(&mut peer, true, 9_000));
+}
--- a/crates/relay/tests/fleet_scale/simulation/mod.rs
+++ b/crates/relay/tests/fleet_scale/simulation/mod.rs
@@ -35,6 +35,7 @@
     Digest(Box<Digest>),
     ReplicaRequest { position: Position, age_ms: Option<u64> },
     ReplicaHeld { position: Position },
+    RemovedTargetsKnown { position: Position },
 }
 
 impl Message {
@@ -45,6 +46,9 @@
                 PeerMessage::ReplicaRequest { position: *position, age_ms: *age_ms }
             }
             Message::ReplicaHeld { position } => PeerMessage::ReplicaHeld { position: *position },
+            Message::RemovedTargetsKnown { position } => {
+                PeerMessage::RemovedTargetsKnown { position: *position }
+            }
         }
     }
 }
@@ -53,6 +57,7 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum FetchTarget {
     State,
+    RemovedTargets,
     FullReplica,
 }
 
@@ -87,6 +92,7 @@
     is_running: bool,
     /// The position of the last fetch of each kind, and when it was requested.
     fetching: (Position, Millis),
+    fetching_removed: (Position, Millis),
     fetching_replica: (Position, Millis),
     fetches_in_progress: usize,
     /// When its link has sent all that was queued.
@@ -168,6 +174,7 @@
                 started_at: 0,
                 is_running: true,
                 fetching: (Position::default(), 0),
+                fetching_removed: (Position::default(), 0),
                 fetching_replica: (Position::default(), 0),
                 fetches_in_progress: 0,
                 link_free_at: 0,
@@ -207,6 +214,7 @@
             daemon.node = new_node(index, PeerRole::Balancer, seed);
             daemon.is_running = true;
             daemon.fetching = (Position::default(), 0);
+            daemon.fetching_removed = (Position::default(), 0);
             daemon.fetches_in_progress = 0;
             daemon.failures = 0;
             self.schedule_start(index);
@@ -296,6 +304,18 @@
                     self.fetch(index, FetchTarget::State, from, *position);
                 }
             }
+            Message::RemovedTargetsKnown { position } => {
+                node.note_removed_targets_source(from, *position);
+                self.fetch_removed_targets(index);
+            }
+        }
+    }
+
+    pub(super) fn fetch_removed_targets(&mut self, index: usize) {
+        let clock = self.clock(index);
+        let source = self.daemons[index].node.take_removed_targets_source(clock);
+        if let Some((peer, position)) = source {
+            self.fetch(index, FetchTarget::RemovedTargets, peer, position);
         }
     }
 
@@ -314,6 +334,9 @@
             let (position, age_ms) = (node.position(), node.age(clock));
             self.send(index, sender, Message::ReplicaRequest { position, age_ms });
         }
+        if let Some(position) = reaction.removed_targets_known {
+            self.send(index, sender, Message::RemovedTargetsKnown { position });
+        }
         if reaction.propagate {
             self.propagate(index);
         }
@@ -324,6 +347,7 @@
         let daemon = &mut self.daemons[index];
         let last = match target {
             FetchTarget::State => &mut daemon.fetching,
+            FetchTarget::RemovedTargets => &mut daemon.fetching_removed,
             FetchTarget::FullReplica => &mut daemon.fetching_replica,
         };
         let is_recent = position <= last.0 && now.saturating_sub(last.1) < FETCH_RETRY_MS;
@@ -334,6 +358,7 @@
         daemon.fetches_in_progress += 1;
         let request = match target {
             FetchTarget::State => Some(daemon.node.request()),
+            FetchTarget::RemovedTargets => Some(daemon.node.removed_targets_request()),
             FetchTarget::FullReplica => daemon.node.full_replica_request(),
         };
         let (duration, update) = match request {
@@ -372,10 +397,11 @@
         daemon.fetches_in_progress -= 1;
         let Some(update) = update else { return };
         match target {
-            FetchTarget::State => {
+            FetchTarget::State | FetchTarget::RemovedTargets => {
                 if daemon.node.apply_from_peer(*update, clock) {
                     self.propagate(index);
                 }
+                self.fetch_removed_targets(index);
             }
             FetchTarget::FullReplica => daemon.node.apply_to_full_replica(*update, clock),
         }
--- a/crates/relay/tests/fleet_scale/simulation/store.rs
+++ b/crates/relay/tests/fleet_scale/simulation/store.rs
@@ -78,6 +78,7 @@
         node.apply_from_store(update, clock);
         node.reading = reason.makes_reader() && !is_first_listing;
         self.propagate(index);
+        self.fetch_removed_targets(index);
         let pause = if is_first_listing { 0 } else { 250 };
         self.schedule(self.now + pause, index, Event::Poll);
     }
--- a/crates/steering/src/balancer/mod.rs
+++ b/crates/steering/src/balancer/mod.rs
@@ -49,6 +49,9 @@
     pub view: &'a FleetView,
     /// Whether the store's data is recent enough to refuse flows on its basis.
     pub fresh: bool,
+    /// Whether the view contains the targets that were removed from the store recently and may still
+    /// hold flows.
+    pub knows_removed_targets: bool,
     /// Balancers that take over packets of unknown flows; empty while this balancer has the
     /// processor time to handle them itself.
     pub helpers: &'a [Ipv4Addr],
--- a/crates/steering/src/balancer/opening.rs
+++ b/crates/steering/src/balancer/opening.rs
@@ -281,7 +281,7 @@
             Availability::Removed(at) => {
                 !candidate.evacuated && (is_uncertain || now.saturating_sub(at) < grace_ms)
             }
-            Availability::Ready | Availability::Leaving => false,
+            Availability::Ready | Availability::RemovedEarlier | Availability::Leaving => false,
         };
         let mut unrecorded_targets: Vec<Candidate> =
             candidates.iter().filter(may_be_alive).copied().collect();
@@ -289,7 +289,10 @@
             for agent in self.statuses.agents_with_target(service, now) {
                 let zone = self.statuses.reported_zone(agent);
                 let is_evacuated = zone.is_some_and(|zone| context.view.is_evacuated(zone));
-                let is_known = candidates.iter().any(|candidate| candidate.agent == agent);
+                let is_known = candidates.iter().any(|candidate| {
+                    candidate.agent == agent
+                        && candidate.availability != Availability::RemovedEarlier
+                });
                 if !is_known && !is_evacuated {
                     let region = zone.and_then(|zone| context.view.region_of(zone));
                     unrecorded_targets.push(reported_candidate(agent, region, now));
--- a/crates/steering/src/balancer/search.rs
+++ b/crates/steering/src/balancer/search.rs
@@ -162,7 +162,9 @@
 
     /// Whether this balancer knows of every target that may hold a flow.
     pub(super) fn knows_all_targets(&self, context: &Context<'_>) -> bool {
-        context.fresh && context.now >= self.store_fresh_at + REPORTS_COMPLETE_AFTER_MS
+        context.fresh
+            && context.knows_removed_targets
+            && context.now >= self.store_fresh_at + REPORTS_COMPLETE_AFTER_MS
     }
 
     /// Returns the packets whose search got no answer in time, for [`Self::continue_search`].
--- a/crates/steering/src/balancer/search_order.rs
+++ b/crates/steering/src/balancer/search_order.rs
@@ -154,6 +154,13 @@
         candidate.availability != Availability::Ready && is_silent
     }
 
+    /// Whether an unanswered search is sufficient evidence against a target that left the store. To a
+    /// balancer that never heard from the agent, a single unanswered packet is not.
+    fn was_asked_enough(&self, agent: Ipv4Addr, now: Millis) -> bool {
+        self.statuses.age(agent, now).is_some()
+            || self.statuses.is_persistently_unresponsive(agent, now)
+    }
+
     /// Whether a target has ended: its agent reported it, or the target left the store and did not
     /// answer several search packets either, although its agent may be alive. A live target would
     /// have renewed its record by then.
@@ -183,7 +190,7 @@
         let now = context.now;
         let Some((service, candidate)) = context.view.target_of_agent(agent) else { return true };
         let is_named = route.services().any(|named| named == service);
-        self.has_left(candidate, now)
+        (self.has_left(candidate, now) && self.was_asked_enough(agent, now))
             || self.target_has_ended(context, candidate)
             || (!is_named && self.is_foreign_address(agent, now))
     }
--- a/crates/steering/src/view.rs
+++ b/crates/steering/src/view.rs
@@ -80,6 +80,8 @@
     Ready,
     /// Its record was removed from the store at this time without being marked as draining before.
     Removed(Millis),
+    /// Its record was removed without such a mark before this daemon could learn of it.
+    RemovedEarlier,
     /// Draining: accepts no new flows but keeps its open ones.
     Leaving,
 }
@@ -372,6 +374,7 @@
     let availability = match (record.state, entry.target.present) {
         (TargetState::Draining, _) => Availability::Leaving,
         (TargetState::Ready, true) => Availability::Ready,
+        (TargetState::Ready, false) if entry.was_removed_earlier() => Availability::RemovedEarlier,
         (TargetState::Ready, false) => Availability::Removed(entry.learned_at),
     };
     Candidate {
--- a/crates/steering/tests/admission_by_delay.rs
+++ b/crates/steering/tests/admission_by_delay.rs
@@ -201,7 +201,14 @@
         let load = TargetLoad::default();
         let grant = CapacityGrant { agent: agent(1), service, urgent_only: false, load };
         let (view, now) = (&self.fixture.view, self.now);
-        let context = Context { view, fresh: true, helpers: &[], now, unix_ms: now };
+        let context = Context {
+            view,
+            fresh: true,
+            knows_removed_targets: true,
+            helpers: &[],
+            now,
+            unix_ms: now,
+        };
         match self.fixture.balancer.use_grant(&context, &grant).granted {
             Some(opening) => {
                 self.outcomes.longest_wait = self.outcomes.longest_wait.max(opening.waited_ms);
@@ -215,7 +222,14 @@
         let header = opening(flow);
         let packet = ClientPacket { header: &header, bytes: b"packet" };
         let (view, now) = (&self.fixture.view, self.now);
-        let context = Context { view, fresh: true, helpers: &[], now, unix_ms: now };
+        let context = Context {
+            view,
+            fresh: true,
+            knows_removed_targets: true,
+            helpers: &[],
+            now,
+            unix_ms: now,
+        };
         let mut decision = self.fixture.balancer.handle_client_packet(&context, packet);
         if let Decision::Forward(forward) = &decision {
             if self.free_capacity > 0 {
--- a/crates/steering/tests/support/fixture.rs
+++ b/crates/steering/tests/support/fixture.rs
@@ -14,21 +14,40 @@
     pub balancer: Balancer,
     pub view: FleetView,
     pub fresh: bool,
+    pub knows_removed_targets: bool,
 }
 
 impl Fixture {
     pub fn new(store: &Store) -> Self {
-        Self { balancer: Balancer::default(), view: store.view(), fresh: true }
+        Self {
+            balancer: Balancer::default(),
+            view: store.view(),
+            fresh: true,
+            knows_removed_targets: true,
+        }
     }
 
     pub fn context(&self, now: u64) -> Context<'_> {
-        Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 }
+        Context {
+            view: &self.view,
+            fresh: self.fresh,
+            knows_removed_targets: self.knows_removed_targets,
+            helpers: &[],
+            now,
+            unix_ms: 0,
+        }
     }
 
     /// Returns the balancer and the context of its decisions.
     fn parts(&mut self, now: u64) -> (&mut Balancer, Context<'_>) {
-        let context =
-            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
+        let context = Context {
+            view: &self.view,
+            fresh: self.fresh,
+            knows_removed_targets: self.knows_removed_targets,
+            helpers: &[],
+            now,
+            unix_ms: 0,
+        };
         (&mut self.balancer, context)
     }
 
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -10,8 +10,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use weirhinge_fleet::{
-    ColdStartPolicy, Configuration, EvacuatedZones, Position, Replica, Route, RoutePart,
-    TargetLoad, TargetRecord, TargetState, TargetStatus, Update, VersionedConfiguration,
+    ColdStartPolicy, Configuration, EvacuatedZones, Position, RemovedTarget, Replica, Route,
+    RoutePart, TargetLoad, TargetRecord, TargetState, TargetStatus, Update, VersionedConfiguration,
     VersionedTarget, ZoneUpdate,
 };
 use weirhinge_steering::{Decision, Flags, FleetView, FlowKey, Forward, Locality, PacketHeader};
@@ -190,6 +190,18 @@
         self.change_target(format!("{service}-{number}"), Some(record), now);
     }
 
+    /// Adds a target of zone `a` that a peer reports as removed at an earlier time.
+    pub fn target_removed_earlier(&mut self, number: u8, service: &str, now: u64) {
+        let target = VersionedTarget {
+            id: format!("{service}-{number}"),
+            position: self.position(),
+            present: false,
+            record: Some(record(agent(number), service, "a", TargetState::Ready)),
+        };
+        let removed = vec![RemovedTarget { target, remaining_ms: 60_000 }];
+        self.replica.apply(Update { removed, ..Update::default() }, now);
+    }
+
     /// Adds an entry under another key with the address of a target.
     pub fn target_at(&mut self, number: u8, service: &str, id: &str, now: u64) {
         let record = record(agent(number), service, "a", TargetState::Ready);
--- a/crates/steering/tests/support/queue.rs
+++ b/crates/steering/tests/support/queue.rs
@@ -93,8 +93,14 @@
     pub fn grant_for(&mut self, urgent_only: bool, agent: Ipv4Addr, now: u64) -> GrantOutcome {
         let service = ServiceId::of(SERVICE);
         let grant = CapacityGrant { agent, service, urgent_only, load: TargetLoad::default() };
-        let context =
-            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
+        let context = Context {
+            view: &self.view,
+            fresh: self.fresh,
+            knows_removed_targets: true,
+            helpers: &[],
+            now,
+            unix_ms: 0,
+        };
         self.balancer.use_grant(&context, &grant)
     }
 
@@ -118,8 +124,14 @@
     }
 
     pub fn due_capacity_requests(&mut self, now: u64) -> Vec<CapacityRequest> {
-        let context =
-            Context { view: &self.view, fresh: self.fresh, helpers: &[], now, unix_ms: 0 };
+        let context = Context {
+            view: &self.view,
+            fresh: self.fresh,
+            knows_removed_targets: true,
+            helpers: &[],
+            now,
+            unix_ms: 0,
+        };
         self.balancer.due_capacity_requests(&context)
     }
 }
