Ignore outdated versions that would bring back a removed target

Cause: the balancer's stale first listing completed after its peers' newer state had arrived, and Replica added the target because it did not know it. A replica's position says that all changes up to it are known, so an unknown target of an earlier position has been removed; the position was not compared. In the log the peer's state at revision 14 came at 42 ms, the listing at revision 13 at 620 ms, and with it the target as Ready from the store. Ruled out: peers, whose state lacks the target. A second check of the listing's position at its end would mend this case and leave the answers of two peers that arrive in the opposite order. Change: a version that the position covers, in the same era, brings back neither an unknown nor a removed target. The log of a listing says whether it was outdated when it completed. Why it works: what a replica knows at its position is complete, so nothing older can be news about a target that is not in the store.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -384,6 +384,9 @@
         // After the hold period, a target whose record was not renewed in the newest era is
         // considered removed.
         offered.present &= held_through.is_some() || offered.position.era >= self.position.era;
+        if offered.present && self.was_removed_since(&offered) {
+            return;
+        }
         let Some(entry) = self.targets.get_mut(&offered.id) else {
             changes.push(Change::of_target(&offered, false));
             self.targets.insert(offered.id.clone(), TargetEntry::new(offered, now));
@@ -437,6 +440,18 @@
             .collect()
     }
 
+    /// Whether a target was removed after this version, which is so if all later changes are known and
+    /// the target is not in the store. Positions of another era do not show this.
+    fn was_removed_since(&self, version: &VersionedTarget) -> bool {
+        let is_absent = match self.targets.get(&version.id).map(|entry| &entry.target) {
+            Some(known) => !known.present && known.position.era == version.position.era,
+            None => true,
+        };
+        let knows_later_changes =
+            version.position.era == self.position.era && version.position <= self.position;
+        is_absent && knows_later_changes
+    }
+
     fn forget_removed(&mut self, now: Millis) {
         self.returned_at.retain(|_, at| now.saturating_sub(*at) < REMOVED_TARGET_LIFETIME_MS);
         let removals = &mut self.removals;
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -236,9 +236,11 @@
         }
         self.needs_list = false;
         let through = listing.at.unwrap_or_default();
+        // Peers may have sent newer state in the meantime.
+        let is_outdated = through < self.node.borrow().position();
         info!(self.log, "store: listing complete"; "event" => "store_listed",
             "reason" => reason.label(), "era" => through.era, "revision" => through.revision,
-            "known_era" => known.era, "known" => known.revision);
+            "known_era" => known.era, "known" => known.revision, "outdated" => is_outdated);
         self.apply(Update {
             after: Position::default(),
             through,
