--- a/crates/fleet/src/removed_target.rs
+++ b/crates/fleet/src/removed_target.rs
@@ -9,6 +9,7 @@
 /// How long a removed target is remembered, so that an older report does not restore it and its
 /// open flows can still be located.
 pub(crate) const REMOVED_TARGET_LIFETIME_MS: Millis = 90_000;
+
 /// A target whose record was removed from the store.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct RemovedTarget {
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -156,9 +156,9 @@
         self.removal_coverage.needs_peer(now)
     }
 
-    /// Whether a peer at this position knows all removals up to the time from which this replica
-    /// knows them.
-    pub fn is_removal_coverage_extended_by(&self, position: Position) -> bool {
+    /// Whether a peer that knows the recently removed targets at this position closes the gap before
+    /// the first state of this replica.
+    pub fn can_learn_removals_at(&self, position: Position) -> bool {
         self.removal_coverage.is_extended_by(position)
     }
 
@@ -406,7 +406,7 @@
     /// the target may still hold flows.
     fn apply_removed(&mut self, removed: RemovedTarget, now: Millis, changes: &mut Vec<Change>) {
         let held_through = self.era_hold.held_through();
-        let (id, record) = (removed.target.id.clone(), removed.target.record.clone());
+        let id = removed.target.id.clone();
         let has_changed = match self.targets.get_mut(&id) {
             Some(entry) => entry.merge_removed(removed, held_through, now),
             None => {
@@ -415,7 +415,7 @@
             }
         };
         if has_changed {
-            changes.push(Change::RemovedEarlier { id, record });
+            changes.push(Change::RemovedEarlier { id });
         }
     }
 
@@ -440,8 +440,8 @@
             .collect()
     }
 
-    /// Whether a target was removed after this version, which is so if all later changes are known and
-    /// the target is not in the store. Positions of another era do not show this.
+    /// Whether a target was removed after this version. That is so if all later changes are known and
+    /// the target is not in the store; positions of another era do not show it.
     fn was_removed_since(&self, version: &VersionedTarget) -> bool {
         let is_absent = match self.targets.get(&version.id).map(|entry| &entry.target) {
             Some(known) => !known.present && known.position.era == version.position.era,
--- a/crates/fleet/src/update.rs
+++ b/crates/fleet/src/update.rs
@@ -90,8 +90,6 @@
     RemovedEarlier {
         /// The target's identifier.
         id: String,
-        /// The last known record.
-        record: Option<TargetRecord>,
     },
     /// A zone's evacuation started: its targets must not get new flows.
     ZoneEvacuated {
--- a/crates/fleet/tests/removed_targets.rs
+++ b/crates/fleet/tests/removed_targets.rs
@@ -81,7 +81,7 @@
     let mut started = started();
     assert!(!started.knows_removed_targets(30) && started.needs_removed_targets(30));
     let changes = started.apply(peer().update_for(&request(&started), LATER), 40);
-    assert!(matches!(&changes[..], [Change::RemovedEarlier { id, .. }] if id == "x"));
+    assert!(matches!(&changes[..], [Change::RemovedEarlier { id }] if id == "x"));
     let entry = started.targets().find(|entry| entry.target.id == "x").expect("the removed target");
     assert!(entry.was_removed_earlier());
     assert!(entry.target.record.is_some(), "its machine is known");
@@ -103,7 +103,7 @@
     let mut started = Replica::new();
     started.apply(listing(9, Vec::new()), 20);
     let peer = peer();
-    assert!(!started.is_removal_coverage_extended_by(peer.position()));
+    assert!(!started.can_learn_removals_at(peer.position()));
     started.apply(peer.update_for(&request(&started), LATER), 40);
     assert!(!started.knows_removed_targets(40) && started.needs_removed_targets(40));
 }
--- a/crates/relay/src/fleet_node/removed_targets.rs
+++ b/crates/relay/src/fleet_node/removed_targets.rs
@@ -40,8 +40,8 @@
             return None;
         }
         let source = self.removed_targets_source.take()?;
-        let is_useful = self.needs_removed_targets(now)
-            && self.replica.is_removal_coverage_extended_by(source.1);
+        let is_useful =
+            self.needs_removed_targets(now) && self.replica.can_learn_removals_at(source.1);
         is_useful.then_some(source)
     }
 
--- a/crates/steering/src/balancer/search_order.rs
+++ b/crates/steering/src/balancer/search_order.rs
@@ -154,9 +154,9 @@
         candidate.availability != Availability::Ready && is_silent
     }
 
-    /// Whether an unanswered search is sufficient evidence against a target that left the store. To a
-    /// balancer that never heard from the agent, a single unanswered packet is not.
-    fn was_asked_enough(&self, agent: Ipv4Addr, now: Millis) -> bool {
+    /// Whether an unanswered search shows that a target which left the store has ended. To a balancer
+    /// that never heard from the target's agent, a single lost packet looks the same.
+    fn is_silence_conclusive(&self, agent: Ipv4Addr, now: Millis) -> bool {
         self.statuses.age(agent, now).is_some()
             || self.statuses.is_persistently_unresponsive(agent, now)
     }
@@ -190,7 +190,7 @@
         let now = context.now;
         let Some((service, candidate)) = context.view.target_of_agent(agent) else { return true };
         let is_named = route.services().any(|named| named == service);
-        (self.has_left(candidate, now) && self.was_asked_enough(agent, now))
+        (self.has_left(candidate, now) && self.is_silence_conclusive(agent, now))
             || self.target_has_ended(context, candidate)
             || (!is_named && self.is_foreign_address(agent, now))
     }
