Build the context of steering tests in one place

Cause: the new field of Context had been added to six literals in the tests of steering, four of which repeated what Fixture::parts gives. No assertion and no expectation is changed. The other crates' tests were not run again, as no file of theirs changed.

--- a/crates/steering/tests/admission_by_delay.rs
+++ b/crates/steering/tests/admission_by_delay.rs
@@ -200,16 +200,9 @@
         let service = ServiceId::of(SERVICE);
         let load = TargetLoad::default();
         let grant = CapacityGrant { agent: agent(1), service, urgent_only: false, load };
-        let (view, now) = (&self.fixture.view, self.now);
-        let context = Context {
-            view,
-            fresh: true,
-            knows_removed_targets: true,
-            helpers: &[],
-            now,
-            unix_ms: now,
-        };
-        match self.fixture.balancer.use_grant(&context, &grant).granted {
+        let (balancer, context) = self.fixture.parts(self.now);
+        let context = Context { unix_ms: self.now, ..context };
+        match balancer.use_grant(&context, &grant).granted {
             Some(opening) => {
                 self.outcomes.longest_wait = self.outcomes.longest_wait.max(opening.waited_ms);
                 self.opened(opening.header.client_flow());
@@ -221,24 +214,16 @@
     fn arrive(&mut self, flow: FlowKey) {
         let header = opening(flow);
         let packet = ClientPacket { header: &header, bytes: b"packet" };
-        let (view, now) = (&self.fixture.view, self.now);
-        let context = Context {
-            view,
-            fresh: true,
-            knows_removed_targets: true,
-            helpers: &[],
-            now,
-            unix_ms: now,
-        };
-        let mut decision = self.fixture.balancer.handle_client_packet(&context, packet);
+        let (balancer, context) = self.fixture.parts(self.now);
+        let context = Context { unix_ms: self.now, ..context };
+        let mut decision = balancer.handle_client_packet(&context, packet);
         if let Decision::Forward(forward) = &decision {
             if self.free_capacity > 0 {
                 self.free_capacity -= 1;
                 return self.opened(flow);
             }
             let (agent, busy) = (forward.agent, ReturnReason::Busy);
-            self.fixture.balancer.note_answer(agent, 0, now);
-            let balancer = &mut self.fixture.balancer;
+            balancer.note_answer(agent, 0, self.now);
             decision = balancer.handle_returned_packet(&context, packet, agent, busy, false);
         }
         match &decision {
--- a/crates/steering/tests/support/fixture.rs
+++ b/crates/steering/tests/support/fixture.rs
@@ -28,26 +28,12 @@
     }
 
     pub fn context(&self, now: u64) -> Context<'_> {
-        Context {
-            view: &self.view,
-            fresh: self.fresh,
-            knows_removed_targets: self.knows_removed_targets,
-            helpers: &[],
-            now,
-            unix_ms: 0,
-        }
+        context(&self.view, self.fresh, self.knows_removed_targets, now)
     }
 
     /// Returns the balancer and the context of its decisions.
-    fn parts(&mut self, now: u64) -> (&mut Balancer, Context<'_>) {
-        let context = Context {
-            view: &self.view,
-            fresh: self.fresh,
-            knows_removed_targets: self.knows_removed_targets,
-            helpers: &[],
-            now,
-            unix_ms: 0,
-        };
+    pub fn parts(&mut self, now: u64) -> (&mut Balancer, Context<'_>) {
+        let context = context(&self.view, self.fresh, self.knows_removed_targets, now);
         (&mut self.balancer, context)
     }
 
@@ -152,6 +138,10 @@
     }
 }
 
+fn context(view: &FleetView, fresh: bool, knows_removed_targets: bool, now: u64) -> Context<'_> {
+    Context { view, fresh, knows_removed_targets, helpers: &[], now, unix_ms: 0 }
+}
+
 /// Six targets, half of them in zone `b`, which some views place in another region.
 pub fn targets_in_two_zones() -> Store {
     let mut store = Store::with_targets(3);
--- a/crates/steering/tests/support/queue.rs
+++ b/crates/steering/tests/support/queue.rs
@@ -4,8 +4,8 @@
 
 use weirhinge_fleet::{ReturnReason, Route, ServiceId, TargetLoad};
 use weirhinge_steering::{
-    CapacityGrant, CapacityRequest, Context, Decision, FlowKey, GrantOutcome, PacketHeader,
-    ResetReason, ResolvedOpening, client_rank,
+    CapacityGrant, CapacityRequest, Decision, FlowKey, GrantOutcome, PacketHeader, ResetReason,
+    ResolvedOpening, client_rank,
 };
 
 use super::{Fixture, SERVICE, Store, agent, endpoint, forwarded, opening, route_to};
@@ -93,15 +93,8 @@
     pub fn grant_for(&mut self, urgent_only: bool, agent: Ipv4Addr, now: u64) -> GrantOutcome {
         let service = ServiceId::of(SERVICE);
         let grant = CapacityGrant { agent, service, urgent_only, load: TargetLoad::default() };
-        let context = Context {
-            view: &self.view,
-            fresh: self.fresh,
-            knows_removed_targets: true,
-            helpers: &[],
-            now,
-            unix_ms: 0,
-        };
-        self.balancer.use_grant(&context, &grant)
+        let (balancer, context) = self.parts(now);
+        balancer.use_grant(&context, &grant)
     }
 
     /// An agent grants capacity for any opening.
@@ -124,14 +117,7 @@
     }
 
     pub fn due_capacity_requests(&mut self, now: u64) -> Vec<CapacityRequest> {
-        let context = Context {
-            view: &self.view,
-            fresh: self.fresh,
-            knows_removed_targets: true,
-            helpers: &[],
-            now,
-            unix_ms: 0,
-        };
-        self.balancer.due_capacity_requests(&context)
+        let (balancer, context) = self.parts(now);
+        balancer.due_capacity_requests(&context)
     }
 }
